--- /dev/null
+++ b/dfmember/constants.go
@@ -0,0 +1,12 @@
+package dfmember
+
+import "dragonflygrade/dfclock"
+
+const (
+	// heardBound is how long a host counts as live after a peer heard from it
+	// although the platform's list, which lags, does not have it.
+	heardBound = 10 * dfclock.Second
+	// silentBound is how long contact with a listed host must fail before the
+	// host no longer counts as live. It spans a few lost packets and a restart.
+	silentBound = 5 * dfclock.Second
+)
