--- /dev/null
+++ b/dfconfig/constants.go
@@ -0,0 +1,34 @@
+package dfconfig
+
+import "dragonflygrade/dfclock"
+
+// Defaults of keys that a service file may leave out.
+const (
+	DefaultSessionMaxAge = 5 * dfclock.Second
+	DefaultReadDeadline  = 2 * dfclock.Second
+	DefaultWriteDeadline = 10 * dfclock.Second
+	DefaultReadPriority  = 5
+	DefaultWritePriority = 1
+)
+
+// ReserveConnections is the part of each upstream's connection limit that no
+// slot uses, so that an operator can always connect.
+const ReserveConnections = 2
+
+const (
+	// maxFileBytes bounds one service file; the longest expected has a few KB.
+	maxFileBytes = 256 << 10
+	// maxName is the limit of PostgreSQL for identifiers, which names become.
+	maxName = 63
+	// maxSlots and maxUpstreams bound the work per database at a host.
+	maxSlots       = 64
+	maxUpstreams   = 15
+	maxConnections = 10000
+	// maxPriority is the lowest urgency that admission distinguishes.
+	maxPriority = 9
+	maxSpan     = 24 * dfclock.Hour
+	// maxDeadline is below the time after which callers' drivers give up.
+	maxDeadline = 10 * dfclock.Minute
+	// nearDistance is how many edits a misspelt key may be from a known one.
+	nearDistance = 3
+)
