--- a/dfconfig/constants.go
+++ b/dfconfig/constants.go
@@ -31,4 +31,14 @@
 	maxDeadline = 10 * dfclock.Minute
 	// nearDistance is how many edits a misspelt key may be from a known one.
 	nearDistance = 3
+	// maxSteps is how many versions back a host answers with a difference; a
+	// host that lacks more gets the whole index. At 6,700 changes a day they
+	// span a quarter of an hour, longer than a restart or a short partition.
+	maxSteps = 64
+	// maxPayloadBytes keeps a payload below the message limit of 4 MB.
+	maxPayloadBytes = 3 << 20
+	// maxInflatedBytes bounds the memory that decoding a payload takes.
+	maxInflatedBytes = 32 << 20
+	// maxServices bounds an index; the target has 3,600 databases.
+	maxServices = 20000
 )
--- a/dfconfig/index.go
+++ b/dfconfig/index.go
@@ -14,6 +14,9 @@
 	Author  string
 	// Attempt identifies the publication; one version has one attempt.
 	Attempt string
+	// Previous is the attempt of the version before, empty for version 1. It
+	// lets a publisher find out whether a version of its own was replaced since.
+	Previous string
 	// Services has the content address by service name; it is never modified.
 	Services map[string]string
 }
@@ -72,9 +75,10 @@
 	return next
 }
 
-// WithVersion returns the index under another version, author and attempt.
-func (i Index) WithVersion(version uint64, author, attempt string) Index {
-	i.Version = version
+// Next returns the index of the following version with the same services.
+func (i Index) Next(author, attempt string) Index {
+	i.Previous = i.Attempt
+	i.Version++
 	i.Author = author
 	i.Attempt = attempt
 	return i
--- a/dfconfig/snapshot.go
+++ b/dfconfig/snapshot.go
@@ -53,19 +53,7 @@
 
 // NewSnapshot joins an index with the documents of its services by address.
 func NewSnapshot(index Index, documents map[string][]byte) (Snapshot, error) {
-	services := make(map[string]Service, len(index.Services))
-	for name, address := range index.Services {
-		document, ok := documents[address]
-		if !ok {
-			return Snapshot{}, eris.Errorf("config: no document for service %s at %s", name, address)
-		}
-		service, err := decodeAt(name, address, document)
-		if err != nil {
-			return Snapshot{}, err
-		}
-		services[name] = service
-	}
-	return Snapshot{index: index, services: services}, nil
+	return Snapshot{}.WithIndex(index, documents)
 }
 
 func decodeAt(name, address string, document []byte) (Service, error) {
@@ -163,12 +151,34 @@
 	return next
 }
 
-// WithVersion returns the snapshot under another version, author and attempt.
-func (s Snapshot) WithVersion(version uint64, author, attempt string) Snapshot {
-	s.index = s.index.WithVersion(version, author, attempt)
+// Next returns the snapshot as the following version.
+func (s Snapshot) Next(author, attempt string) Snapshot {
+	s.index = s.index.Next(author, attempt)
 	return s
 }
 
+// WithIndex returns the snapshot of another index. Services whose address did
+// not change are taken over; the others are decoded from the documents.
+func (s Snapshot) WithIndex(index Index, documents map[string][]byte) (Snapshot, error) {
+	services := make(map[string]Service, len(index.Services))
+	for name, address := range index.Services {
+		if s.index.Services[name] == address {
+			services[name] = s.services[name]
+			continue
+		}
+		document, ok := documents[address]
+		if !ok {
+			return Snapshot{}, eris.Errorf("config: no document for service %s at %s", name, address)
+		}
+		service, err := decodeAt(name, address, document)
+		if err != nil {
+			return Snapshot{}, err
+		}
+		services[name] = service
+	}
+	return Snapshot{index: index, services: services}, nil
+}
+
 func (s Snapshot) copied() Snapshot {
 	services := make(map[string]Service, len(s.services)+1)
 	for name, service := range s.services {
