Add statement classification with a bounded cache

Reads may go to replicas, so whether a statement can write must be known before it is sent. PostgreSQL's parser decides; what it does not know is a write, and only listed built-in functions are taken for read-only.

--- /dev/null
+++ b/dfclassify/classify_test.go
@@ -0,0 +1,142 @@
+package dfclassify
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfunit"
+)
+
+// describe formats a classification like the columns of the script.
+func describe(s *Statement) string {
+	class, repeatable, setting, tables := "read", "no", "-", "-"
+	if s.Class == dfunit.ClassWrite {
+		class = "write"
+	}
+	if s.Repeatable {
+		repeatable = "yes"
+	}
+	if found, ok := s.Setting(); ok {
+		setting = strings.ReplaceAll(fmt.Sprintf("%s:%s=%s", found.Verb, found.Name, found.Value), " ", "_")
+	}
+	if len(s.Tables) > 0 {
+		tables = strings.Join(s.Tables, ",")
+	}
+	return fmt.Sprintf("%s %s %s %s %s %s", class, s.Control, s.Effects, repeatable, setting, tables)
+}
+
+func script(t testing.TB) [][2]string {
+	file, err := os.Open("testdata/statements.txt")
+	require.NoError(t, err)
+	defer file.Close()
+	var cases [][2]string
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		if line := scanner.Text(); !strings.HasPrefix(line, "#") {
+			want, text, found := strings.Cut(line, " | ")
+			require.True(t, found, line)
+			cases = append(cases, [2]string{want, text})
+		}
+	}
+	require.NoError(t, scanner.Err())
+	return cases
+}
+
+// TestScript guards against sending a write to a replica, and against losing
+// session state of a caller.
+func TestScript(t *testing.T) {
+	cases := script(t)
+	require.GreaterOrEqual(t, len(cases), 80)
+	for _, c := range cases {
+		assert.Equal(t, c[0], describe(Parse(c[1])), c[1])
+	}
+}
+
+// TestLongTextIsAWrite guards against parsing text of unbounded length.
+func TestLongTextIsAWrite(t *testing.T) {
+	require.Equal(t, dfunit.ClassWrite, Parse("SELECT '"+strings.Repeat("x", MaxText)+"'").Class)
+	deep := Parse("SELECT " + strings.Repeat("(", 20000) + "1" + strings.Repeat(")", 20000))
+	require.NotNil(t, deep)
+}
+
+// TestFingerprint guards against patterns that miss a statement with other constants.
+func TestFingerprint(t *testing.T) {
+	one := Parse("SELECT * FROM items WHERE id = 5")
+	require.NotZero(t, one.Fingerprint)
+	require.Equal(t, one.Fingerprint, Parse("select *  from items where id=$1").Fingerprint)
+	require.NotEqual(t, one.Fingerprint, Parse("SELECT * FROM orders WHERE id = 5").Fingerprint)
+}
+
+// TestCacheIsBounded guards against a cache that grows with the texts it has
+// seen, and against answers of another text.
+func TestCacheIsBounded(t *testing.T) {
+	c := New(64)
+	for i := range 1000 {
+		text := fmt.Sprintf("SELECT * FROM t%d", i)
+		require.Equal(t, []string{fmt.Sprintf("t%d", i)}, c.Classify(text).Tables)
+	}
+	count, bytes := 0, 0
+	for i := range c.shards {
+		count += len(c.shards[i].index)
+		for text := range c.shards[i].index {
+			bytes += len(text)
+		}
+	}
+	require.LessOrEqual(t, count, 64)
+	require.Positive(t, bytes)
+	s := &shard{index: map[string]int{}, slots: make([]slot, 10), limit: 100}
+	for i := range 50 {
+		s.add(strings.Repeat("x", 30)+fmt.Sprint(i), &Statement{})
+		require.LessOrEqual(t, s.bytes, s.limit)
+	}
+}
+
+// TestHitDoesNotAllocate guards against garbage on the path of every statement.
+func TestHitDoesNotAllocate(t *testing.T) {
+	c := New(0)
+	text := "SELECT * FROM orders WHERE id = $1"
+	c.Classify(text)
+	require.Zero(t, testing.AllocsPerRun(100, func() { c.Classify(text) }))
+}
+
+// TestConcurrentUse guards against races between hits and replacement.
+func TestConcurrentUse(t *testing.T) {
+	c := New(32)
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			for i := range 300 {
+				name := fmt.Sprintf("t%d", (i*7+worker)%60)
+				if got := c.Classify("TABLE " + name).Tables; len(got) != 1 || got[0] != name {
+					t.Errorf("%s: %v", name, got)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func BenchmarkHit(b *testing.B) {
+	c := New(0)
+	text := "SELECT o.id, i.name FROM orders o JOIN items i ON i.o = o.id WHERE o.id = $1"
+	c.Classify(text)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Classify(text)
+	}
+}
+
+func BenchmarkMiss(b *testing.B) {
+	text := "SELECT o.id, i.name FROM orders o JOIN items i ON i.o = o.id WHERE o.id = $1"
+	b.ReportAllocs()
+	for b.Loop() {
+		Parse(text)
+	}
+}
