Add the upstream stand-in

The tests, the demo and the load tool need upstreams with terms, faults and a record, without a third-party server. This adds a small SQL engine with serialisable commits and a PostgreSQL v3 server over it, with asynchronous replication over control connections.

--- /dev/null
+++ b/dfstandin/environment.go
@@ -0,0 +1,252 @@
+package dfstandin
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandinsql"
+)
+
+// environment supplies the functions of an upstream to one connection.
+type environment struct {
+	connection *connection
+}
+
+func textColumns(names ...string) []dfstandinsql.Column {
+	columns := make([]dfstandinsql.Column, len(names))
+	for i, name := range names {
+		columns[i] = dfstandinsql.Column{Name: name, OID: dfstandinsql.OIDText}
+	}
+	return columns
+}
+
+var statusColumns = textColumns("Upstream", "DataCentre", "Role", "Accepted", "Actor", "LogTerm", "Flushed",
+	"Applied", "History", "Following", "PrimarySilence", "Leaving", "Discarded")
+
+// relations are the functions in FROM and the views, with their columns.
+var relations = map[string][]dfstandinsql.Column{
+	"group_status":   statusColumns,
+	"group_fence":    statusColumns,
+	"group_promote":  statusColumns,
+	"group_follow":   statusColumns,
+	"group_wait":     statusColumns,
+	"group_leaving":  statusColumns,
+	"group_fetch":    textColumns("Entry"),
+	"group_record":   textColumns("Term", "Offset", "XID", "Cut", "Tags"),
+	"group_counters": textColumns("LimitExceeded", "MaxConnections", "Connects", "ControlConnects"),
+	"pg_stat_activity": append([]dfstandinsql.Column{{Name: "pid", OID: dfstandinsql.OIDInt4}},
+		textColumns("usename", "application_name", "backend_type")...),
+}
+
+var functions = map[string]uint32{
+	"group_position": dfstandinsql.OIDText, "group_fault": dfstandinsql.OIDText,
+	"pg_xact_status": dfstandinsql.OIDText, "pg_terminate_backend": dfstandinsql.OIDBool,
+	"pg_cancel_backend": dfstandinsql.OIDBool, "pg_backend_pid": dfstandinsql.OIDInt4,
+	"pg_is_in_recovery": dfstandinsql.OIDBool, "version": dfstandinsql.OIDText,
+}
+
+// FunctionOID returns the result type of a function.
+func (e *environment) FunctionOID(name string) (uint32, bool) {
+	oid, known := functions[name]
+	return oid, known
+}
+
+// RelationColumns returns the columns of a relation that is not a table.
+func (e *environment) RelationColumns(name string) ([]dfstandinsql.Column, bool) {
+	columns, known := relations[name]
+	return columns, known
+}
+
+// Changed tells the client of a reported setting.
+func (e *environment) Changed(name, value string) {
+	c := e.connection
+	if name == "application_name" {
+		c.mu.Lock()
+		c.application = value
+		c.mu.Unlock()
+	}
+	for reportedName := range reported {
+		if strings.EqualFold(reportedName, name) {
+			c.backend.Send(&pgproto3.ParameterStatus{Name: reportedName, Value: value})
+		}
+	}
+}
+
+// Call runs a scalar function.
+func (e *environment) Call(_ context.Context, name string, arguments []dfstandinsql.Value) (dfstandinsql.Value, error) {
+	u := e.connection.upstream
+	if len(arguments) == 0 {
+		return e.callPlain(name)
+	}
+	number, _ := dfstandinsql.Coerce(arguments[0], dfstandinsql.OIDInt8)
+	value, isNumber := number.(int64)
+	switch name {
+	case "group_fault":
+		if !e.connection.control {
+			return nil, dfstandinsql.Errorf("42501", "faults need a control connection")
+		}
+		return "done", u.Fault(dfstandinsql.FormatText(arguments[0]))
+	case "pg_xact_status":
+		if !isNumber {
+			return nil, nil
+		}
+		return u.group.transactionStatus(uint64(value)), nil
+	case "pg_terminate_backend", "pg_cancel_backend":
+		c := u.find(uint32(value))
+		if c == nil || !isNumber {
+			return false, nil
+		}
+		if name == "pg_terminate_backend" {
+			c.interrupt(errTerminated)
+		} else {
+			c.cancelRunning()
+		}
+		return true, nil
+	}
+	return nil, dfstandinsql.Errorf(dfstandinsql.CodeFunction, "function %s does not exist", name)
+}
+
+func (e *environment) callPlain(name string) (dfstandinsql.Value, error) {
+	u := e.connection.upstream
+	switch name {
+	case "group_position":
+		return u.group.position().String(), nil
+	case "pg_backend_pid":
+		return int64(e.connection.pid), nil
+	case "pg_is_in_recovery":
+		return u.group.status().Role != dfgroup.RolePrimary, nil
+	case "version":
+		return "PostgreSQL 17.0 (stand-in)", nil
+	}
+	return nil, dfstandinsql.Errorf(dfstandinsql.CodeFunction, "function %s does not exist", name)
+}
+
+// Relation returns the rows of a view or of a function in FROM.
+func (e *environment) Relation(ctx context.Context, name string, arguments []dfstandinsql.Value) ([][]dfstandinsql.Value, error) {
+	if name == "pg_stat_activity" {
+		return e.connection.upstream.activity(), nil
+	}
+	if !e.connection.control {
+		return nil, dfstandinsql.Errorf("42501", "%s needs a control connection", name)
+	}
+	call, err := newCall(name, arguments)
+	if err != nil {
+		return nil, err
+	}
+	u := e.connection.upstream
+	switch name {
+	case "group_fetch":
+		return u.fetch(ctx, call)
+	case "group_record":
+		return u.recordRows(int(call.number(0)), int(call.number(1)))
+	case "group_counters":
+		counters := u.Counters()
+		return [][]dfstandinsql.Value{{counters.LimitExceeded, counters.MaxConnections, counters.Connects, counters.ControlConnects}}, nil
+	}
+	if err := u.control(ctx, call); err != nil {
+		return nil, err
+	}
+	return [][]dfstandinsql.Value{statusRow(u.group.status())}, nil
+}
+
+func (u *Upstream) control(ctx context.Context, c call) error {
+	term := dfposition.Term(c.number(0))
+	switch c.name {
+	case "group_fence":
+		return u.group.fence(term, c.text(1))
+	case "group_promote":
+		return u.group.promote(term, c.text(1))
+	case "group_follow":
+		return u.group.follow(term, c.text(1), dfgroup.UpstreamID(c.text(2)))
+	case "group_wait":
+		want := dfposition.Position{Term: term, Offset: dfposition.Offset(c.number(1))}
+		u.group.wait(ctx, want, dfclock.Millis(c.number(2)))
+		return context.Cause(ctx)
+	case "group_leaving":
+		leaving, err := dfstandinsql.Coerce(c.arguments[0], dfstandinsql.OIDBool)
+		if err != nil {
+			return err
+		}
+		u.SetLeaving(leaving == true)
+	}
+	return nil
+}
+
+// call is a function in FROM with checked arguments.
+type call struct {
+	name      string
+	arguments []dfstandinsql.Value
+}
+
+// signatures give the types of arguments: n is a number, t a text.
+var signatures = map[string]string{"group_status": "", "group_fence": "nt", "group_promote": "nt", "group_follow": "ntt",
+	"group_wait": "nnn", "group_leaving": "t", "group_fetch": "ntnnt", "group_record": "nn", "group_counters": ""}
+
+func newCall(name string, arguments []dfstandinsql.Value) (call, error) {
+	signature := signatures[name]
+	if len(arguments) != len(signature) {
+		return call{}, dfstandinsql.Errorf(dfstandinsql.CodeFunction, "function %s takes %d arguments", name, len(signature))
+	}
+	c := call{name: name, arguments: make([]dfstandinsql.Value, len(arguments))}
+	for i, argument := range arguments {
+		oid := dfstandinsql.OIDText
+		if signature[i] == 'n' {
+			oid = dfstandinsql.OIDInt8
+		}
+		value, err := dfstandinsql.Coerce(argument, oid)
+		if err != nil {
+			return call{}, err
+		}
+		if number, ok := value.(int64); value == nil || (ok && number < 0) {
+			return call{}, dfstandinsql.Errorf(dfstandinsql.CodeInvalidText, "function %s: argument %d is null or negative", name, i+1)
+		}
+		c.arguments[i] = value
+	}
+	return c, nil
+}
+
+func (c call) number(i int) int64 {
+	return c.arguments[i].(int64)
+}
+
+func (c call) text(i int) string {
+	return c.arguments[i].(string)
+}
+
+func statusRow(s dfgroup.Status) []dfstandinsql.Value {
+	return []dfstandinsql.Value{string(s.Upstream), s.DataCentre, string(s.Role), int64(s.Accepted), s.Actor, int64(s.LogTerm),
+		int64(s.Flushed), int64(s.Applied), s.History.String(), string(s.Following), int64(s.PrimarySilence), s.Leaving, s.Discarded}
+}
+
+func (u *Upstream) activity() [][]dfstandinsql.Value {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var rows [][]dfstandinsql.Value
+	for pid, c := range u.connections {
+		c.mu.Lock()
+		rows = append(rows, []dfstandinsql.Value{int64(pid), c.user, c.application, "client backend"})
+		c.mu.Unlock()
+	}
+	return rows
+}
+
+func (u *Upstream) recordRows(offset, limit int) ([][]dfstandinsql.Value, error) {
+	record := u.Record()
+	record = record[min(offset, len(record)):]
+	record = record[:min(limit, len(record))]
+	var rows [][]dfstandinsql.Value
+	for _, committed := range record {
+		tags, err := json.Marshal(committed.Tags)
+		if err != nil {
+			return nil, dfstandinsql.Errorf("XX000", "record: %s", err)
+		}
+		rows = append(rows, []dfstandinsql.Value{int64(committed.Term), int64(committed.Offset), int64(committed.XID), committed.Cut, string(tags)})
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/dfstandin/extended.go
@@ -0,0 +1,150 @@
+package dfstandin
+
+import (
+	"slices"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"dragonflygrade/dfstandinsql"
+)
+
+type prepared struct {
+	// statement is nil for an empty text.
+	statement   *dfstandinsql.Statement
+	description dfstandinsql.Description
+}
+
+type portal struct {
+	prepared   *prepared
+	parameters []dfstandinsql.Value
+	formats    []int16
+	started    bool
+	result     dfstandinsql.Result
+	sent       int
+}
+
+func (c *connection) extended(message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Parse:
+		return c.parse(m)
+	case *pgproto3.Bind:
+		return c.bind(m)
+	case *pgproto3.Describe:
+		return c.describe(m)
+	case *pgproto3.Execute:
+		return c.executePortal(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.statements, m.Name)
+		} else {
+			delete(c.portals, m.Name)
+		}
+		c.backend.Send(&pgproto3.CloseComplete{})
+		return nil
+	}
+	return dfstandinsql.Errorf(codeProtocol, "message %T is not supported", message)
+}
+
+func (c *connection) parse(m *pgproto3.Parse) error {
+	statements, err := dfstandinsql.Parse(m.Query)
+	if err != nil {
+		return err
+	}
+	if len(statements) > 1 {
+		return dfstandinsql.Errorf(dfstandinsql.CodeSyntax, "cannot insert multiple commands into a prepared statement")
+	}
+	if _, known := c.statements[m.Name]; known && m.Name != "" {
+		return dfstandinsql.Errorf("42P05", "prepared statement %q already exists", m.Name)
+	}
+	entry := &prepared{}
+	if len(statements) == 1 {
+		entry.statement = statements[0]
+		if entry.description, err = c.session.Describe(entry.statement, m.ParameterOIDs); err != nil {
+			return err
+		}
+	}
+	c.statements[m.Name] = entry
+	c.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (c *connection) bind(m *pgproto3.Bind) error {
+	entry := c.statements[m.PreparedStatement]
+	if entry == nil {
+		return dfstandinsql.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
+	}
+	oids := entry.description.Parameters
+	if len(m.Parameters) != len(oids) {
+		return dfstandinsql.Errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d", len(m.Parameters), len(oids))
+	}
+	bound := &portal{prepared: entry, formats: slices.Clone(m.ResultFormatCodes)}
+	for i, data := range m.Parameters {
+		value, err := dfstandinsql.Decode(data, oids[i], formatOf(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		bound.parameters = append(bound.parameters, value)
+	}
+	c.portals[m.DestinationPortal] = bound
+	c.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (c *connection) describe(m *pgproto3.Describe) error {
+	if m.ObjectType == 'S' {
+		entry := c.statements[m.Name]
+		if entry == nil {
+			return dfstandinsql.Errorf(codeStatementName, "prepared statement %q does not exist", m.Name)
+		}
+		c.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: entry.description.Parameters})
+		c.sendDescription(entry.description.Columns, nil)
+		return nil
+	}
+	bound := c.portals[m.Name]
+	if bound == nil {
+		return dfstandinsql.Errorf(codePortalName, "portal %q does not exist", m.Name)
+	}
+	c.sendDescription(bound.prepared.description.Columns, bound.formats)
+	return nil
+}
+
+func (c *connection) sendDescription(columns []dfstandinsql.Column, formats []int16) {
+	if columns == nil {
+		c.backend.Send(&pgproto3.NoData{})
+		return
+	}
+	c.backend.Send(rowDescription(columns, formats))
+}
+
+func (c *connection) executePortal(m *pgproto3.Execute) error {
+	bound := c.portals[m.Portal]
+	if bound == nil {
+		return dfstandinsql.Errorf(codePortalName, "portal %q does not exist", m.Portal)
+	}
+	if bound.prepared.statement == nil {
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if !bound.started {
+		result, err := c.execute(bound.prepared.statement, bound.parameters, bound.prepared.description.Parameters)
+		if err != nil {
+			return err
+		}
+		bound.started, bound.result = true, result
+	}
+	rows := bound.result.Rows[bound.sent:]
+	limited := m.MaxRows > 0 && len(rows) > int(m.MaxRows)
+	if limited {
+		rows = rows[:m.MaxRows]
+	}
+	if err := c.sendRows(bound.result.Columns, rows, bound.formats); err != nil {
+		return err
+	}
+	bound.sent += len(rows)
+	if limited {
+		c.backend.Send(&pgproto3.PortalSuspended{})
+		return nil
+	}
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(bound.result.Tag)})
+	return nil
+}
--- /dev/null
+++ b/dfstandin/fault.go
@@ -0,0 +1,268 @@
+package dfstandin
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfstandinsql"
+)
+
+// everyone stands for all peers and all clients in a partition.
+const everyone dfgroup.UpstreamID = "*"
+
+// faults is the state of the faults that hold on until they are healed.
+type faults struct {
+	mu     sync.Mutex
+	paused bool
+	cut    map[dfgroup.UpstreamID]bool
+	// opened is closed and replaced whenever a fault ends.
+	opened chan struct{}
+}
+
+func (f *faults) change(set func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	set()
+	close(f.opened)
+	f.opened = make(chan struct{})
+}
+
+func (f *faults) isCut(peer dfgroup.UpstreamID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[peer] || f.cut[everyone]
+}
+
+// running waits while the upstream is paused; false means that it ended.
+func (f *faults) running(ctx context.Context) bool {
+	return f.await(ctx.Done(), func() bool { return f.paused })
+}
+
+func (f *faults) await(ended <-chan struct{}, held func() bool) bool {
+	for {
+		f.mu.Lock()
+		wait, opened := held(), f.opened
+		f.mu.Unlock()
+		if !wait {
+			return true
+		}
+		select {
+		case <-opened:
+		case <-ended:
+			return false
+		}
+	}
+}
+
+// Pause stops all work without closing anything, as SIGSTOP does.
+func (u *Upstream) Pause() {
+	u.faults.change(func() { u.faults.paused = true })
+}
+
+// Resume ends Pause.
+func (u *Upstream) Resume() {
+	u.faults.change(func() { u.faults.paused = false })
+}
+
+// Crash closes all connections and refuses new ones. The flushed log stays.
+func (u *Upstream) Crash() {
+	u.halt()
+}
+
+// Restart runs a crashed upstream again, with its former role and address.
+func (u *Upstream) Restart() error {
+	return u.run()
+}
+
+// Partition cuts the links to the given peers, besides those already cut.
+// Without peers it cuts the links to everyone, clients included.
+func (u *Upstream) Partition(peers ...dfgroup.UpstreamID) {
+	u.faults.change(func() {
+		for _, peer := range peers {
+			u.faults.cut[peer] = true
+		}
+		if len(peers) == 0 {
+			u.faults.cut[everyone] = true
+		}
+	})
+}
+
+// Heal ends pauses and partitions.
+func (u *Upstream) Heal() {
+	u.faults.change(func() {
+		u.faults.paused = false
+		clear(u.faults.cut)
+	})
+}
+
+// Silence makes the open ordinary connections carry nothing more in either
+// direction, without closing them. New connections work.
+func (u *Upstream) Silence() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.connections {
+		if !c.control {
+			c.socket.silent.Store(true)
+		}
+	}
+}
+
+// SetLag changes the two replication delays.
+func (u *Upstream) SetLag(flush, apply dfclock.Millis) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	u.group.flushDelay, u.group.applyDelay = span(flush), span(apply)
+	u.group.notify()
+}
+
+// FaultApplication is the application name of control connections that work on
+// in a pause or partition, so that these can be ended.
+const FaultApplication = "dragonflygrade_fault"
+
+// Fault runs a fault command: "pause", "resume", "crash", "crash:milliseconds"
+// (with a restart after that span), "partition",
+// "partition:peer,peer", "heal", "silent", "lag:apply" or "lag:flush,apply".
+func (u *Upstream) Fault(command string) error {
+	name, argument, _ := strings.Cut(command, ":")
+	switch name {
+	case "pause":
+		u.Pause()
+	case "resume":
+		u.Resume()
+	case "crash":
+		return u.crashCommand(argument)
+	case "heal":
+		u.Heal()
+	case "silent":
+		u.Silence()
+	case "partition":
+		u.Partition(peerIDs(argument)...)
+	case "lag":
+		return u.lagCommand(argument)
+	default:
+		return dfstandinsql.Errorf(CodeRefused, "fault %q is not known", command)
+	}
+	return nil
+}
+
+func peerIDs(list string) []dfgroup.UpstreamID {
+	if list == "" {
+		return nil
+	}
+	var peers []dfgroup.UpstreamID
+	for _, peer := range strings.Split(list, ",") {
+		peers = append(peers, dfgroup.UpstreamID(strings.TrimSpace(peer)))
+	}
+	return peers
+}
+
+// crashCommand returns before the crash, because a connection of this upstream
+// may run it and ends first.
+func (u *Upstream) crashCommand(argument string) error {
+	restart, err := int64(0), error(nil)
+	if argument != "" {
+		restart, err = strconv.ParseInt(argument, 10, 64)
+	}
+	if err != nil || restart < 0 {
+		return dfstandinsql.Errorf(CodeRefused, "fault crash: %q is not a span in milliseconds", argument)
+	}
+	go func() {
+		u.Crash()
+		if argument == "" {
+			return
+		}
+		time.Sleep(span(dfclock.Millis(restart)))
+		if err := u.Restart(); err != nil {
+			log.Error().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: no restart")
+		}
+	}()
+	return nil
+}
+
+func (u *Upstream) lagCommand(argument string) error {
+	flushText, applyText, both := strings.Cut(argument, ",")
+	if !both {
+		flushText, applyText = "0", argument
+	}
+	flush, err := strconv.ParseInt(flushText, 10, 64)
+	if err != nil || flush < 0 {
+		return dfstandinsql.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", flushText)
+	}
+	apply, err := strconv.ParseInt(applyText, 10, 64)
+	if err != nil || apply < 0 {
+		return dfstandinsql.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", applyText)
+	}
+	u.SetLag(dfclock.Millis(flush), dfclock.Millis(apply))
+	return nil
+}
+
+// socket is a network connection subject to the upstream's faults.
+type socket struct {
+	net.Conn
+	upstream *Upstream
+	silent   atomic.Bool
+	once     sync.Once
+	// ended is closed with the socket.
+	ended chan struct{}
+	// exempt sockets work on in a pause and in a partition, so that these can be ended.
+	exempt atomic.Bool
+	// started is set when the startup message was read, which faults do not hold up.
+	started atomic.Bool
+}
+
+func (s *socket) open() bool {
+	f := &s.upstream.faults
+	return f.await(s.ended, func() bool {
+		return s.started.Load() && !s.exempt.Load() && (f.paused || f.cut[everyone])
+	})
+}
+
+// Read drops what arrives on a silent socket and waits while the link is cut.
+func (s *socket) Read(p []byte) (int, error) {
+	for {
+		n, err := s.Conn.Read(p)
+		if !s.open() {
+			return 0, net.ErrClosed
+		}
+		if err != nil || !s.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write sends nothing on a silent socket and waits while the link is cut.
+func (s *socket) Write(p []byte) (int, error) {
+	if !s.open() {
+		return 0, net.ErrClosed
+	}
+	if s.silent.Load() {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+// Close leaves a silent socket open towards its peer until the upstream ends.
+func (s *socket) Close() error {
+	s.once.Do(func() { close(s.ended) })
+	if s.silent.Load() {
+		return nil
+	}
+	return s.Conn.Close()
+}
+
+func (s *socket) reset() {
+	s.once.Do(func() { close(s.ended) })
+	if conn, ok := s.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	_ = s.Conn.Close()
+}
--- /dev/null
+++ b/dfstandin/password.go
@@ -0,0 +1,90 @@
+package dfstandin
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+	"github.com/xdg-go/scram"
+
+	"dragonflygrade/dfstandinsql"
+)
+
+const (
+	mechanism = "SCRAM-SHA-256"
+	// iterations is PostgreSQL's default.
+	iterations = 4096
+)
+
+// authenticate runs SCRAM-SHA-256, or trusts everyone without passwords.
+func (c *connection) authenticate() error {
+	if len(c.upstream.options.Passwords) == 0 {
+		c.backend.Send(&pgproto3.AuthenticationOk{})
+		return nil
+	}
+	server, err := scram.SHA256.NewServer(c.credentials)
+	if err != nil {
+		return eris.Wrap(err, "standin: scram")
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	if err := c.backend.Flush(); err != nil {
+		return err
+	}
+	if err := c.backend.SetAuthType(pgproto3.AuthTypeSASL); err != nil {
+		return err
+	}
+	message, err := c.backend.Receive()
+	if err != nil {
+		return err
+	}
+	first, ok := message.(*pgproto3.SASLInitialResponse)
+	if !ok || first.AuthMechanism != mechanism {
+		return dfstandinsql.Errorf(codeProtocol, "expected SASL authentication by %s", mechanism)
+	}
+	return c.converse(server.NewConversation(), string(first.Data))
+}
+
+func (c *connection) converse(conversation *scram.ServerConversation, challenge string) error {
+	answer, err := conversation.Step(challenge)
+	if err != nil {
+		return c.refused()
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
+	if err := c.backend.Flush(); err != nil {
+		return err
+	}
+	if err := c.backend.SetAuthType(pgproto3.AuthTypeSASLContinue); err != nil {
+		return err
+	}
+	message, err := c.backend.Receive()
+	if err != nil {
+		return err
+	}
+	second, ok := message.(*pgproto3.SASLResponse)
+	if !ok {
+		return dfstandinsql.Errorf(codeProtocol, "expected a SASL response")
+	}
+	answer, err = conversation.Step(string(second.Data))
+	if err != nil || !conversation.Valid() {
+		return c.refused()
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	return nil
+}
+
+func (c *connection) refused() error {
+	return dfstandinsql.Errorf(codePassword, "password authentication failed for user %q", c.user)
+}
+
+// credentials ignores the name in the exchange, as PostgreSQL does, and takes
+// the user of the startup message.
+func (c *connection) credentials(string) (scram.StoredCredentials, error) {
+	password, known := c.upstream.options.Passwords[c.user]
+	if !known {
+		return scram.StoredCredentials{}, eris.New("standin: unknown user")
+	}
+	client, err := scram.SHA256.NewClient(c.user, password, "")
+	if err != nil {
+		return scram.StoredCredentials{}, eris.Wrap(err, "standin: scram")
+	}
+	return client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "dragonflygrade00", Iters: iterations})
+}
--- /dev/null
+++ b/dfstandin/upstream.go
@@ -0,0 +1,321 @@
+package dfstandin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandinsql"
+)
+
+// Counters count connections since the start.
+type Counters struct {
+	// LimitExceeded counts ordinary connections refused for the limit.
+	LimitExceeded int64
+	// MaxConnections is the highest number of ordinary connections at once.
+	MaxConnections int64
+	// Connects counts ordinary connections that were accepted.
+	Connects int64
+	// ControlConnects counts control connections that were accepted.
+	ControlConnects int64
+}
+
+// Upstream is one running stand-in.
+type Upstream struct {
+	options Options
+	group   *group
+	faults  faults
+	pids    atomic.Uint32
+
+	mu       sync.Mutex
+	address  string
+	listener net.Listener
+	peers    map[dfgroup.UpstreamID]Peer
+	// sockets has all open network connections, also those before startup.
+	sockets     map[*socket]bool
+	connections map[uint32]*connection
+	ordinary    int64
+	counters    Counters
+	// stop ends the goroutines of the present run.
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// Start opens the listener and returns a running upstream.
+func Start(options Options) (*Upstream, error) {
+	options = options.withDefaults()
+	u := &Upstream{options: options, group: newGroup(options), address: options.Listen,
+		sockets: map[*socket]bool{}, connections: map[uint32]*connection{}}
+	u.faults.cut = map[dfgroup.UpstreamID]bool{}
+	u.faults.opened = make(chan struct{})
+	u.SetPeers(options.Peers)
+	if err := u.run(); err != nil {
+		return nil, err
+	}
+	return u, nil
+}
+
+// SetPeers replaces the group's other upstreams.
+func (u *Upstream) SetPeers(peers []Peer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.peers = map[dfgroup.UpstreamID]Peer{}
+	for _, peer := range peers {
+		u.peers[peer.ID] = peer
+	}
+}
+
+// ID returns the identity.
+func (u *Upstream) ID() dfgroup.UpstreamID {
+	return u.options.ID
+}
+
+// Address returns "ip:port", which a restart keeps.
+func (u *Upstream) Address() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.address
+}
+
+// Peer describes this upstream to others.
+func (u *Upstream) Peer() Peer {
+	return Peer{ID: u.options.ID, DataCentre: u.options.DataCentre, Address: u.Address()}
+}
+
+// Counters returns the present counts.
+func (u *Upstream) Counters() Counters {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.counters
+}
+
+// Status returns what group_status answers.
+func (u *Upstream) Status() dfgroup.Status {
+	return u.group.status()
+}
+
+// Position returns the end of the log.
+func (u *Upstream) Position() dfposition.Position {
+	return u.group.position()
+}
+
+// Rows returns the applied rows of a table.
+func (u *Upstream) Rows(table string) [][]dfstandinsql.Value {
+	return u.group.database.Rows(table)
+}
+
+// Fence, Promote, Follow and SetLeaving are the control statements as methods.
+func (u *Upstream) Fence(term dfposition.Term, actor string) error {
+	return u.group.fence(term, actor)
+}
+
+// Promote is group_promote.
+func (u *Upstream) Promote(term dfposition.Term, actor string) error {
+	return u.group.promote(term, actor)
+}
+
+// Follow is group_follow.
+func (u *Upstream) Follow(term dfposition.Term, actor string, primary dfgroup.UpstreamID) error {
+	return u.group.follow(term, actor, primary)
+}
+
+// SetLeaving is group_leaving.
+func (u *Upstream) SetLeaving(leaving bool) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	u.group.leaving = leaving
+}
+
+// Wait is group_wait.
+func (u *Upstream) Wait(ctx context.Context, want dfposition.Position, bound dfclock.Millis) dfgroup.Status {
+	u.group.wait(ctx, want, bound)
+	return u.group.status()
+}
+
+// Record returns every transaction that this upstream committed or received,
+// first the surviving log in order, then what was cut.
+func (u *Upstream) Record() []Committed {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	var record []Committed
+	for i, entry := range u.group.log {
+		record = append(record, committedAt(entry, i, false))
+	}
+	return append(record, u.group.cut...)
+}
+
+// Surviving returns the log of the present primary, that is of the primary
+// with the highest accepted term.
+func Surviving(upstreams ...*Upstream) ([]Committed, bool) {
+	var primary *Upstream
+	for _, upstream := range upstreams {
+		status := upstream.Status()
+		if status.Role == dfgroup.RolePrimary && (primary == nil || status.Accepted > primary.Status().Accepted) {
+			primary = upstream
+		}
+	}
+	if primary == nil {
+		return nil, false
+	}
+	var surviving []Committed
+	for _, committed := range primary.Record() {
+		if !committed.Cut {
+			surviving = append(surviving, committed)
+		}
+	}
+	return surviving, true
+}
+
+// Stop closes everything and waits for the goroutines.
+func (u *Upstream) Stop() {
+	u.Heal()
+	u.halt()
+}
+
+func (u *Upstream) run() error {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", u.address)
+	if err != nil {
+		return eris.Wrapf(err, "standin: listen on %s", u.address)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	u.mu.Lock()
+	u.listener, u.address, u.stop = listener, listener.Addr().String(), stop
+	u.mu.Unlock()
+	u.done.Add(4)
+	go u.accept(ctx, listener)
+	go u.pull(ctx)
+	go u.pace(ctx, u.group.flushDue)
+	go u.pace(ctx, u.group.applyDue)
+	return nil
+}
+
+// halt ends the present run, as a crash does: connections are reset, received
+// entries that were not flushed are lost, and open transactions roll back.
+func (u *Upstream) halt() {
+	u.mu.Lock()
+	if u.listener == nil {
+		u.mu.Unlock()
+		return
+	}
+	u.stop()
+	_ = u.listener.Close()
+	u.listener = nil
+	for s := range u.sockets {
+		s.reset()
+	}
+	for _, c := range u.connections {
+		c.interrupt(errCrashed)
+	}
+	u.mu.Unlock()
+	u.done.Wait()
+	u.group.mu.Lock()
+	u.group.dropReceived()
+	u.group.mu.Unlock()
+}
+
+var errCrashed = eris.New("upstream stops")
+
+func (u *Upstream) accept(ctx context.Context, listener net.Listener) {
+	defer u.done.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s := &socket{Conn: conn, upstream: u, ended: make(chan struct{})}
+		u.mu.Lock()
+		if u.listener != listener {
+			u.mu.Unlock()
+			s.reset()
+			return
+		}
+		u.sockets[s] = true
+		u.done.Add(1)
+		u.mu.Unlock()
+		go u.serve(ctx, s)
+	}
+}
+
+func (u *Upstream) serve(ctx context.Context, s *socket) {
+	defer u.done.Done()
+	c := newConnection(ctx, u, s)
+	if err := c.run(); err != nil {
+		log.Debug().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: connection ended")
+	}
+	_ = s.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !s.silent.Load() {
+		delete(u.sockets, s)
+	}
+}
+
+// admit registers a connection after startup, or refuses it for the limit.
+func (u *Upstream) admit(c *connection) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c.control {
+		u.counters.ControlConnects++
+		u.connections[c.pid] = c
+		return nil
+	}
+	if u.ordinary >= int64(u.options.ConnectionLimit) {
+		u.counters.LimitExceeded++
+		return dfstandinsql.Errorf("53300", "sorry, too many clients already")
+	}
+	u.ordinary++
+	u.counters.Connects++
+	u.counters.MaxConnections = max(u.counters.MaxConnections, u.ordinary)
+	u.connections[c.pid] = c
+	return nil
+}
+
+func (u *Upstream) release(c *connection) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.connections[c.pid] != c {
+		return
+	}
+	delete(u.connections, c.pid)
+	if !c.control {
+		u.ordinary--
+	}
+}
+
+func (u *Upstream) find(pid uint32) *connection {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.connections[pid]
+}
+
+// pace calls a step whenever the group changes or the step's span has passed.
+func (u *Upstream) pace(ctx context.Context, step func(now time.Time) time.Duration) {
+	defer u.done.Done()
+	for ctx.Err() == nil {
+		if !u.faults.running(ctx) {
+			return
+		}
+		u.group.mu.Lock()
+		changed := u.group.changed
+		u.group.mu.Unlock()
+		next := step(time.Now())
+		if next <= 0 {
+			next = time.Second
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/dfstandinsql/database.go
@@ -0,0 +1,419 @@
+package dfstandinsql
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// RowID identifies a row within its table; it is the same on all upstreams.
+type RowID uint64
+
+// Change is one effect of a transaction.
+type Change struct {
+	Table string
+	Row   RowID
+	// Values is nil for a deletion.
+	Values []Value
+	// Schema is set if the change creates the table.
+	Schema []Column
+}
+
+// Tag records one statement of a committed transaction.
+type Tag struct {
+	SQL        string
+	Parameters []string
+	// Marker is the row's idempotency key, or else its key, as the statement gave it.
+	Marker string
+}
+
+// Commit is what a transaction leaves in the log.
+type Commit struct {
+	XID     uint64
+	Changes []Change
+	Tags    []Tag
+}
+
+// Hooks join a database to its upstream. They are called with the database
+// locked and must not call it.
+type Hooks struct {
+	// Writable refuses a write statement with an error.
+	Writable func() error
+	// Append logs a commit or refuses it; nothing of a refused commit remains.
+	Append func(Commit) error
+	// NextXID returns a fresh transaction identity.
+	NextXID func() uint64
+}
+
+type version struct {
+	sequence uint64
+	// values is nil if the row is deleted.
+	values []Value
+}
+
+type table struct {
+	name    string
+	columns []Column
+	// rows has the versions of each row in rising order of sequence.
+	rows map[RowID][]version
+	// order has the identities of all rows in rising order.
+	order []RowID
+	next  RowID
+	// indexes maps a column's values to rows that hold or held them.
+	indexes map[int]map[Value][]RowID
+}
+
+// Database is a set of tables with transactions.
+type Database struct {
+	hooks Hooks
+	mu    sync.Mutex
+	// sequence counts applied commits.
+	sequence  uint64
+	tables    map[string]*table
+	locks     map[string]*transaction
+	open      map[*transaction]bool
+	snapshots map[uint64]int
+}
+
+// Schema is the definition of a table.
+type Schema struct {
+	Name    string
+	Columns []Column
+}
+
+// DefaultSchemas returns the tables that every upstream starts with.
+func DefaultSchemas() []Schema {
+	return []Schema{
+		{Name: "orders", Columns: []Column{
+			{Name: "id", OID: OIDInt8, Unique: true, Primary: true}, {Name: "caller", OID: OIDText},
+			{Name: "item", OID: OIDText}, {Name: "quantity", OID: OIDInt4}, {Name: "status", OID: OIDText},
+			{Name: "idempotency_key", OID: OIDText, Unique: true}}},
+		{Name: "catalogue", Columns: []Column{
+			{Name: "item", OID: OIDText, Unique: true, Primary: true}, {Name: "price", OID: OIDInt8},
+			{Name: "available", OID: OIDInt4}}},
+		{Name: "tickets", Columns: []Column{
+			{Name: "id", OID: OIDInt8, Unique: true, Primary: true}, {Name: "order_id", OID: OIDInt8},
+			{Name: "state", OID: OIDText}, {Name: "ink", OID: OIDInt4}, {Name: "paper", OID: OIDInt4}}},
+		{Name: "kv", Columns: []Column{
+			{Name: "key", OID: OIDText, Unique: true, Primary: true}, {Name: "value", OID: OIDText}}},
+	}
+}
+
+// NewDatabase returns a database with the default tables.
+func NewDatabase(hooks Hooks) *Database {
+	db := &Database{hooks: hooks}
+	db.clear()
+	return db
+}
+
+func (db *Database) clear() {
+	db.tables = map[string]*table{}
+	db.locks = map[string]*transaction{}
+	db.open = map[*transaction]bool{}
+	db.snapshots = map[uint64]int{}
+	for _, schema := range DefaultSchemas() {
+		db.tables[schema.Name] = newTable(schema.Name, schema.Columns)
+	}
+}
+
+// Rebuild replaces the contents by the effects of the commits. Open
+// transactions fail.
+func (db *Database) Rebuild(commits []Commit) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.abortOpen(Errorf(CodeSerialization, "the log was cut"))
+	db.clear()
+	for _, commit := range commits {
+		db.install(commit.Changes)
+	}
+}
+
+// Apply installs a commit that was made elsewhere.
+func (db *Database) Apply(commit Commit) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.install(commit.Changes)
+}
+
+// AbortOpen rolls all open transactions back; their next statement fails with
+// the reason.
+func (db *Database) AbortOpen(reason error) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.abortOpen(reason)
+}
+
+func (db *Database) abortOpen(reason error) {
+	for tx := range db.open {
+		tx.aborted = reason
+		db.finish(tx)
+	}
+}
+
+// InProgress reports whether an open transaction has the identity.
+func (db *Database) InProgress(xid uint64) bool {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	for tx := range db.open {
+		if tx.xid == xid {
+			return true
+		}
+	}
+	return false
+}
+
+// Rows returns a copy of the committed rows of a table in order of insertion.
+func (db *Database) Rows(name string) [][]Value {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	t := db.tables[name]
+	if t == nil {
+		return nil
+	}
+	var rows [][]Value
+	for _, id := range t.order {
+		if values := t.at(id, db.sequence).values; values != nil {
+			rows = append(rows, slices.Clone(values))
+		}
+	}
+	return rows
+}
+
+func (db *Database) install(changes []Change) {
+	db.sequence++
+	oldest := db.sequence
+	for snapshot := range db.snapshots {
+		oldest = min(oldest, snapshot)
+	}
+	for _, change := range changes {
+		if change.Schema != nil {
+			db.tables[change.Table] = newTable(change.Table, change.Schema)
+			continue
+		}
+		db.tables[change.Table].install(change, db.sequence, oldest)
+	}
+}
+
+func newTable(name string, columns []Column) *table {
+	return &table{name: name, columns: columns, rows: map[RowID][]version{}, next: 1, indexes: map[int]map[Value][]RowID{}}
+}
+
+func (t *table) install(change Change, sequence, oldest uint64) {
+	versions, known := t.rows[change.Row]
+	if !known {
+		t.insertOrder(change.Row)
+	}
+	for len(versions) > 1 && versions[1].sequence <= oldest {
+		versions = versions[1:]
+	}
+	t.rows[change.Row] = append(versions, version{sequence: sequence, values: change.Values})
+	for column, index := range t.indexes {
+		addIndex(index, change, column)
+	}
+}
+
+// insertOrder keeps the order rising; commits may arrive out of the order in
+// which rows were numbered.
+func (t *table) insertOrder(id RowID) {
+	t.next = max(t.next, id+1)
+	at, _ := slices.BinarySearch(t.order, id)
+	t.order = slices.Insert(t.order, at, id)
+}
+
+func addIndex(index map[Value][]RowID, change Change, column int) {
+	if change.Values == nil || change.Values[column] == nil {
+		return
+	}
+	value := change.Values[column]
+	if !slices.Contains(index[value], change.Row) {
+		index[value] = append(index[value], change.Row)
+	}
+}
+
+// at returns the row's version at a sequence; the zero value is an absent row.
+func (t *table) at(id RowID, sequence uint64) version {
+	versions := t.rows[id]
+	for i := len(versions) - 1; i >= 0; i-- {
+		if versions[i].sequence <= sequence {
+			return versions[i]
+		}
+	}
+	return version{}
+}
+
+// candidates returns the rows that may hold the value in the column.
+func (t *table) candidates(column int, value Value) []RowID {
+	index, known := t.indexes[column]
+	if !known {
+		index = map[Value][]RowID{}
+		for _, id := range t.order {
+			for _, v := range t.rows[id] {
+				addIndex(index, Change{Row: id, Values: v.values}, column)
+			}
+		}
+		t.indexes[column] = index
+	}
+	return slices.Sorted(slices.Values(index[value]))
+}
+
+func (t *table) column(name string) (int, error) {
+	for i, column := range t.columns {
+		if column.Name == name {
+			return i, nil
+		}
+	}
+	return 0, Errorf(CodeColumn, "column %q does not exist", name)
+}
+
+func (db *Database) columnsOf(name string) ([]Column, bool) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	t, found := db.tables[name]
+	if !found {
+		return nil, false
+	}
+	return t.columns, true
+}
+
+// transaction is guarded by the database's lock.
+type transaction struct {
+	readOnly bool
+	// snapshot is the sequence that a read-only transaction reads.
+	snapshot uint64
+	xid      uint64
+	overlay  map[string]map[RowID][]Value
+	changes  []Change
+	created  map[string]*table
+	reads    []readSet
+	tags     []Tag
+	held     []string
+	// aborted is set when the database rolled the transaction back.
+	aborted error
+	// waitsFor is the transaction whose lock this one waits for.
+	waitsFor *transaction
+	ended    chan struct{}
+}
+
+// readSet is a scan of committed rows, to be repeated at commit.
+type readSet struct {
+	table string
+	match func(values []Value) (bool, error)
+	from  func(t *table) []RowID
+	found map[RowID]uint64
+}
+
+func (db *Database) begin(readOnly bool) *transaction {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	tx := &transaction{readOnly: readOnly, snapshot: db.sequence, ended: make(chan struct{}),
+		overlay: map[string]map[RowID][]Value{}, created: map[string]*table{}}
+	db.open[tx] = true
+	if readOnly {
+		db.snapshots[tx.snapshot]++
+	}
+	return tx
+}
+
+func (db *Database) finish(tx *transaction) {
+	if !db.open[tx] {
+		return
+	}
+	delete(db.open, tx)
+	for _, key := range tx.held {
+		delete(db.locks, key)
+	}
+	if tx.readOnly {
+		db.snapshots[tx.snapshot]--
+		if db.snapshots[tx.snapshot] == 0 {
+			delete(db.snapshots, tx.snapshot)
+		}
+	}
+	close(tx.ended)
+}
+
+func (db *Database) rollback(tx *transaction) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.finish(tx)
+}
+
+func (db *Database) commit(tx *transaction) error {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	defer db.finish(tx)
+	if tx.aborted != nil {
+		return tx.aborted
+	}
+	// One scan alone is consistent; several are only if nothing changed between.
+	if len(tx.changes) == 0 && len(tx.reads) < 2 {
+		return nil
+	}
+	for _, read := range tx.reads {
+		found, err := db.scan(read, db.sequence)
+		if err != nil {
+			return err
+		}
+		if !maps.Equal(found, read.found) {
+			return Errorf(CodeSerialization, "could not serialize access due to read/write dependencies among transactions")
+		}
+	}
+	if len(tx.changes) == 0 {
+		return nil
+	}
+	commit := Commit{XID: tx.xid, Changes: tx.changes, Tags: tx.tags}
+	if err := db.hooks.Append(commit); err != nil {
+		return err
+	}
+	db.install(tx.changes)
+	return nil
+}
+
+func (db *Database) scan(read readSet, sequence uint64) (map[RowID]uint64, error) {
+	found := map[RowID]uint64{}
+	t := db.tables[read.table]
+	if t == nil {
+		return found, nil
+	}
+	for _, id := range read.from(t) {
+		v := t.at(id, sequence)
+		if v.values == nil {
+			continue
+		}
+		matched, err := read.match(v.values)
+		if err != nil {
+			return nil, err
+		}
+		if matched {
+			found[id] = v.sequence
+		}
+	}
+	return found, nil
+}
+
+// blocked reports that a statement has to wait for another transaction.
+type blocked struct {
+	holder *transaction
+}
+
+// Error names the condition; the session handles it by waiting.
+func (b *blocked) Error() string {
+	return "lock is held by another transaction"
+}
+
+func (db *Database) lock(tx *transaction, key string) error {
+	holder := db.locks[key]
+	if holder == tx {
+		return nil
+	}
+	if holder == nil {
+		db.locks[key] = tx
+		tx.held = append(tx.held, key)
+		return nil
+	}
+	for waiting := holder; waiting != nil; waiting = waiting.waitsFor {
+		if waiting == tx {
+			return Errorf(CodeDeadlock, "deadlock detected")
+		}
+	}
+	return &blocked{holder: holder}
+}
