Add the wire protocol for callers and upstreams, and the pool

Cause: the host needs both sides of PostgreSQL protocol v3 and a decision how the connections of one upstream are shared.

--- /dev/null
+++ b/dfupstream/pool.go
@@ -0,0 +1,425 @@
+package dfupstream
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfpool"
+	"dragonflygrade/dfresult"
+)
+
+// PoolConfig has the settings of a pool runner. Zero spans mean the defaults.
+type PoolConfig struct {
+	Conn Config
+	Pool dfpool.Config
+	// Now reads the host's clock; it is never nil.
+	Now func() dfclock.Millis
+	// OnTerminated is called by a goroutine of its own when the upstream's
+	// administrator ended a connection. It must not call Close; nil does nothing.
+	OnTerminated func()
+	// Seed makes the jitter repeatable.
+	Seed         uint64
+	Ring         int
+	OpenTimeout  dfclock.Millis
+	ProbeTimeout dfclock.Millis
+	ResetTimeout dfclock.Millis
+}
+
+func (c PoolConfig) withDefaults() PoolConfig {
+	if c.Ring == 0 {
+		c.Ring = DefaultRing
+	}
+	if c.OpenTimeout == 0 {
+		c.OpenTimeout = DefaultOpenTimeout
+	}
+	if c.ProbeTimeout == 0 {
+		c.ProbeTimeout = DefaultProbeTimeout
+	}
+	if c.ResetTimeout == 0 {
+		c.ResetTimeout = DefaultResetTimeout
+	}
+	return c
+}
+
+// grant answers a waiter.
+type grant struct {
+	conn *Conn
+	err  error
+}
+
+// claim is a waiter as seen by its caller.
+type claim struct {
+	// answer has room for one grant.
+	answer chan grant
+	// abandoned is set when the caller gave up, before the event Withdrawn.
+	abandoned atomic.Bool
+}
+
+// request is an event for the pool's goroutine with what belongs to it.
+type request struct {
+	event dfpool.Event
+	// conn belongs to Opened.
+	conn *Conn
+	// claim belongs to Want and Withdrawn.
+	claim *claim
+	// stats belongs to a request for statistics.
+	stats chan dfpool.Stats
+}
+
+// Pool runs the decisions of dfpool. One goroutine owns the decision value.
+type Pool struct {
+	config PoolConfig
+	// requests is the bounded ring of callers. A full ring refuses.
+	requests chan request
+	// results carries the ends of openings, probes and returns, which are never
+	// refused: there are at most as many as connections.
+	results chan request
+	done    chan struct{}
+	stop    context.CancelFunc
+	ctx     context.Context
+	workers sync.WaitGroup
+	waiting sync.Mutex
+	lastID  dfpool.WaiterID
+
+	// The following fields belong to the pool's goroutine.
+	decision *dfpool.Pool
+	conns    map[dfpool.ConnID]*Conn
+	claims   map[dfpool.WaiterID]*claim
+}
+
+// NewPool starts a pool. Close ends it.
+func NewPool(config PoolConfig) *Pool {
+	config = config.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Pool{
+		config:   config,
+		requests: make(chan request, config.Ring),
+		results:  make(chan request, config.Ring),
+		done:     make(chan struct{}),
+		stop:     stop,
+		ctx:      ctx,
+		decision: dfpool.New(config.Pool, rand.New(rand.NewPCG(config.Seed, 1))),
+		conns:    map[dfpool.ConnID]*Conn{},
+		claims:   map[dfpool.WaiterID]*claim{},
+	}
+	go p.run()
+	return p
+}
+
+// Get waits for a connection until the deadline, which is an instant of the
+// pool's clock. Lower priorities go first. An error is a *dfresult.Error with
+// the outcome not run.
+func (p *Pool) Get(ctx context.Context, deadline dfclock.Millis, priority int) (*Conn, error) {
+	p.waiting.Lock()
+	p.lastID++
+	waiter := p.lastID
+	p.waiting.Unlock()
+	want := dfpool.Want{Waiter: waiter, Priority: priority, Deadline: deadline}
+	mine := &claim{answer: make(chan grant, 1)}
+	select {
+	case p.requests <- request{event: want, claim: mine}:
+	case <-p.done:
+		return nil, errPoolClosed()
+	default:
+		return nil, dfresult.NewError(dfresult.QueueFull, "the pool of %s is busy", p.config.Conn.Address)
+	}
+	select {
+	case granted := <-mine.answer:
+		return granted.conn, granted.err
+	case <-p.done:
+		return nil, errPoolClosed()
+	case <-ctx.Done():
+		mine.abandoned.Store(true)
+		p.post(request{event: dfpool.Withdrawn{Waiter: waiter}, claim: mine})
+		return nil, dfresult.NewError(dfresult.NoConnection, "the request was given up: %v", ctx.Err())
+	}
+}
+
+func errPoolClosed() error {
+	return dfresult.NewError(dfresult.NoConnection, "the pool is closed")
+}
+
+// Put gives a connection back. A connection with session state is reset first,
+// and one that is not idle is closed.
+func (p *Pool) Put(conn *Conn) {
+	if !conn.Idle() || conn.State() == None {
+		p.returned(conn, conn.Idle())
+		return
+	}
+	go func() {
+		ctx, stop := p.bounded(p.config.ResetTimeout)
+		defer stop()
+		err := conn.Reset(ctx)
+		p.returned(conn, err == nil && conn.Idle())
+	}()
+}
+
+func (p *Pool) returned(conn *Conn, idle bool) {
+	p.post(request{event: dfpool.Returned{Conn: dfpool.ConnID(conn.poolID), Idle: idle}})
+}
+
+// suspension is the wait after the administrator ended a connection.
+func (p *Pool) suspension() dfclock.Millis {
+	if p.config.Pool.ReopenCap > 0 {
+		return p.config.Pool.ReopenCap
+	}
+	return dfpool.DefaultReopenCap
+}
+
+// Silent reports that a connection did not answer in time. It is closed, and
+// idle connections of its age or older are probed before reuse. The holder must
+// not put it back.
+func (p *Pool) Silent(conn *Conn) {
+	conn.Close()
+	p.post(request{event: dfpool.Silent{Conn: dfpool.ConnID(conn.poolID)}})
+}
+
+// Suspend stops the opening of connections for a span.
+func (p *Pool) Suspend(span dfclock.Millis) {
+	p.post(request{event: dfpool.Suspended{For: span}})
+}
+
+// SetLimit changes the largest number of connections.
+func (p *Pool) SetLimit(limit int) {
+	p.post(request{event: dfpool.LimitChanged{Limit: limit}})
+}
+
+// Stats counts the connections. It is empty after Close.
+func (p *Pool) Stats() dfpool.Stats {
+	answer := make(chan dfpool.Stats, 1)
+	p.post(request{stats: answer})
+	select {
+	case stats := <-answer:
+		return stats
+	case <-p.done:
+		return dfpool.Stats{}
+	}
+}
+
+// Close refuses all waiters and closes all connections, also held ones.
+func (p *Pool) Close() {
+	p.stop()
+	<-p.done
+	p.workers.Wait()
+}
+
+// post hands an event to the pool's goroutine.
+func (p *Pool) post(r request) {
+	select {
+	case p.results <- r:
+	case <-p.done:
+		if r.conn != nil {
+			r.conn.Close()
+		}
+	}
+}
+
+func (p *Pool) run() {
+	defer p.shutDown()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	p.handle(dfpool.Tick{})
+	for {
+		timer.Reset(p.untilWake())
+		select {
+		case <-p.ctx.Done():
+			return
+		case r := <-p.results:
+			p.take(r)
+		case r := <-p.requests:
+			p.take(r)
+		case <-timer.C:
+			p.handle(dfpool.Tick{})
+		}
+	}
+}
+
+func (p *Pool) untilWake() time.Duration {
+	wake := p.decision.Wake()
+	if wake == dfclock.Never {
+		return time.Hour
+	}
+	// A span of at least one millisecond keeps a past instant from spinning.
+	span := max(wake.Since(p.config.Now()), dfclock.Millisecond)
+	return time.Duration(span) * time.Millisecond
+}
+
+// shutDown closes everything once no event is handled any more.
+func (p *Pool) shutDown() {
+	close(p.done)
+	for _, conn := range p.conns {
+		conn.Close()
+	}
+	for {
+		select {
+		case r := <-p.results:
+			if r.conn != nil {
+				r.conn.Close()
+			}
+		default:
+			return
+		}
+	}
+}
+
+// take handles a request with its attachments.
+func (p *Pool) take(r request) {
+	switch event := r.event.(type) {
+	case nil:
+		r.stats <- p.decision.Stats()
+		return
+	case dfpool.Want:
+		if r.claim.abandoned.Load() {
+			return
+		}
+		p.claims[event.Waiter] = r.claim
+	case dfpool.Withdrawn:
+		p.takeWithdrawn(event, r.claim)
+		return
+	case dfpool.Opened:
+		p.conns[event.Conn] = r.conn
+	case dfpool.Returned:
+		conn := p.conns[event.Conn]
+		if !event.Idle {
+			p.noteTerminated(conn)
+			break
+		}
+		event.Idle = conn != nil && check(conn.Idle(), "a returned connection is idle")
+		p.handle(event)
+		return
+	}
+	p.handle(r.event)
+}
+
+// takeWithdrawn also handles the case that a connection was given before.
+func (p *Pool) takeWithdrawn(event dfpool.Withdrawn, mine *claim) {
+	select {
+	case granted := <-mine.answer:
+		if granted.conn != nil {
+			p.handle(dfpool.Returned{Conn: dfpool.ConnID(granted.conn.poolID), Idle: true})
+		}
+	default:
+		delete(p.claims, event.Waiter)
+		p.handle(event)
+	}
+}
+
+func (p *Pool) handle(event dfpool.Event) {
+	pending := append([]dfpool.Action(nil), p.decision.Handle(p.config.Now(), event)...)
+	for len(pending) > 0 {
+		action := pending[0]
+		pending = pending[1:]
+		if next := p.execute(action); next != nil {
+			pending = append(pending, p.decision.Handle(p.config.Now(), next)...)
+		}
+	}
+}
+
+// execute carries out one action and returns an event that follows at once.
+func (p *Pool) execute(action dfpool.Action) dfpool.Event {
+	switch a := action.(type) {
+	case dfpool.Give:
+		return p.give(a)
+	case dfpool.Refuse:
+		p.answer(a.Waiter, grant{err: dfresult.NewError(a.Code, "%s", p.config.Conn.Address).WithRetryAfter(a.RetryAfter)})
+	case dfpool.Open:
+		return p.start(a.Conn)
+	case dfpool.Probe:
+		conn := p.conns[a.Conn]
+		p.work(func() { p.probe(a.Conn, conn) })
+	case dfpool.Close:
+		if conn := p.conns[a.Conn]; conn != nil {
+			delete(p.conns, a.Conn)
+			conn.Close()
+		}
+		return dfpool.Closed(a)
+	case dfpool.Violated:
+		check(false, a.Text)
+	}
+	return nil
+}
+
+// start begins an opening if the limit allows it.
+func (p *Pool) start(id dfpool.ConnID) dfpool.Event {
+	stats := p.decision.Stats()
+	if !check(stats.Total() <= stats.Limit, "openings keep the limit") {
+		return dfpool.OpenFailed{Conn: id}
+	}
+	p.work(func() { p.open(id) })
+	return nil
+}
+
+// give hands a connection over if the upstream has not ended it.
+func (p *Pool) give(a dfpool.Give) dfpool.Event {
+	conn := p.conns[a.Conn]
+	if conn == nil || !check(conn.Idle(), "a given connection is idle") || !conn.fresh() {
+		p.noteTerminated(conn)
+		return dfpool.Stale{Conn: a.Conn}
+	}
+	p.answer(a.Waiter, grant{conn: conn})
+	return nil
+}
+
+// noteTerminated reports that the administrator ended a connection.
+func (p *Pool) noteTerminated(conn *Conn) {
+	if conn == nil || !conn.Terminated() {
+		return
+	}
+	p.work(func() {
+		p.Suspend(p.suspension())
+		if p.config.OnTerminated != nil {
+			p.config.OnTerminated()
+		}
+	})
+}
+
+func (p *Pool) answer(waiter dfpool.WaiterID, granted grant) {
+	mine, ok := p.claims[waiter]
+	if !check(ok, "a served waiter waits") {
+		return
+	}
+	delete(p.claims, waiter)
+	mine.answer <- granted
+}
+
+func (p *Pool) work(job func()) {
+	p.workers.Add(1)
+	go func() {
+		defer p.workers.Done()
+		job()
+	}()
+}
+
+func (p *Pool) bounded(span dfclock.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(p.ctx, time.Duration(span)*time.Millisecond)
+}
+
+func (p *Pool) open(id dfpool.ConnID) {
+	ctx, stop := p.bounded(p.config.OpenTimeout)
+	defer stop()
+	conn, err := Open(ctx, p.config.Conn)
+	if err != nil {
+		var known *dfresult.Error
+		if errors.As(err, &known) && p.ctx.Err() == nil {
+			log.Warn().Str("upstream", p.config.Conn.Address).Str("reason", known.Detail).Msg("pool: opening failed")
+		}
+		p.post(request{event: dfpool.OpenFailed{Conn: id}})
+		return
+	}
+	conn.poolID = uint64(id)
+	p.post(request{event: dfpool.Opened{Conn: id}, conn: conn})
+}
+
+func (p *Pool) probe(id dfpool.ConnID, conn *Conn) {
+	ctx, stop := p.bounded(p.config.ProbeTimeout)
+	defer stop()
+	err := conn.Probe(ctx)
+	p.post(request{event: dfpool.ProbeAnswered{Conn: id, OK: err == nil && conn.Idle()}})
+}
--- /dev/null
+++ b/dfwire/run.go
@@ -0,0 +1,209 @@
+package dfwire
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"dragonflygrade/dfunit"
+)
+
+// run hands the collected batch to the session and ends its answer.
+func (c *caller) run() error {
+	c.busy.Store(true)
+	defer c.collected.reset()
+	last := c.collected.messages[len(c.collected.messages)-1].Type
+	if c.failed {
+		return c.runFailed(last)
+	}
+	c.sentError = false
+	status, err := c.session.Run(c.ctx, dfunit.Batch{Messages: c.collected.messages}, c)
+	if err != nil {
+		return c.refuse(status, err, last)
+	}
+	if status == 0 {
+		if c.copyIn && last != 'd' {
+			c.copySimple = last == 'Q'
+		}
+		return c.writer.Flush()
+	}
+	return c.ready(status)
+}
+
+// Send passes a reply of the session to the caller. ReadyForQuery is dropped,
+// because the server writes its own after the reported parameters.
+func (c *caller) Send(messageType byte, body []byte) error {
+	switch messageType {
+	case 'Z':
+		return nil
+	case 'G':
+		c.copyIn = true
+	case 'E':
+		c.sentError = true
+		c.copyIn = false
+	case 'C':
+		c.copyIn = false
+	}
+	return c.writer.Send(messageType, body)
+}
+
+// ready ends a batch and tells the transaction status.
+func (c *caller) ready(status byte) error {
+	c.status = status
+	c.copyIn = false
+	c.skipping = false
+	body := [1]byte{status}
+	if err := c.writer.Send('Z', body[:]); err != nil {
+		return err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	if status == 'I' {
+		c.busy.Store(false)
+	}
+	return nil
+}
+
+// refuse answers a batch that the session could not run.
+func (c *caller) refuse(status byte, cause error, last byte) error {
+	if err := c.write(errorResponse("ERROR", cause)); err != nil {
+		return err
+	}
+	if status != 'E' && status != 'I' {
+		status = c.statusAfterLoss()
+	}
+	c.failed, c.endBound = status == 'E', false
+	return c.endRefused(status, last)
+}
+
+// endRefused ends the answer at once, or skips to Sync.
+func (c *caller) endRefused(status, last byte) error {
+	simpleCopy := c.copyIn && c.copySimple
+	c.copyIn = false
+	c.status = status
+	if last == 'S' || last == 'Q' || simpleCopy {
+		return c.ready(status)
+	}
+	c.skipping = true
+	return c.writer.Flush()
+}
+
+// statusAfterLoss keeps a lost transaction open for the caller until it ends
+// it, unless the batch was about to do so.
+func (c *caller) statusAfterLoss() byte {
+	if c.status == 'I' {
+		return 'I'
+	}
+	for _, message := range c.collected.messages {
+		if endsTransaction(textOf(message)) {
+			return 'I'
+		}
+	}
+	return 'E'
+}
+
+// skip drops messages after an error until Sync.
+func (c *caller) skip(messageType byte) error {
+	if messageType != 'S' {
+		return nil
+	}
+	return c.ready(c.status)
+}
+
+// textOf returns the SQL of a Query or of a Bind's statement, or nothing.
+func textOf(message dfunit.Message) string {
+	switch {
+	case message.Type == 'Q':
+		return string(bytes.TrimSuffix(message.Body, []byte{0}))
+	case message.Type == 'B' && message.Statement != nil:
+		return message.Statement.SQL
+	}
+	return ""
+}
+
+// endsTransaction reports whether the text is one statement that ends a
+// transaction as a whole.
+func endsTransaction(sql string) bool {
+	words := strings.Fields(strings.ToLower(strings.TrimRight(sql, "; \t\r\n")))
+	if len(words) == 0 || len(words) > 4 {
+		return false
+	}
+	switch words[0] {
+	case "rollback", "abort", "commit", "end":
+	default:
+		return false
+	}
+	for _, word := range words[1:] {
+		switch word {
+		case "work", "transaction", "and", "no", "chain":
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// runFailed answers a batch inside a lost transaction. Only the end of the
+// transaction is accepted, as PostgreSQL does after an error.
+func (c *caller) runFailed(last byte) error {
+	for _, message := range c.collected.messages {
+		done, err := c.answerFailed(message)
+		if err != nil {
+			return err
+		}
+		if done {
+			c.failed, c.status = false, 'I'
+		}
+		if c.sentError {
+			c.sentError = false
+			return c.endRefused(c.status, last)
+		}
+	}
+	if last != 'S' && last != 'Q' {
+		return c.writer.Flush()
+	}
+	return c.ready(c.status)
+}
+
+// answerFailed answers one message inside a lost transaction. It reports
+// whether the transaction ended, and sets sentError after an error.
+func (c *caller) answerFailed(message dfunit.Message) (bool, error) {
+	switch message.Type {
+	case 'Q':
+		if endsTransaction(textOf(message)) {
+			return true, c.write(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+		}
+		return false, c.abort()
+	case 'P':
+		if endsTransaction(message.Statement.SQL) {
+			return false, c.write(&pgproto3.ParseComplete{})
+		}
+		return false, c.abort()
+	case 'B':
+		if endsTransaction(textOf(message)) {
+			c.endBound = true
+			return false, c.write(&pgproto3.BindComplete{})
+		}
+		return false, c.abort()
+	case 'D':
+		if message.Body[0] == 'S' {
+			return false, c.write(&pgproto3.ParameterDescription{}, &pgproto3.NoData{})
+		}
+		return false, c.write(&pgproto3.NoData{})
+	case 'E':
+		if !c.endBound {
+			return false, c.abort()
+		}
+		return true, c.write(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+	case 'C':
+		return false, c.write(&pgproto3.CloseComplete{})
+	}
+	return false, nil
+}
+
+func (c *caller) abort() error {
+	c.sentError = true
+	return c.write(plainError("ERROR", stateAborted, "current transaction is aborted, commands ignored until end of transaction block"))
+}
