Confirm answers that may have changed nothing under one term

Cause: an update of no row at a replaced primary gives an old position that every later log contains, so it would be released although it missed writes. Change: Confirm and AwaitConfirmed release under the routing term only; log ends are named by the term of their last entry.

--- a/dfack/ack.go
+++ b/dfack/ack.go
@@ -54,6 +54,8 @@
 	// do not count.
 	since dfclock.Millis
 	due   dfclock.Millis
+	// only is the one term under which the commit may be released, or zero.
+	only dfposition.Term
 	// confirmed has one entry for each upstream of the gate.
 	confirmed []confirmation
 }
@@ -101,13 +103,26 @@
 // Commit adds a commit whose answer has arrived by now. The identity must be
 // new among the commits that wait.
 func (g *Gate) Commit(now dfclock.Millis, id uint64, position dfposition.Position) []Action {
+	return g.add(now, &commit{id: id, position: position})
+}
+
+// Confirm adds the answer of a request that may have changed nothing, such as
+// an update that matched no row. It was sent to the primary of the term, and the
+// position was read behind it. Unlike a commit it is never released under a
+// later term: a replaced primary gives the same old position, although writes
+// that the request did not see were acknowledged since.
+func (g *Gate) Confirm(now dfclock.Millis, id uint64, position dfposition.Position, term dfposition.Term) []Action {
+	return g.add(now, &commit{id: id, position: position, only: max(term, position.Term)})
+}
+
+func (g *Gate) add(now dfclock.Millis, c *commit) []Action {
 	if len(g.commits) >= MaxWaiting {
-		return []Action{Answer{ID: id, Position: position, Code: dfresult.NotMajority}}
-	}
-	g.commits[id] = &commit{
-		id: id, position: position, since: now, due: now.Add(g.options.Timeout),
-		confirmed: make([]confirmation, len(g.upstreams)),
+		return []Action{Answer{ID: c.id, Position: c.position, Code: dfresult.NotMajority}}
 	}
+	c.since = now
+	c.due = now.Add(g.options.Timeout)
+	c.confirmed = make([]confirmation, len(g.upstreams))
+	g.commits[c.id] = c
 	return g.waits(now)
 }
 
@@ -170,20 +185,19 @@
 
 // judge returns the answer of a commit once there is one.
 func (g *Gate) judge(now dfclock.Millis, c *commit) (dfresult.Code, bool) {
-	superseded := false
-	for _, term := range g.terms(c.position.Term) {
-		superseded = superseded || term > c.position.Term
-		if g.majority(c, term) {
+	terms := g.terms(max(c.position.Term, c.only))
+	for _, term := range terms {
+		if (c.only == 0 || term == c.only) && g.majority(c, term) {
 			return dfresult.OK, true
 		}
-		if g.discarded(c, term) {
+		if g.ended(c, term) {
 			return dfresult.PrimaryChanged, true
 		}
 	}
 	if !now.Reached(c.due) {
 		return 0, false
 	}
-	if superseded {
+	if len(terms) > 1 {
 		return dfresult.PrimaryChanged, true
 	}
 	return dfresult.NotMajority, true
@@ -203,10 +217,10 @@
 	return primary && count > len(g.upstreams)/2
 }
 
-// discarded reports whether the confirmed primary of a later term lacks the
-// position for good.
-func (g *Gate) discarded(c *commit, term dfposition.Term) bool {
-	accepted, lost := 0, false
+// ended reports whether a later term has a confirmed primary that lacks the
+// position for good, or under which the commit must not be released.
+func (g *Gate) ended(c *commit, term dfposition.Term) bool {
+	accepted, ended := 0, false
 	for _, id := range g.upstreams {
 		r := g.reports[id]
 		if !r.known || r.status.Accepted != term {
@@ -214,13 +228,14 @@
 		}
 		accepted++
 		if r.status.Role == dfgroup.RolePrimary {
-			lost = r.status.History.Locate(r.status.Flushed, c.position) == dfposition.Discarded
+			ended = c.only != 0 && term > c.only ||
+				r.status.History.Locate(r.status.Flushed, c.position) == dfposition.Discarded
 		}
 	}
-	return lost && accepted > len(g.upstreams)/2
+	return ended && accepted > len(g.upstreams)/2
 }
 
-// terms returns the accepted terms known that are not below the lowest, rising.
+// terms returns the lowest term and the accepted terms above it, rising.
 func (g *Gate) terms(lowest dfposition.Term) []dfposition.Term {
 	terms := []dfposition.Term{lowest}
 	for _, id := range g.upstreams {
--- a/dfcontrol/client.go
+++ b/dfcontrol/client.go
@@ -140,7 +140,7 @@
 		l.conn = conn
 	}
 	row, err := l.query(ctx, sql)
-	var refusal *Refusal
+	var refusal *RefusedError
 	var answer *pgconn.PgError
 	if err != nil && !errors.As(err, &refusal) && !errors.As(err, &answer) {
 		l.drop()
@@ -219,7 +219,7 @@
 		return pgconn.ErrorResponseToPgError(m)
 	}
 	term, _ := strconv.ParseUint(digits.FindString(m.Detail), 10, 64)
-	return &Refusal{Accepted: dfposition.Term(term), Message: m.Message}
+	return &RefusedError{Accepted: dfposition.Term(term), Message: m.Message}
 }
 
 func quote(text string) string {
--- a/dfcontrol/group.go
+++ b/dfcontrol/group.go
@@ -13,7 +13,7 @@
 )
 
 // Group is a database group with terms and log positions. Calls to different
-// upstreams may run at once. Errors may wrap *Refusal or *ConnectError; any
+// upstreams may run at once. Errors may wrap *RefusedError or *ConnectError; any
 // other error leaves open whether the statement took effect.
 type Group interface {
 	Status(ctx context.Context, upstream dfgroup.UpstreamID) (dfgroup.Status, error)
@@ -28,14 +28,14 @@
 	Leaving(ctx context.Context, upstream dfgroup.UpstreamID, leaving bool) (dfgroup.Status, error)
 }
 
-// Refusal is an upstream's refusal because of the term that it has accepted.
-type Refusal struct {
+// RefusedError is an upstream's refusal because of the term that it has accepted.
+type RefusedError struct {
 	Accepted dfposition.Term
 	Message  string
 }
 
 // Error formats the refusal.
-func (r *Refusal) Error() string {
+func (r *RefusedError) Error() string {
 	return fmt.Sprintf("refused with accepted term %d: %s", r.Accepted, r.Message)
 }
 
--- a/dfcontrol/loop.go
+++ b/dfcontrol/loop.go
@@ -48,7 +48,11 @@
 		l.health.Handle(now, m.event)
 	case ackRequest:
 		l.acks[m.id] = m.reply
-		l.answer(l.gate.Commit(now, m.id, m.position))
+		if m.term == 0 {
+			l.answer(l.gate.Commit(now, m.id, m.position))
+			return
+		}
+		l.answer(l.gate.Confirm(now, m.id, m.position, m.term))
 	case ackForgotten:
 		delete(l.acks, m.id)
 		l.gate.Forget(m.id)
@@ -85,7 +89,7 @@
 }
 
 func (l *loop) changed(now dfclock.Millis, m changed) {
-	var refusal *Refusal
+	var refusal *RefusedError
 	c := m.command
 	switch {
 	case m.err == nil:
@@ -242,9 +246,11 @@
 	l.barriers = kept
 }
 
+// endOfLog returns the end of the primary's log under the term of its last
+// entry, which every later log that has the entry contains.
 func (l *loop) endOfLog() dfposition.Position {
 	primary, _ := l.view.Find(l.view.Primary)
-	return dfposition.Position{Term: primary.Status.History.Last(), Offset: primary.Status.Flushed}
+	return dfposition.Position{Term: primary.Status.LogTerm, Offset: primary.Status.Flushed}
 }
 
 func (l *loop) addChange(now dfclock.Millis, reply chan error) {
--- a/dfcontrol/watcher.go
+++ b/dfcontrol/watcher.go
@@ -98,10 +98,23 @@
 	return dfposition.Position{}, dfresult.NewError(dfresult.NoPrimary, "the primary was not confirmed in time")
 }
 
-// AwaitAck returns nil once the position is on a majority. An error is a
-// *dfresult.Error with the outcome unknown.
+// AwaitAck returns nil once the position of a write is on a majority. An error
+// is a *dfresult.Error with the outcome unknown.
 func (w *Watcher) AwaitAck(ctx context.Context, position dfposition.Position) error {
-	request := ackRequest{id: w.nextID.Add(1), position: position, reply: make(chan error, 1)}
+	return w.await(ctx, ackRequest{position: position})
+}
+
+// AwaitConfirmed is AwaitAck for a request that may have changed nothing, such
+// as an update of no row. It was sent to the primary of the term in the view
+// that routed it, and must not be answered by a replaced primary.
+func (w *Watcher) AwaitConfirmed(ctx context.Context, position dfposition.Position, term dfposition.Term) error {
+	return w.await(ctx, ackRequest{position: position, term: max(term, 1)})
+}
+
+func (w *Watcher) await(ctx context.Context, request ackRequest) error {
+	position := request.position
+	request.id = w.nextID.Add(1)
+	request.reply = make(chan error, 1)
 	if !w.offer(request) {
 		return dfresult.NewError(dfresult.NotMajority, "too many commits wait at position %s", position)
 	}
--- a/dfcontrol/worker.go
+++ b/dfcontrol/worker.go
@@ -65,8 +65,9 @@
 // traffic is what the data path saw.
 type traffic struct{ event dfhealth.Event }
 
-// ackRequest is a commit that waits.
+// ackRequest is a commit that waits, or with a term a confirmation.
 type ackRequest struct {
+	term     dfposition.Term
 	id       uint64
 	position dfposition.Position
 	reply    chan error
@@ -215,7 +216,7 @@
 // healthEvent turns a failed statement into what it tells of the upstream.
 func healthEvent(m asked) dfhealth.Event {
 	var connect *ConnectError
-	var refusal *Refusal
+	var refusal *RefusedError
 	var answer *pgconn.PgError
 	switch {
 	case errors.As(m.err, &connect):
--- a/dffailover/change.go
+++ b/dffailover/change.go
@@ -119,7 +119,7 @@
 	if leader.askedAt < m.change.drainedAt {
 		return false
 	}
-	end := dfposition.Position{Term: leader.status.History.Last(), Offset: leader.status.Flushed}
+	end := dfposition.Position{Term: leader.status.LogTerm, Offset: leader.status.Flushed}
 	for _, member := range m.options.Members {
 		if !m.successor(now, leader, member.ID) {
 			continue
--- a/dfhealth/constants.go
+++ b/dfhealth/constants.go
@@ -22,10 +22,10 @@
 	ReplicaSilence = 300 * dfclock.Millisecond
 	// ReportAge is the age up to which a report shows contact.
 	ReportAge = 700 * dfclock.Millisecond
-	// SlowFactor is how many times the usual answer time is slow, and SlowFloor
-	// the least answer time that is.
+	// SlowFactor is how many times the usual answer time is slow.
 	SlowFactor = 4
-	SlowFloor  = 50 * dfclock.Millisecond
+	// SlowFloor is the least answer time that is slow.
+	SlowFloor = 50 * dfclock.Millisecond
 )
 
 // Options has every bound of a tracker.
