Add the slot holder and the host that join the parts

Cause: the decisions, the wire protocol and the stand-ins exist; nothing ran a request end to end. Change: dfholder runs the requests of one database at a slot holder (watcher, pools, read ladder, gate on majority and position leases); dfhost joins callers' sessions, repeated attempts, forwarding, configuration, slots, membership, admin pages and drain. Slot claims are a first version without takeover.

--- /dev/null
+++ b/dfholder/holder.go
@@ -0,0 +1,375 @@
+// Package dfholder runs the requests of one database at a host that holds one
+// of its slots: it watches the group, keeps the connections, routes reads, and
+// gates the acknowledgement of writes.
+package dfholder
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfcontrol"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfproto"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfsession"
+	"dragonflygrade/dfunit"
+	"dragonflygrade/dfupstream"
+)
+
+// Holder is one held slot.
+type Holder struct {
+	options   Options
+	log       *log.Logger
+	watcher   *dfcontrol.Watcher
+	control   *dfcontrol.Client
+	pools     map[dfgroup.UpstreamID]*dfupstream.Pool
+	knowledge *knowledge
+	router    *router
+
+	// writing counts the open units at the primary.
+	writing atomic.Int64
+	// working counts the admitted requests.
+	working atomic.Int64
+
+	marksMu sync.Mutex
+	// marks has the leaving marks that this holder passed on.
+	marks map[dfgroup.UpstreamID]bool
+
+	stop   context.CancelFunc
+	duties sync.WaitGroup
+}
+
+// New starts a holder. Close ends it.
+func New(options Options, logger *log.Logger) (*Holder, error) {
+	upstreams := configuredUpstreams(options)
+	ids := make([]dfgroup.UpstreamID, len(upstreams))
+	addresses := make(map[dfgroup.UpstreamID]string, len(upstreams))
+	for i, upstream := range upstreams {
+		ids[i] = upstream.ID
+		addresses[upstream.ID] = upstream.Address
+	}
+	dial := func(ctx context.Context, upstream dfgroup.UpstreamID) (net.Conn, error) {
+		return options.Dial(ctx, "tcp", addresses[upstream])
+	}
+	control, err := dfcontrol.NewClient(dial, options.Database.Name, options.ControlPassword, ids)
+	if err != nil {
+		return nil, eris.Wrapf(err, "holder %s", options.Group)
+	}
+	h := &Holder{
+		options:   options,
+		log:       logger,
+		control:   control,
+		pools:     make(map[dfgroup.UpstreamID]*dfupstream.Pool, len(upstreams)),
+		marks:     make(map[dfgroup.UpstreamID]bool),
+		knowledge: newKnowledge(dfsession.New(options.ClaimedAt, options.FromVacant, 0, 0), options.Now),
+	}
+	h.watcher, err = dfcontrol.NewWatcher(h.watcherOptions(upstreams))
+	if err != nil {
+		return nil, eris.Wrapf(err, "holder %s", options.Group)
+	}
+	for _, upstream := range upstreams {
+		h.pools[upstream.ID] = h.newPool(upstream)
+	}
+	h.router = newRouter(h)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	h.duties.Go(func() { h.keepFloor(ctx) })
+	return h, nil
+}
+
+func configuredUpstreams(options Options) []dfgroup.Upstream {
+	upstreams := make([]dfgroup.Upstream, len(options.Database.Upstreams))
+	for i, upstream := range options.Database.Upstreams {
+		upstreams[i] = dfgroup.Upstream{
+			ID: upstream.ID, DataCentre: upstream.DataCentre, Address: upstream.Address,
+		}
+	}
+	return upstreams
+}
+
+func (h *Holder) watcherOptions(upstreams []dfgroup.Upstream) dfcontrol.Options {
+	options := dfcontrol.DefaultOptions()
+	options.Group = h.options.Group
+	options.Upstreams = upstreams
+	options.Actor = h.options.Host + "/" + h.options.Incarnation
+	options.Rank = h.options.Rank
+	options.DataCentre = h.options.DataCentre
+	options.Control = h.control
+	options.Now = h.options.Now
+	options.InFlight = func() int { return int(h.writing.Load()) }
+	options.OnAudit = h.options.OnAudit
+	return options
+}
+
+func (h *Holder) newPool(upstream dfgroup.Upstream) *dfupstream.Pool {
+	config := dfupstream.PoolConfig{
+		Conn: dfupstream.Config{
+			Dial:               h.options.Dial,
+			Address:            upstream.Address,
+			User:               h.options.User,
+			Password:           h.options.Password,
+			Database:           h.options.Database.Name,
+			ApplicationName:    h.ApplicationName(),
+			IdleSessionTimeout: h.options.IdleTimeout,
+			Classify:           h.options.Classify,
+		},
+		Now:  h.options.Now,
+		Seed: h.options.Seed,
+	}
+	config.Pool.Limit = h.options.Database.Share()
+	return dfupstream.NewPool(config)
+}
+
+// ApplicationName marks the connections of this holder's epoch, so that a later
+// holder of the slot can end them.
+func (h *Holder) ApplicationName() string {
+	return ApplicationName(h.options.Group, h.options.Slot, h.options.Epoch)
+}
+
+// ApplicationName names the connections of a slot under an epoch.
+func ApplicationName(group dfgroup.ID, slot int, epoch uint64) string {
+	return "dragonflygrade " + string(group) + " " + strconv.Itoa(slot) + " " + strconv.FormatUint(epoch, 10)
+}
+
+// Open admits and routes a request.
+func (h *Holder) Open(ctx context.Context, request dfunit.Request) (dfunit.Unit, error) {
+	if h.working.Add(1) > int64(h.inFlightLimit()) {
+		h.working.Add(-1)
+		return nil, dfresult.NewError(dfresult.QueueFull, "database %s", h.options.Group).WithRetryAfter(retryHint)
+	}
+	opened, err := h.open(ctx, request)
+	if err != nil {
+		h.working.Add(-1)
+		return nil, err
+	}
+	return opened, nil
+}
+
+func (h *Holder) inFlightLimit() int {
+	if h.options.RequestsInFlight > 0 {
+		return h.options.RequestsInFlight
+	}
+	return DefaultRequestsInFlight
+}
+
+func (h *Holder) open(ctx context.Context, request dfunit.Request) (*unit, error) {
+	if request.Class == dfunit.ClassRead {
+		chosen, err := h.router.route(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		return h.openOn(ctx, request, chosen)
+	}
+	if err := h.watcher.AwaitWrites(ctx); err != nil {
+		return nil, err
+	}
+	view := h.watcher.View()
+	primary, found := view.Find(view.Primary)
+	if !found {
+		return nil, dfresult.NewError(dfresult.NoPrimary, "database %s", h.options.Group).WithRetryAfter(retryHint)
+	}
+	return h.openOn(ctx, request, choice{upstream: primary})
+}
+
+// choice is an upstream for one request.
+type choice struct {
+	upstream dfgroup.Upstream
+	replica  bool
+	// rung is the step of the read ladder, or zero for a write.
+	rung int
+}
+
+func (h *Holder) openOn(ctx context.Context, request dfunit.Request, chosen choice) (*unit, error) {
+	pool := h.pools[chosen.upstream.ID]
+	write := request.Class == dfunit.ClassWrite
+	if write {
+		h.writing.Add(1)
+	}
+	conn, err := pool.Get(ctx, request.Deadline, request.Priority)
+	if err != nil {
+		if write {
+			h.writing.Add(-1)
+		}
+		return nil, err
+	}
+	return &unit{
+		holder:   h,
+		request:  request,
+		upstream: chosen.upstream,
+		pool:     pool,
+		conn:     conn,
+		rung:     chosen.rung,
+		replica:  chosen.replica,
+		release: func() {
+			if write {
+				h.writing.Add(-1)
+			}
+			h.working.Add(-1)
+		},
+	}, nil
+}
+
+// confirmLeadership starts a barrier and returns the channel of its outcome.
+func (h *Holder) confirmLeadership() <-chan error {
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := h.watcher.Barrier(context.Background())
+		outcome <- err
+	}()
+	return outcome
+}
+
+// keepFloor takes floors until the knowledge of this holder is complete, and
+// again whenever it needs one.
+func (h *Holder) keepFloor(ctx context.Context) {
+	ticker := time.NewTicker(time.Duration(floorPeriod) * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if h.knowledge.needsFloor() {
+			h.takeFloor(ctx)
+		}
+	}
+}
+
+func (h *Holder) takeFloor(ctx context.Context) {
+	startedAt := h.now()
+	position, err := h.watcher.Barrier(ctx)
+	if err != nil {
+		return
+	}
+	h.knowledge.setFloor(dfsession.Floor{StartedAt: startedAt, Position: position})
+}
+
+// Grant answers a peer's request for a position lease.
+func (h *Holder) Grant(peer dfsession.Peer) bool {
+	return h.knowledge.grant(peer)
+}
+
+// Leased records a position lease from a peer.
+func (h *Holder) Leased(peer dfsession.Peer, sentAt, span dfclock.Millis) {
+	h.knowledge.leased(peer, sentAt, span)
+}
+
+// Notified records a position that a peer is about to acknowledge.
+func (h *Holder) Notified(position *dfproto.CallerPosition) {
+	h.knowledge.notified(dfsession.Caller(position.Caller), dfposition.Position{
+		Term:   dfposition.Term(position.Position.GetTerm()),
+		Offset: dfposition.Offset(position.Position.GetOffset()),
+	})
+}
+
+// Tell answers a peer that asks for a caller's position.
+func (h *Holder) Tell(caller uint64) (dfposition.Position, bool) {
+	return h.knowledge.tell(dfsession.Caller(caller))
+}
+
+// SetRoster takes the holders of the other slots.
+func (h *Holder) SetRoster(roster dfsession.Roster) {
+	h.knowledge.setRoster(roster)
+}
+
+// SetRank changes the rank of this actor in promotions.
+func (h *Holder) SetRank(rank int) {
+	h.watcher.SetRank(rank)
+}
+
+// MarkLeaving passes the platform's marks on to the upstreams, where every slot
+// holder sees them with the next report. A mark that is gone is taken back only
+// if this holder had passed it on.
+func (h *Holder) MarkLeaving(leaving map[string]bool) {
+	h.marksMu.Lock()
+	defer h.marksMu.Unlock()
+	for _, upstream := range h.watcher.View().Upstreams {
+		marked := leaving[string(upstream.ID)]
+		if marked == h.marks[upstream.ID] || (marked && upstream.Leaving) {
+			continue
+		}
+		h.marks[upstream.ID] = marked
+		h.duties.Go(func() { h.passMark(upstream.ID, marked) })
+	}
+}
+
+func (h *Holder) passMark(upstream dfgroup.UpstreamID, leaving bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), markTimeout)
+	defer cancel()
+	if _, err := h.control.Leaving(ctx, upstream, leaving); err != nil {
+		h.log.Warn().Err(err).Str("Upstream", string(upstream)).Msg("holder: leaving mark not passed on")
+		h.marksMu.Lock()
+		delete(h.marks, upstream)
+		h.marksMu.Unlock()
+	}
+}
+
+// PlannedChange moves the lead away from the present primary.
+func (h *Holder) PlannedChange(ctx context.Context) error {
+	return h.watcher.PlannedChange(ctx)
+}
+
+// State describes the holder for operators.
+type State struct {
+	View dfgroup.View
+	// Complete is true while reads need not ask other holders.
+	Complete    bool
+	Working     int
+	Connections map[dfgroup.UpstreamID]int
+	Limit       int
+}
+
+// State returns the present state.
+func (h *Holder) State() State {
+	state := State{
+		View:        h.watcher.View(),
+		Complete:    h.knowledge.complete(),
+		Working:     int(h.working.Load()),
+		Connections: make(map[dfgroup.UpstreamID]int, len(h.pools)),
+		Limit:       h.options.Database.Share(),
+	}
+	for id, pool := range h.pools {
+		state.Connections[id] = pool.Stats().Total()
+	}
+	return state
+}
+
+// Group returns the group of the slot.
+func (h *Holder) Group() dfgroup.ID {
+	return h.options.Group
+}
+
+// Epoch returns the epoch of the slot.
+func (h *Holder) Epoch() uint64 {
+	return h.options.Epoch
+}
+
+// Close ends all connections of the slot.
+func (h *Holder) Close() {
+	h.stop()
+	h.duties.Wait()
+	for _, pool := range h.pools {
+		pool.Close()
+	}
+	h.watcher.Stop()
+	h.control.Close()
+}
+
+func (h *Holder) now() dfclock.Millis {
+	return h.options.Now()
+}
+
+// contextUntil bounds a context by a span.
+func contextUntil(ctx context.Context, span dfclock.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(max(span, 0))*time.Millisecond)
+}
--- /dev/null
+++ b/dfholder/options.go
@@ -0,0 +1,71 @@
+package dfholder
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfcontrol"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfproto"
+	"dragonflygrade/dfsession"
+	"dragonflygrade/dfupstream"
+)
+
+// Options describes a slot holder.
+type Options struct {
+	Group    dfgroup.ID
+	Database dfconfig.Database
+	// Host, Incarnation and Epoch identify this holder of the slot.
+	Host        string
+	Incarnation string
+	Slot        int
+	Epoch       uint64
+	DataCentre  string
+	// Rank orders the actors of a promotion, from 0.
+	Rank int
+
+	Dial             func(ctx context.Context, network, address string) (net.Conn, error)
+	User             string
+	Password         string
+	ControlPassword  string
+	Classify         dfupstream.Classify
+	Now              func() dfclock.Millis
+	Seed             uint64
+	IdleTimeout      dfclock.Millis
+	RequestsInFlight int
+
+	// Notify tells a peer of a position and calls answered when it has it.
+	Notify func(peer dfsession.Peer, position *dfproto.CallerPosition, answered func())
+	// Ask asks a peer for a caller's position. known is false without an answer
+	// that counts.
+	Ask func(ctx context.Context, peer dfsession.Peer, request *dfproto.PositionsRequest) (position dfposition.Position, known bool)
+	// OnAudit takes events for the audit trail; it may be nil.
+	OnAudit func(dfcontrol.AuditEvent)
+
+	// ClaimedAt is when the slot was taken, after the connections of its earlier
+	// holder had ended. FromVacant is true if there was none.
+	ClaimedAt  dfclock.Millis
+	FromVacant bool
+}
+
+// Bounds of a slot holder.
+const (
+	// DefaultIdleTimeout makes upstreams close the connections of a host that
+	// is paused or cut off. Connections in use never come near it.
+	DefaultIdleTimeout = 60 * dfclock.Second
+	// DefaultRequestsInFlight bounds the requests of one database that a holder
+	// works on, waiting ones included.
+	DefaultRequestsInFlight = 4096
+	// floorPeriod separates attempts to take a floor.
+	floorPeriod = 100 * dfclock.Millisecond
+	// markTimeout bounds one statement that sets a leaving mark.
+	markTimeout = time.Second
+	// retryHint is when a caller that was refused may come back.
+	retryHint = 200 * dfclock.Millisecond
+	// routePause separates looks at the replicas while a read waits for one.
+	routePause = 5 * dfclock.Millisecond
+)
--- /dev/null
+++ b/dfholder/unit.go
@@ -0,0 +1,257 @@
+package dfholder
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfhealth"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfsession"
+	"dragonflygrade/dfunit"
+	"dragonflygrade/dfupstream"
+)
+
+// cancelTimeout bounds the separate connection of a cancel request.
+const cancelTimeout = 2 * time.Second
+
+// unit is a unit on one connection of this holder.
+type unit struct {
+	holder   *Holder
+	request  dfunit.Request
+	upstream dfgroup.Upstream
+	pool     *dfupstream.Pool
+	conn     *dfupstream.Conn
+	rung     int
+	replica  bool
+	// batches counts the batches that were sent.
+	batches int
+	// barrier confirms the leadership of the primary for a transaction; nil
+	// once it was awaited or if none is needed.
+	barrier <-chan error
+	// slowest and failed describe the unit for the choice of later reads.
+	slowest dfclock.Millis
+	failed  bool
+	// release gives the admission back; it is called once.
+	release func()
+	closed  bool
+}
+
+// Exchange runs one batch.
+func (u *unit) Exchange(ctx context.Context, batch dfunit.Batch, sink dfunit.Sink) (dfunit.Result, error) {
+	if err := u.awaitLeadership(ctx); err != nil {
+		return dfunit.Result{}, err
+	}
+	u.batches++
+	write := u.request.Class == dfunit.ClassWrite
+	options := dfupstream.Options{Write: write, Position: write}
+	if write {
+		options.Gate = u.gate
+	}
+	inspected := &refusalSink{sink: sink, enabled: u.batches == 1}
+	started := u.holder.now()
+	result, err := u.conn.Exchange(ctx, batch, inspected, options)
+	u.slowest = max(u.slowest, u.holder.now().Since(started))
+	if err != nil {
+		u.failed = true
+		u.report(ctx, started)
+		return dfunit.Result{}, err
+	}
+	u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Answered{Upstream: u.upstream.ID, Span: u.holder.now().Since(started)})
+	if inspected.refusal != nil {
+		return dfunit.Result{}, inspected.refusal
+	}
+	if err := inspected.flush(); err != nil {
+		return dfunit.Result{}, err
+	}
+	if result.Status == 'T' && u.batches == 1 && write {
+		u.barrier = u.holder.confirmLeadership()
+	}
+	result.Upstream = u.upstream.ID
+	result.Replica = u.replica
+	result.Local = u.upstream.DataCentre == u.holder.options.DataCentre
+	result.Rung = u.rung
+	return result, nil
+}
+
+// awaitLeadership keeps a transaction from reading at a primary that was
+// replaced before the transaction began.
+func (u *unit) awaitLeadership(ctx context.Context) error {
+	if u.barrier == nil {
+		return nil
+	}
+	barrier := u.barrier
+	u.barrier = nil
+	select {
+	case err := <-barrier:
+		if err != nil {
+			u.conn.Close()
+			return dfresult.NewError(dfresult.TransactionLost, "the primary could not be confirmed: %v", err)
+		}
+		return nil
+	case <-ctx.Done():
+		u.conn.Close()
+		return dfresult.NewError(dfresult.TransactionLost, "the primary was not confirmed before the deadline")
+	}
+}
+
+// gate holds a commit until a majority has it and every other slot holder with
+// a position lease knows of it.
+func (u *unit) gate(ctx context.Context, position dfposition.Position) error {
+	if position.IsZero() {
+		return dfresult.NewError(dfresult.CommitUnknown, "the upstream reported no position")
+	}
+	h := u.holder
+	caller := dfsession.CallerOf(u.request.Service, u.request.Caller)
+	id, peers, ok := h.knowledge.record(caller, position)
+	if !ok {
+		return dfresult.NewError(dfresult.CommitUnknown, "too many writes wait for other slot holders")
+	}
+	for _, peer := range peers {
+		h.options.Notify(peer, encodeCallerPosition(string(h.options.Group), caller, position), func() {
+			h.knowledge.answered(id, peer)
+		})
+	}
+	if err := h.watcher.AwaitAck(ctx, position); err != nil {
+		h.knowledge.abandon(id)
+		return err
+	}
+	return h.knowledge.await(ctx, id)
+}
+
+// report tells the failure detection of a connection that broke or was too slow.
+func (u *unit) report(ctx context.Context, started dfclock.Millis) {
+	if ctx.Err() != nil {
+		u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Silent{Upstream: u.upstream.ID})
+		u.pool.Silent(u.conn)
+		return
+	}
+	u.holder.log.Debug().Str("Upstream", string(u.upstream.ID)).Int64("Started", int64(started)).Msg("holder: connection lost")
+}
+
+// Cancel asks the upstream to cancel the batch that runs.
+func (u *unit) Cancel() {
+	batch := u.conn.Running()
+	if batch == 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := u.conn.Cancel(ctx, batch); err != nil {
+			u.holder.log.Debug().Err(err).Msg("holder: cancel not delivered")
+		}
+	}()
+}
+
+// Close gives the connection back to its pool.
+func (u *unit) Close() {
+	if u.closed {
+		return
+	}
+	u.closed = true
+	u.pool.Put(u.conn)
+	u.holder.router.ended(choice{upstream: u.upstream, replica: u.replica, rung: u.rung}, u.slowest, !u.failed)
+	u.release()
+}
+
+// SQLSTATEs by which an upstream refuses work because of its role.
+const (
+	stateReadOnly  = "25006"
+	stateNotInRole = "57P03"
+	fieldSQLState  = 'C'
+	errorResponse  = 'E'
+)
+
+// refusalSink holds back the refusal of an upstream that is no longer in the
+// role for which it was chosen, so that the request can go elsewhere.
+type refusalSink struct {
+	sink dfunit.Sink
+	// enabled is false once the caller has received something.
+	enabled bool
+	refusal *dfresult.Error
+	// held has the messages that come before the first row or error, each with
+	// type and length.
+	held []byte
+}
+
+// Send passes a message on unless the batch was refused.
+func (r *refusalSink) Send(messageType byte, body []byte) error {
+	if r.refusal != nil {
+		return nil
+	}
+	if !r.enabled {
+		return r.sink.Send(messageType, body)
+	}
+	if isPreliminary(messageType) {
+		r.held = append(r.held, messageType)
+		r.held = binary.BigEndian.AppendUint32(r.held, uint32(len(body)))
+		r.held = append(r.held, body...)
+		return nil
+	}
+	if messageType == errorResponse {
+		r.refusal = refusalOf(body)
+		if r.refusal != nil {
+			return nil
+		}
+	}
+	if err := r.flush(); err != nil {
+		return err
+	}
+	return r.sink.Send(messageType, body)
+}
+
+// flush passes on what was held.
+func (r *refusalSink) flush() error {
+	r.enabled = false
+	for held := r.held; len(held) > 0; {
+		size := int(binary.BigEndian.Uint32(held[1:]))
+		if err := r.sink.Send(held[0], held[5:5+size]); err != nil {
+			return err
+		}
+		held = held[5+size:]
+	}
+	return nil
+}
+
+// isPreliminary reports whether a message says nothing yet about the success of
+// a statement.
+func isPreliminary(messageType byte) bool {
+	switch messageType {
+	case '1', '2', '3', 't', 'T', 'n', 'N', 'S':
+		return true
+	}
+	return false
+}
+
+func refusalOf(body []byte) *dfresult.Error {
+	switch sqlState(body) {
+	case stateReadOnly:
+		return dfresult.NewError(dfresult.NeedsPrimary, "refused by a replica")
+	case stateNotInRole:
+		return dfresult.NewError(dfresult.TermSuperseded, "the upstream is not in its role any more")
+	}
+	return nil
+}
+
+// sqlState finds the SQLSTATE among the fields of an ErrorResponse.
+func sqlState(body []byte) string {
+	for len(body) > 1 {
+		field, rest := body[0], body[1:]
+		end := 0
+		for end < len(rest) && rest[end] != 0 {
+			end++
+		}
+		if field == fieldSQLState {
+			return string(rest[:end])
+		}
+		if end >= len(rest) {
+			return ""
+		}
+		body = rest[end+1:]
+	}
+	return ""
+}
--- /dev/null
+++ b/dfhost/host.go
@@ -0,0 +1,312 @@
+// Package dfhost joins the parts of a host: callers' sessions, the slots that
+// the host holds, forwarding to other slot holders, configuration and drain.
+package dfhost
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"hash/fnv"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+
+	"dragonflygrade/dfaudit"
+	"dragonflygrade/dfclassify"
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfpeer"
+	"dragonflygrade/dftoken"
+	"dragonflygrade/dfwire"
+)
+
+// Host is one running host.
+type Host struct {
+	settings    Settings
+	incarnation string
+	log         *log.Logger
+	origin      time.Time
+	keys        dftoken.KeyRing
+	classifier  *dfclassify.Classifier
+	counters    *counters
+	requests    atomic.Uint64
+
+	adoption  *adoption
+	members   *membership
+	slots     *slots
+	peers     *peers
+	directory *dfpeer.Directory
+	notifier  *dfpeer.Notifier
+	audit     *dfaudit.Writer
+
+	wire       *dfwire.Server
+	peerServer *dfpeer.Server
+	admin      *http.Server
+
+	randomMu sync.Mutex
+	random   *mathrand.Rand
+
+	draining atomic.Bool
+	stop     context.CancelFunc
+	duties   sync.WaitGroup
+}
+
+// New returns a host that does not listen yet.
+func New(settings Settings) (*Host, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	keys, err := newKeyRing(settings)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		settings:    settings,
+		incarnation: incarnation,
+		log:         newLogger(settings),
+		origin:      time.Now(),
+		keys:        keys,
+		classifier:  dfclassify.New(0),
+		counters:    newCounters(settings.ID),
+		random:      mathrand.New(mathrand.NewPCG(hostSeed(settings.ID), 1)),
+	}
+	h.directory = dfpeer.NewDirectory(settings.DialPeer, peerCredentials(settings))
+	h.notifier = dfpeer.NewNotifier(h.directory, settings.ID, incarnation)
+	h.audit = dfaudit.NewWriter(dfaudit.NewTrail(settings.ID, incarnation), settings.Platform, unixMillis, sleepSpan)
+	h.adoption = newAdoption(h)
+	h.members = newMembership(h)
+	h.slots = newSlots(h)
+	h.peers = newPeers(h)
+	h.wire, err = dfwire.NewServer(dfwire.Config{
+		TLS:         settings.CallerTLS,
+		RequireTLS:  settings.RequireTLS,
+		Credentials: &credentialStore{host: h},
+		Handler:     &opener{host: h},
+		Canceller:   &canceller{host: h},
+		Host:        hostNumber(settings.ID),
+		MaxCallers:  settings.MaxCallers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.peerServer = dfpeer.NewServer(&handler{host: h}, h.now, peerServerCredentials(settings))
+	return h, nil
+}
+
+// newIncarnation tells one process from an earlier one of the same host.
+func newIncarnation() (string, error) {
+	var data [8]byte
+	if _, err := rand.Read(data[:]); err != nil {
+		return "", eris.Wrap(err, "host: random number")
+	}
+	return hex.EncodeToString(data[:]), nil
+}
+
+// Key identities in tokens. A key keeps its identity when it becomes the
+// previous one, so the identity is derived from the key.
+func newKeyRing(settings Settings) (dftoken.KeyRing, error) {
+	ring, err := dftoken.NewKeyRing(tokenKey(settings.TokenKey))
+	if err != nil || settings.PreviousTokenKey == "" {
+		return ring, err
+	}
+	return ring.WithAccepted(tokenKey(settings.PreviousTokenKey))
+}
+
+func tokenKey(secret string) dftoken.Key {
+	return dftoken.Key{ID: byte(hash64(secret)), Secret: []byte(secret)}
+}
+
+func hash64(text string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(text))
+	return sum.Sum64()
+}
+
+func hostSeed(id string) uint64 {
+	return hash64(id)
+}
+
+// hostNumber is the number in cancel keys. Two hosts may share one; a cancel is
+// then offered to both, and its secret decides.
+func hostNumber(id string) uint16 {
+	const numbers = 1 << 12
+	return uint16(hash64(id) % numbers)
+}
+
+func newLogger(settings Settings) *log.Logger {
+	logger := log.DefaultLogger
+	logger.Context = log.NewContext(nil).Str("Host", settings.ID).Value()
+	return &logger
+}
+
+func peerCredentials(settings Settings) credentials.TransportCredentials {
+	if settings.PeerClientTLS == nil {
+		return nil
+	}
+	return credentials.NewTLS(settings.PeerClientTLS)
+}
+
+func peerServerCredentials(settings Settings) credentials.TransportCredentials {
+	if settings.PeerServerTLS == nil {
+		return nil
+	}
+	return credentials.NewTLS(settings.PeerServerTLS)
+}
+
+// Start listens and runs the host's duties. It returns once callers can connect.
+func (h *Host) Start(ctx context.Context) error {
+	listeners, err := h.listen(ctx)
+	if err != nil {
+		return err
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	h.stop = cancel
+	h.duties.Go(func() { _ = h.peerServer.Serve(listeners.peer) })
+	h.duties.Go(func() { _ = h.wire.Serve(listeners.caller) })
+	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: adminTimeout}
+	h.duties.Go(func() { _ = h.admin.Serve(listeners.admin) })
+	h.duties.Go(func() { _ = h.audit.Run(runCtx) })
+	h.duties.Go(func() { h.adoption.run(runCtx) })
+	h.duties.Go(func() { h.members.run(runCtx) })
+	h.duties.Go(func() { h.slots.run(runCtx) })
+	h.duties.Go(func() { h.peers.run(runCtx) })
+	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, To: h.incarnation, Outcome: "started"})
+	h.log.Info().Str("Callers", h.CallerAddress()).Str("Peers", h.PeerAddress()).Msg("host: started")
+	return nil
+}
+
+// listeners has the sockets of a host.
+type listeners struct {
+	caller, peer, admin net.Listener
+}
+
+func (h *Host) listen(ctx context.Context) (listeners, error) {
+	var config net.ListenConfig
+	var all listeners
+	for _, socket := range []struct {
+		name     string
+		address  *string
+		listener *net.Listener
+	}{
+		{"callers", &h.settings.CallerAddress, &all.caller},
+		{"peers", &h.settings.PeerAddress, &all.peer},
+		{"operators", &h.settings.AdminAddress, &all.admin},
+	} {
+		listener, err := config.Listen(ctx, "tcp", *socket.address)
+		if err != nil {
+			return listeners{}, eris.Wrapf(err, "host: listen for %s at %s", socket.name, *socket.address)
+		}
+		*socket.listener = listener
+		*socket.address = listener.Addr().String()
+	}
+	return all, nil
+}
+
+// CallerAddress is where callers connect.
+func (h *Host) CallerAddress() string {
+	return h.settings.CallerAddress
+}
+
+// PeerAddress is where other hosts connect.
+func (h *Host) PeerAddress() string {
+	if h.settings.AdvertisedPeerAddress != "" {
+		return h.settings.AdvertisedPeerAddress
+	}
+	return h.settings.PeerAddress
+}
+
+// AdminAddress is where operators read state and metrics.
+func (h *Host) AdminAddress() string {
+	return h.settings.AdminAddress
+}
+
+// Shutdown stops the host gracefully: no new callers, running transactions
+// finish within the drain timeout, then slots and lease are released. It returns
+// the number of requests that were cut.
+func (h *Host) Shutdown(ctx context.Context) int {
+	h.draining.Store(true)
+	h.log.Info().Msg("host: draining")
+	drainCtx, cancel := context.WithTimeout(ctx, h.settings.DrainTimeout)
+	defer cancel()
+	cut := h.wire.Shutdown(drainCtx)
+	h.peers.drain(drainCtx)
+	h.slots.release(drainCtx)
+	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, From: h.incarnation, Outcome: "stopped"})
+	h.Kill()
+	closeCtx, cancelClose := context.WithTimeout(ctx, auditCloseTimeout)
+	defer cancelClose()
+	if closeErr := h.audit.Close(closeCtx, "graceful shutdown"); closeErr != nil {
+		h.log.Warn().Err(closeErr).Msg("audit: last records not stored")
+	}
+	h.log.Info().Int("Cut", cut).Msg("host: stopped")
+	return cut
+}
+
+// auditCloseTimeout bounds the last write of the audit trail.
+const auditCloseTimeout = 2 * time.Second
+
+// Kill ends the host at once, as a crash would: callers are cut and nothing is
+// released.
+func (h *Host) Kill() {
+	h.stop()
+	h.peerServer.Stop()
+	_ = h.admin.Close()
+	cutCtx, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.wire.Shutdown(cutCtx)
+	h.notifier.Close()
+	h.slots.closeAll()
+	h.directory.Close()
+	h.duties.Wait()
+}
+
+// configuration returns the snapshot in force.
+func (h *Host) configuration() dfconfig.Snapshot {
+	return h.adoption.inForce()
+}
+
+// now is the host's clock: it never goes back and starts above zero.
+func (h *Host) now() dfclock.Millis {
+	return dfclock.Millis(time.Since(h.origin).Milliseconds()) + dfclock.Second
+}
+
+// unixMillis is the wall clock, used for records that people read.
+func unixMillis() dfclock.Millis {
+	return dfclock.Millis(time.Now().UnixMilli())
+}
+
+// sleepSpan waits for a span unless the context ends first.
+func sleepSpan(ctx context.Context, span dfclock.Millis) error {
+	if !sleep(ctx, span) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (h *Host) nextRequest() uint64 {
+	return h.requests.Add(1)
+}
+
+// jitter spreads a pause over half to one and a half of its length.
+func (h *Host) jitter(span dfclock.Millis) dfclock.Millis {
+	h.randomMu.Lock()
+	defer h.randomMu.Unlock()
+	return span/2 + dfclock.Millis(h.random.Int64N(int64(span)+1))
+}
+
+func (h *Host) record(entry dfaudit.Entry) {
+	if err := h.audit.Add(entry); err != nil {
+		h.log.Warn().Err(err).Msg("audit: record refused")
+	}
+}
--- /dev/null
+++ b/dfhost/session.go
@@ -0,0 +1,284 @@
+package dfhost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dragonflygrade/dfclassify"
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dftoken"
+	"dragonflygrade/dfunit"
+)
+
+// Settings that a caller may change by SET.
+const (
+	parameterToken  = parameterPrefix + "token"
+	parameterCaller = parameterPrefix + "caller"
+)
+
+// Transaction states in ReadyForQuery.
+const (
+	statusIdle   = 'I'
+	statusInside = 'T'
+	statusFailed = 'E'
+)
+
+// session is one caller connection. It is used by one goroutine.
+type session struct {
+	host    *Host
+	service string
+	group   dfgroup.ID
+	caller  string
+	// report sends a parameter to the caller before the next ReadyForQuery.
+	report func(name, value string)
+
+	token dftoken.Token
+	// presented is true once the caller has presented a token. Then the token
+	// and this connection's own writes cover what the caller has written.
+	presented bool
+
+	// unit is open during a transaction and while state pins a connection.
+	unit dfunit.Unit
+	// canceller is the unit that a cancel request reaches.
+	canceller unitPointer
+	// inside is true while the caller is in a transaction.
+	inside bool
+	// failed is true from the loss of a transaction until the caller ends it.
+	failed bool
+}
+
+// Run executes one batch and returns the transaction status.
+func (s *session) Run(ctx context.Context, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
+	service, found := s.host.configuration().Service(s.service)
+	if !found {
+		return statusIdle, dfresult.NewError(dfresult.ServiceUnknown, "service %q was removed", s.service)
+	}
+	p := makePlan(s.host.classifier, service, batch)
+	if p.isLocal {
+		return s.answerSetting(p.local, batch, sink)
+	}
+	if s.failed {
+		return s.endFailed(p, sink)
+	}
+	limit := service.Deadlines.Write
+	if s.unit == nil && p.class == dfunit.ClassRead {
+		limit = service.Deadlines.Read
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(limit)*time.Millisecond)
+	defer cancel()
+	if s.unit != nil {
+		return s.continueUnit(ctx, batch, sink)
+	}
+	if p.empty {
+		return statusIdle, nil
+	}
+	return s.beginUnit(ctx, service, p, limit, batch, sink)
+}
+
+// beginUnit runs the first batch of a unit, at another upstream or host if the
+// first one can't take it.
+func (s *session) beginUnit(ctx context.Context, service dfconfig.Service, p plan, limit dfclock.Millis, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
+	now := s.host.now()
+	request := s.request(service, p, now, now.Add(limit))
+	attempt := newAttempt(s.host, request, sink, s.canceller.set)
+	result, unit, err := attempt.run(ctx, batch)
+	s.unit = unit
+	if err != nil {
+		s.closeUnit()
+		return statusIdle, err
+	}
+	s.finish(result)
+	return result.Status, nil
+}
+
+func (s *session) request(service dfconfig.Service, p plan, now, deadline dfclock.Millis) dfunit.Request {
+	request := dfunit.Request{
+		ID:        s.host.nextRequest(),
+		Service:   service.Name,
+		Group:     s.group,
+		Caller:    s.caller,
+		Class:     p.class,
+		MaxAge:    p.maxAge,
+		Strong:    p.strong,
+		ArrivedAt: now,
+		Deadline:  deadline,
+		Priority:  p.priority,
+		NoRepeat:  p.noRepeat,
+	}
+	if s.presented {
+		request.Need, request.TokenPresented = s.token.Position(s.group)
+	}
+	if !p.executes && p.class == dfunit.ClassRead {
+		// Preparing a statement reads no rows, so any upstream will do.
+		request.TokenPresented, request.MaxAge, request.Strong = true, dfclock.Hour, false
+	}
+	return request
+}
+
+// continueUnit runs a batch on the open unit. Nothing can be repeated here,
+// because earlier batches belong to the same transaction.
+func (s *session) continueUnit(ctx context.Context, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
+	result, err := s.unit.Exchange(ctx, batch, sink)
+	if err != nil {
+		wasInside := s.inside
+		s.closeUnit()
+		s.failed = wasInside && !isCommitDoubt(err)
+		if s.failed {
+			return statusFailed, err
+		}
+		return statusIdle, err
+	}
+	s.finish(result)
+	return result.Status, nil
+}
+
+// isCommitDoubt reports whether the error ended the transaction itself.
+func isCommitDoubt(err error) bool {
+	var failure *dfresult.Error
+	if !errors.As(err, &failure) {
+		return false
+	}
+	switch failure.Code {
+	case dfresult.CommitUnknown, dfresult.NotMajority, dfresult.PrimaryChanged:
+		return true
+	}
+	return false
+}
+
+// finish takes the result of a batch and closes a unit that has ended.
+func (s *session) finish(result dfunit.Result) {
+	s.host.counters.served(result)
+	s.inside = result.Status == statusInside || result.Status == statusFailed
+	if !result.Position.IsZero() {
+		s.token = s.token.WithPosition(s.group, result.Position)
+		s.reportToken()
+	}
+	if result.Status == statusIdle && !result.Pinned {
+		s.closeUnit()
+	}
+}
+
+func (s *session) closeUnit() {
+	s.canceller.set(nil)
+	s.inside = false
+	if s.unit != nil {
+		s.unit.Close()
+		s.unit = nil
+	}
+}
+
+func (s *session) reportToken() {
+	text, err := s.host.keys.Sign(s.token)
+	if err != nil {
+		s.host.log.Error().Err(err).Msg("session: token not signed")
+		return
+	}
+	s.report(parameterToken, text)
+}
+
+// endFailed answers a caller whose transaction was lost until it ends it.
+func (s *session) endFailed(p plan, sink dfunit.Sink) (byte, error) {
+	if p.control != dfclassify.ControlRollback && p.control != dfclassify.ControlCommit {
+		return statusFailed, dfresult.NewError(dfresult.TransactionLost, "end the transaction with ROLLBACK first")
+	}
+	s.failed = false
+	if err := sink.Send('C', commandComplete("ROLLBACK")); err != nil {
+		return statusIdle, err
+	}
+	return statusIdle, sink.Send('Z', []byte{statusIdle})
+}
+
+// Cancel cancels the statement that runs now.
+func (s *session) Cancel() {
+	if unit := s.canceller.get(); unit != nil {
+		unit.Cancel()
+	}
+}
+
+// Close ends the session.
+func (s *session) Close() {
+	s.closeUnit()
+}
+
+// answerSetting answers SET, RESET and SHOW of the host's own parameters.
+func (s *session) answerSetting(setting dfclassify.Setting, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
+	status := byte(statusIdle)
+	if s.inside {
+		status = statusInside
+	}
+	if len(batch.Messages) != 1 {
+		return status, dfresult.NewError(dfresult.FeatureUnsupported, "use the simple protocol for %s", setting.Name)
+	}
+	tag := "SET"
+	switch setting.Verb {
+	case dfclassify.VerbShow:
+		tag = "SHOW"
+		description, row := textRow(setting.Name, s.parameter(setting.Name))
+		if err := errors.Join(sink.Send('T', description), sink.Send('D', row)); err != nil {
+			return status, err
+		}
+	case dfclassify.VerbReset, dfclassify.VerbResetAll:
+		tag = "RESET"
+		s.resetParameter(setting.Name)
+	default:
+		if err := s.setParameter(setting.Name, setting.Value); err != nil {
+			return status, err
+		}
+	}
+	if err := sink.Send('C', commandComplete(tag)); err != nil {
+		return status, err
+	}
+	return status, sink.Send('Z', []byte{status})
+}
+
+func (s *session) parameter(name string) string {
+	switch name {
+	case parameterCaller:
+		return s.caller
+	case parameterToken:
+		if text, err := s.host.keys.Sign(s.token); err == nil {
+			return text
+		}
+	}
+	return ""
+}
+
+func (s *session) resetParameter(name string) {
+	if name == parameterToken {
+		s.token, s.presented = dftoken.New(s.service), false
+	}
+}
+
+func (s *session) setParameter(name, value string) error {
+	switch name {
+	case parameterToken:
+		return s.presentToken(value)
+	case parameterCaller:
+		if value == "" {
+			return dfresult.NewError(dfresult.ProtocolViolation, "the caller name is empty")
+		}
+		s.caller = value
+		s.token, s.presented = dftoken.New(s.service), false
+		return nil
+	}
+	return dfresult.NewError(dfresult.FeatureUnsupported, "parameter %q: use %s or %s", name, parameterToken, parameterCaller)
+}
+
+// presentToken joins a token with what this connection has written itself.
+func (s *session) presentToken(text string) error {
+	token, err := s.host.keys.Parse(text, s.service)
+	if err != nil {
+		return err
+	}
+	for _, entry := range s.token.Entries() {
+		if known, found := token.Position(entry.Group); found && known.Less(entry.Position) {
+			token = token.WithPosition(entry.Group, entry.Position)
+		}
+	}
+	s.token, s.presented = token, true
+	return nil
+}
--- a/dfload/caller.go
+++ b/dfload/caller.go
@@ -163,7 +163,7 @@
 		}
 	}
 	if err != nil {
-		_, code := outcomeOf(err, true)
+		_, code := outcomeOf(err)
 		c.run.counters.refuse(code)
 	}
 }
@@ -263,7 +263,7 @@
 
 func (c *caller) insert(ctx context.Context, conn *pgx.Conn, id string) (dfresult.Outcome, string) {
 	_, err := conn.Exec(ctx, insertOrder, id, c.name, versionedItem, 1+c.random.IntN(9), "booked")
-	return outcomeOf(err, true)
+	return outcomeOf(err)
 }
 
 // transact writes in a transaction. A failure before COMMIT was sent means
@@ -271,7 +271,7 @@
 func (c *caller) transact(ctx context.Context, conn *pgx.Conn, id string, rollback bool) (dfresult.Outcome, string) {
 	tx, err := conn.Begin(ctx)
 	if err != nil {
-		_, code := outcomeOf(err, true)
+		_, code := outcomeOf(err)
 		return dfresult.NotRun, code
 	}
 	_, err = tx.Exec(ctx, insertOrder, id, c.name, versionedItem, 1, "draft")
@@ -279,7 +279,7 @@
 		_, err = tx.Exec(ctx, "UPDATE orders SET status = $1 WHERE id = $2", "booked", id)
 	}
 	if err != nil {
-		_, code := outcomeOf(err, true)
+		_, code := outcomeOf(err)
 		_ = tx.Rollback(ctx)
 		return dfresult.NotRun, code
 	}
@@ -287,5 +287,5 @@
 		_ = tx.Rollback(ctx)
 		return dfresult.NotRun, ""
 	}
-	return outcomeOf(tx.Commit(ctx), true)
+	return outcomeOf(tx.Commit(ctx))
 }
--- a/dfload/outcome.go
+++ b/dfload/outcome.go
@@ -14,8 +14,8 @@
 var codePattern = regexp.MustCompile(`DF(\d{4})`)
 
 // outcomeOf tells what the error of a write says about its effect, and which
-// code explains it. sent is true if the statement may have left the process.
-func outcomeOf(err error, sent bool) (dfresult.Outcome, string) {
+// code explains it.
+func outcomeOf(err error) (dfresult.Outcome, string) {
 	if err == nil {
 		return dfresult.Done, ""
 	}
@@ -27,7 +27,7 @@
 		// An upstream's own error means that it rolled the statement back.
 		return dfresult.NotRun, refusal.Code
 	}
-	if !sent || pgconn.SafeToRetry(err) {
+	if pgconn.SafeToRetry(err) {
 		return dfresult.NotRun, "connect"
 	}
 	return dfresult.Unknown, "lost"
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -49,6 +49,7 @@
 	NoSlotHolder    Code = 1006
 	HostDraining    Code = 1007
 	PeerUnreachable Code = 1008
+	NeedsPrimary    Code = 1009
 
 	CommitUnknown     Code = 1101
 	ConnectionLost    Code = 1102
@@ -103,6 +104,7 @@
 	NoSlotHolder:          {NotRun, "57P03", "no host with a slot for the database is reachable"},
 	HostDraining:          {NotRun, "57P01", "the host is shutting down"},
 	PeerUnreachable:       {NotRun, "57P03", "the peer host could not be reached"},
+	NeedsPrimary:          {NotRun, "25006", "the statement writes and a replica refused it"},
 	CommitUnknown:         {Unknown, "40003", "the commit was sent and its result is not known"},
 	ConnectionLost:        {Unknown, "08007", "the connection to the upstream was lost during the request"},
 	TransactionLost:       {NotRun, "40001", "the transaction was rolled back because its connection was lost"},
