Add the demo and the command line

Cause: a newcomer needs one command that shows the whole path. Change: dfdemo runs platform, upstreams, links and hosts in one process and checks the load's ledger against the stand-ins' record; dfcli has host, demo, load and the stand-ins.

--- /dev/null
+++ b/dfcli/host.go
@@ -0,0 +1,142 @@
+package dfcli
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+
+	"dragonflygrade/dfhost"
+	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfremote"
+)
+
+// HostCommand runs one host until SIGTERM.
+type HostCommand struct {
+	ID         string `help:"Name of this host in the host list." required:""`
+	DataCentre string `help:"Data centre of this host." required:""`
+
+	CallerAddress     string `help:"ip:port to listen on for callers." default:"127.0.0.1:6432"`
+	PeerAddress       string `help:"ip:port to listen on for other hosts." default:"127.0.0.1:6433"`
+	AdvertisedAddress string `help:"ip:port at which other hosts reach this one; the peer address if empty."`
+	AdminAddress      string `help:"ip:port to listen on for metrics and status." default:"127.0.0.1:6434"`
+	PlatformAddress   string `help:"ip:port of the platform." default:"127.0.0.1:6430"`
+	Announce          bool   `help:"Enter this host in the host list of a stand-in platform."`
+
+	TokenKey         string `help:"Key that signs session tokens, at least 16 bytes." required:""`
+	PreviousTokenKey string `help:"Key that is still accepted during a rotation."`
+	UpstreamUser     string `help:"User of shared connections to upstreams." default:"dragonflygrade"`
+	UpstreamPassword string `help:"Password of shared connections."`
+	ControlPassword  string `help:"Password of control connections."`
+
+	CallerCertificate string `help:"PEM file with the certificate for callers." type:"path"`
+	CallerKey         string `help:"PEM file with its key." type:"path"`
+	RequireTLS        bool   `help:"Refuse callers without TLS."`
+	PeerCertificate   string `help:"PEM file with the certificate for other hosts and the platform." type:"path"`
+	PeerKey           string `help:"PEM file with its key." type:"path"`
+	PeerAuthority     string `help:"PEM file with the authority of this system's hosts." type:"path"`
+
+	DrainTimeout time.Duration `help:"Bound of a graceful shutdown." default:"20s"`
+	MaxCallers   int           `help:"Limit of caller connections." default:"10000"`
+}
+
+// Run runs the host.
+func (c *HostCommand) Run(env *environment) error {
+	settings := dfhost.Settings{
+		ID:                    c.ID,
+		DataCentre:            c.DataCentre,
+		CallerAddress:         c.CallerAddress,
+		PeerAddress:           c.PeerAddress,
+		AdminAddress:          c.AdminAddress,
+		AdvertisedPeerAddress: c.AdvertisedAddress,
+		TokenKey:              c.TokenKey,
+		PreviousTokenKey:      c.PreviousTokenKey,
+		UpstreamUser:          c.UpstreamUser,
+		UpstreamPassword:      c.UpstreamPassword,
+		ControlPassword:       c.ControlPassword,
+		RequireTLS:            c.RequireTLS,
+		DrainTimeout:          c.DrainTimeout,
+		MaxCallers:            c.MaxCallers,
+	}
+	if err := c.loadCertificates(&settings); err != nil {
+		return usageError{err}
+	}
+	platform, err := dialPlatform(c.PlatformAddress, settings.PeerClientTLS)
+	if err != nil {
+		return usageError{err}
+	}
+	defer func() { _ = platform.Close() }()
+	settings.Platform = platform
+	host, err := dfhost.New(settings)
+	if err != nil {
+		return usageError{err}
+	}
+	if err := host.Start(env.ctx); err != nil {
+		return err
+	}
+	if c.Announce {
+		c.announce(env.ctx, platform, host, false)
+	}
+	<-env.ctx.Done()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(env.ctx), 2*c.DrainTimeout)
+	defer cancel()
+	if c.Announce {
+		c.announce(ctx, platform, host, true)
+	}
+	if cut := host.Shutdown(ctx); cut > 0 {
+		return eris.Errorf("%d requests were cut when the drain timeout passed", cut)
+	}
+	return nil
+}
+
+// announce stands for the platform's own bookkeeping of hosts.
+func (c *HostCommand) announce(ctx context.Context, platform *dfremote.Client, host *dfhost.Host, remove bool) {
+	_ = platform.SetMember(ctx, dfplatform.Member{
+		ID: c.ID, Kind: dfplatform.KindHost, DataCentre: c.DataCentre, Address: host.PeerAddress(),
+	}, remove)
+}
+
+func dialPlatform(address string, config *tls.Config) (*dfremote.Client, error) {
+	options := dfremote.Options{Address: address}
+	if config != nil {
+		options.Credentials = credentials.NewTLS(config)
+	}
+	return dfremote.Dial(options)
+}
+
+func (c *HostCommand) loadCertificates(settings *dfhost.Settings) error {
+	if c.CallerCertificate != "" {
+		certificate, err := tls.LoadX509KeyPair(c.CallerCertificate, c.CallerKey)
+		if err != nil {
+			return eris.Wrap(err, "certificate for callers")
+		}
+		settings.CallerTLS = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	}
+	if c.PeerCertificate == "" {
+		return nil
+	}
+	certificate, err := tls.LoadX509KeyPair(c.PeerCertificate, c.PeerKey)
+	if err != nil {
+		return eris.Wrap(err, "certificate for other hosts")
+	}
+	authority, err := os.ReadFile(c.PeerAuthority)
+	if err != nil {
+		return eris.Wrap(err, "authority of other hosts")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return eris.Errorf("authority of other hosts: %s has no certificate", c.PeerAuthority)
+	}
+	settings.PeerServerTLS = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+	settings.PeerClientTLS = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, RootCAs: pool, MinVersion: tls.VersionTLS13,
+	}
+	return nil
+}
--- /dev/null
+++ b/dfdemo/stack.go
@@ -0,0 +1,342 @@
+// Package dfdemo runs hosts and stand-ins in one process, with the delays and
+// limits of one of the users' deployments, and drives them with load and faults.
+package dfdemo
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"text/template"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfhost"
+	"dragonflygrade/dflink"
+	"dragonflygrade/dfload"
+	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfstandin"
+	"dragonflygrade/dfstandinplatform"
+)
+
+// callerSite is the site of the callers in the network of links.
+const callerSite = "callers"
+
+// Credentials of the demo; nothing outside of the process accepts them.
+const (
+	demoUser       = "clerk"
+	demoPassword   = "clerk-password"
+	demoCredential = "env:DEMO_CLERK"
+	upstreamUser   = "dragonflygrade"
+	demoTokenKey   = "demo-token-key-0123456789"
+)
+
+// Deployment is one of the users' deployments.
+type Deployment struct {
+	Name string
+	dfstandin.Deployment
+	// CatalogueMaxAge and TicketMaxAge are the declared staleness of reads.
+	CatalogueMaxAge dfclock.Millis
+	TicketMaxAge    dfclock.Millis
+	// Jitter is the upper bound of the extra delay between data centres.
+	Jitter dfclock.Millis
+}
+
+// NewDeployment returns the deployment with the name.
+func NewDeployment(name string) (Deployment, error) {
+	switch name {
+	case "consortium":
+		return Deployment{Name: name, Deployment: dfstandin.Consortium(), CatalogueMaxAge: 10 * dfclock.Second, TicketMaxAge: 2 * dfclock.Second, Jitter: 1}, nil
+	case "kovacik":
+		return Deployment{Name: name, Deployment: dfstandin.Kovacik(), CatalogueMaxAge: 30 * dfclock.Second, TicketMaxAge: 2 * dfclock.Second, Jitter: 1}, nil
+	}
+	return Deployment{}, eris.Errorf("deployment %q is not known: use consortium or kovacik", name)
+}
+
+// Group is one database with its upstreams.
+type Group struct {
+	Service   string
+	Upstreams []*dfstandin.Upstream
+}
+
+// Stack is a running deployment.
+type Stack struct {
+	deployment Deployment
+	options    Options
+	network    *dflink.Network
+	store      *dfstandinplatform.Store
+	groups     []*Group
+	hosts      []*dfhost.Host
+	settings   []dfhost.Settings
+	// retired has the figures of hosts that were replaced.
+	retired []dfhost.Figures
+}
+
+// NewStack starts platform, upstreams and hosts and puts the services in force.
+func NewStack(ctx context.Context, deployment Deployment, options Options) (*Stack, error) {
+	s := &Stack{
+		deployment: deployment,
+		options:    options,
+		network:    dflink.New(options.Seed),
+		store:      dfstandinplatform.NewStore(dfstandinplatform.Options{MemberLag: options.MemberLag, Seed: options.Seed}),
+	}
+	if options.Delays {
+		s.setDelays()
+	}
+	for i := range deployment.Databases {
+		if err := s.startGroup(i); err != nil {
+			return s, err
+		}
+	}
+	if err := s.publish(ctx); err != nil {
+		return s, err
+	}
+	for i := range options.Hosts {
+		if err := s.startHost(ctx, i); err != nil {
+			return s, err
+		}
+	}
+	return s, s.awaitReady(ctx)
+}
+
+func (s *Stack) setDelays() {
+	s.network.SetDefaultDelay(dflink.Delay{OneWay: s.deployment.BetweenCentres, Jitter: s.deployment.Jitter, Loss: s.options.Loss})
+	for _, centre := range s.deployment.DataCentres {
+		s.network.SetDelay(callerSite, centre, dflink.Delay{OneWay: s.deployment.ToCallers})
+	}
+}
+
+func (s *Stack) startGroup(index int) error {
+	service := fmt.Sprintf("%s-%d", s.deployment.Name, index+1)
+	group := &Group{Service: service}
+	s.groups = append(s.groups, group)
+	var first dfgroup.UpstreamID
+	for i := range s.deployment.UpstreamsPerGroup {
+		// The first primary of each database is in another data centre.
+		centre := s.deployment.DataCentres[(i+index)%len(s.deployment.DataCentres)]
+		options := dfstandin.Options{
+			ID:              dfgroup.UpstreamID(service + "-" + strings.ToLower(centre)),
+			DataCentre:      centre,
+			Following:       first,
+			ConnectionLimit: s.deployment.ConnectionLimit,
+			ConnectTime:     s.deployment.ConnectTime,
+			ApplyDelay:      s.options.Lag,
+			Dial:            s.network.Dialer(centre).Dial,
+		}
+		if i == 0 {
+			first = options.ID
+		}
+		upstream, err := dfstandin.Start(options)
+		if err != nil {
+			return eris.Wrapf(err, "demo: upstream %s", options.ID)
+		}
+		group.Upstreams = append(group.Upstreams, upstream)
+		s.network.Register(centre, upstream.Address())
+		s.store.SetMember(dfplatform.Member{
+			ID: string(options.ID), Kind: dfplatform.KindUpstream, DataCentre: centre, Address: upstream.Address(),
+		}, false)
+	}
+	for _, upstream := range group.Upstreams {
+		upstream.SetPeers(group.peersOf(upstream))
+	}
+	return nil
+}
+
+func (g *Group) peersOf(upstream *dfstandin.Upstream) []dfstandin.Peer {
+	var peers []dfstandin.Peer
+	for _, other := range g.Upstreams {
+		if other != upstream {
+			peers = append(peers, other.Peer())
+		}
+	}
+	return peers
+}
+
+var serviceFile = template.Must(template.New("service").Parse(`# Generated by the demo.
+Service = "{{.Service}}"
+Owner = "demo"
+SessionMaxAge = "5s"
+
+[Deadlines]
+Read = "4s"
+Write = "8s"
+
+[Priorities]
+Read = 5
+Write = 1
+
+[[Databases]]
+Name = "orders"
+Slots = {{.Slots}}
+ConnectionLimit = {{.Limit}}
+{{range .Upstreams}}
+[[Databases.Upstreams]]
+ID = "{{.ID}}"
+DataCentre = "{{.DataCentre}}"
+Address = "{{.Address}}"
+{{end}}
+[[Callers]]
+User = "{{.User}}"
+CredentialRef = "{{.Credential}}"
+
+[[Reads]]
+Tables = ["catalogue"]
+MaxAge = "{{.CatalogueMaxAge}}"
+Priority = 8
+
+[[Reads]]
+Tables = ["tickets"]
+MaxAge = "{{.TicketMaxAge}}"
+Priority = 3
+`))
+
+// serviceText renders the service file of a group.
+func (s *Stack) serviceText(group *Group) ([]byte, error) {
+	var upstreams []dfstandin.Peer
+	for _, upstream := range group.Upstreams {
+		upstreams = append(upstreams, upstream.Peer())
+	}
+	var text bytes.Buffer
+	err := serviceFile.Execute(&text, map[string]any{
+		"Service": group.Service, "Slots": s.deployment.Slots, "Limit": s.deployment.ConnectionLimit,
+		"Upstreams": upstreams, "User": demoUser, "Credential": demoCredential,
+		"CatalogueMaxAge": dfconfig.FormatSpan(s.deployment.CatalogueMaxAge),
+		"TicketMaxAge":    dfconfig.FormatSpan(s.deployment.TicketMaxAge),
+	})
+	return text.Bytes(), eris.Wrap(err, "demo: service file")
+}
+
+// publish puts the services in force as version 1.
+func (s *Stack) publish(ctx context.Context) error {
+	var index dfconfig.Index
+	for _, group := range s.groups {
+		text, err := s.serviceText(group)
+		if err != nil {
+			return err
+		}
+		services, faults := dfconfig.Parse([]dfconfig.File{{Name: group.Service + ".toml", Data: text}})
+		if len(faults) > 0 {
+			return faults
+		}
+		document, err := dfconfig.Encode(services[0])
+		if err != nil {
+			return err
+		}
+		address := dfconfig.Address(document)
+		if err := s.store.Put(ctx, dfconfig.ServiceObject(address), document); err != nil {
+			return eris.Wrap(err, "demo: publish")
+		}
+		index = index.WithService(group.Service, address)
+	}
+	index = index.Next("demo", "demo-1")
+	encoded, err := index.Encode()
+	if err != nil {
+		return err
+	}
+	if err := s.store.Put(ctx, index.Head().Index, encoded); err != nil {
+		return eris.Wrap(err, "demo: publish")
+	}
+	head, err := index.Head().Encode()
+	if err != nil {
+		return err
+	}
+	return s.store.Commit(ctx, index.Attempt, dfplatform.Write{Key: dfconfig.HeadKey, Value: head})
+}
+
+func (s *Stack) startHost(ctx context.Context, index int) error {
+	centre := s.deployment.DataCentres[index%len(s.deployment.DataCentres)]
+	dialer := s.network.Dialer(centre)
+	settings := dfhost.Settings{
+		ID:            fmt.Sprintf("host-%d", index+1),
+		DataCentre:    centre,
+		CallerAddress: "127.0.0.1:0",
+		PeerAddress:   "127.0.0.1:0",
+		AdminAddress:  "127.0.0.1:0",
+		TokenKey:      demoTokenKey,
+		Credentials:   map[string]string{demoCredential: demoPassword},
+		UpstreamUser:  upstreamUser,
+		DrainTimeout:  dfhost.DefaultDrainTimeout,
+		MaxCallers:    dfhost.DefaultMaxCallers,
+		Platform:      s.store,
+		DialUpstream:  dialer.Dial,
+		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.Dial(ctx, "tcp", address)
+		},
+	}
+	host, err := dfhost.New(settings)
+	if err != nil {
+		return err
+	}
+	if err := host.Start(ctx); err != nil {
+		return err
+	}
+	s.hosts = append(s.hosts, host)
+	s.settings = append(s.settings, settings)
+	s.admit(host, settings)
+	return nil
+}
+
+// admit makes a host known to links and platform.
+func (s *Stack) admit(host *dfhost.Host, settings dfhost.Settings) {
+	s.network.Register(settings.DataCentre, host.CallerAddress())
+	s.network.Register(settings.DataCentre, host.PeerAddress())
+	s.store.SetMember(dfplatform.Member{
+		ID: settings.ID, Kind: dfplatform.KindHost, DataCentre: settings.DataCentre, Address: host.PeerAddress(),
+	}, false)
+}
+
+// readyTimeout bounds the start of a stack.
+const readyTimeout = 20 * time.Second
+
+// awaitReady waits until every slot is held.
+func (s *Stack) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		held := 0
+		for _, host := range s.hosts {
+			held += len(host.Status().Groups)
+		}
+		if held >= s.deployment.Databases*min(s.deployment.Slots, len(s.hosts)) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return eris.Errorf("demo: %d slots held after %s", held, readyTimeout)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Targets lists the services for the load tool.
+func (s *Stack) Targets() []dfload.Target {
+	var targets []dfload.Target
+	for _, group := range s.groups {
+		target := dfload.Target{Service: group.Service, User: demoUser, Password: demoPassword}
+		for _, host := range s.hosts {
+			target.Hosts = append(target.Hosts, host.CallerAddress())
+		}
+		targets = append(targets, target)
+	}
+	return targets
+}
+
+// Close ends everything.
+func (s *Stack) Close() {
+	for _, host := range s.hosts {
+		host.Kill()
+	}
+	for _, group := range s.groups {
+		for _, upstream := range group.Upstreams {
+			upstream.Stop()
+		}
+	}
+	s.network.Close()
+}
--- a/dfload/caller.go
+++ b/dfload/caller.go
@@ -30,8 +30,26 @@
 	// presented is the token last presented on each connection.
 	presented []string
 	// acked lists the ids of own orders known to be done and not rolled back.
-	acked  []string
-	serial int
+	acked []int64
+	// base is added to serial, which counts own orders, to form their ids.
+	base   int64
+	serial int64
+}
+
+// Parts of an order's id: seed, caller and serial number. Ids of runs with
+// different seeds do not meet, so that a database can be used again.
+const (
+	ordersPerCaller = 1_000_000
+	callersPerID    = 10_000
+	seedsPerID      = 100_000
+	// reservedCallers are callers with a negative index.
+	reservedCallers = 100
+)
+
+// nextID returns the id of a new order.
+func (c *caller) nextID() int64 {
+	c.serial++
+	return c.base + c.serial
 }
 
 // ackedMemory is the number of own acknowledged orders that a caller looks up.
@@ -41,6 +59,7 @@
 	seed := r.options.Seed
 	return &caller{
 		run:       r,
+		base:      (int64(seed%seedsPerID)*callersPerID + int64(index+reservedCallers)) * ordersPerCaller,
 		name:      fmt.Sprintf("caller-%d", index),
 		service:   service,
 		random:    rand.New(rand.NewPCG(seed, uint64(index)+1)),
@@ -170,16 +189,17 @@
 
 // readOwnOrder looks up one acknowledged order of the caller, which must be there.
 func (c *caller) readOwnOrder(ctx context.Context, conn *pgx.Conn) error {
-	want := c.name + "-none"
+	want := c.base
 	if len(c.acked) > 0 {
 		// The newest order is the one that a lagging replica lacks.
 		want = c.acked[len(c.acked)-1-min(c.random.IntN(4), len(c.acked)-1)]
 	}
-	var id, owner string
+	var id int64
+	var owner string
 	err := conn.QueryRow(ctx, "SELECT id, caller FROM orders WHERE id = $1", want).Scan(&id, &owner)
 	if errors.Is(err, pgx.ErrNoRows) {
 		if len(c.acked) > 0 {
-			c.run.counters.stale(fmt.Sprintf("%s lacks order %s", c.name, want))
+			c.run.counters.stale(fmt.Sprintf("%s lacks order %d", c.name, want))
 		}
 		return nil
 	}
@@ -211,8 +231,8 @@
 }
 
 func (c *caller) readTicket(ctx context.Context, conn *pgx.Conn) error {
-	want := fmt.Sprintf("ticket-%d", c.random.IntN(tickets))
-	var id string
+	want := 1 + c.random.Int64N(tickets)
+	var id int64
 	err := conn.QueryRow(ctx, "SELECT id FROM tickets WHERE id = $1", want).Scan(&id)
 	if err == nil && id != want {
 		c.run.counters.mixed.Add(1)
@@ -222,8 +242,11 @@
 
 func (c *caller) write(ctx context.Context, kind Kind, conn *pgx.Conn) {
 	c.run.counters.writes.Add(1)
-	c.serial++
-	id := fmt.Sprintf("%s-%d-%d", c.name, c.run.options.Seed, c.serial)
+	if kind == KindOrder && len(c.acked) > 0 && c.random.IntN(raiseShare) == 0 {
+		c.raise(ctx, conn)
+		return
+	}
+	id := c.nextID()
 	var outcome dfresult.Outcome
 	var code string
 	switch kind {
@@ -234,14 +257,10 @@
 	}
 	c.run.ledger.Tell(c.service.Service, id, outcome)
 	c.account(id, kind, outcome, code)
-	if c.useTokens && !conn.IsClosed() {
-		if token := conn.PgConn().ParameterStatus(tokenParameter); token != "" {
-			c.token = token
-		}
-	}
+	c.takeToken(conn)
 }
 
-func (c *caller) account(id string, kind Kind, outcome dfresult.Outcome, code string) {
+func (c *caller) account(id int64, kind Kind, outcome dfresult.Outcome, code string) {
 	switch outcome {
 	case dfresult.Done:
 		c.run.counters.acked.Add(1)
@@ -259,22 +278,58 @@
 	}
 }
 
+const (
+	// firstQuantity is the quantity of a new order.
+	firstQuantity = 1
+	// raiseShare makes one of so many orders an increment of an earlier one,
+	// which shows a statement that ran twice.
+	raiseShare = 3
+)
+
+// raise increments the quantity of an earlier order.
+func (c *caller) raise(ctx context.Context, conn *pgx.Conn) {
+	id := c.acked[c.random.IntN(len(c.acked))]
+	_, err := conn.Exec(ctx, "UPDATE orders SET quantity = quantity + 1 WHERE id = $1", id)
+	outcome, code := outcomeOf(err)
+	c.run.ledger.TellRaise(c.service.Service, id, outcome)
+	switch outcome {
+	case dfresult.Done:
+		c.run.counters.acked.Add(1)
+	case dfresult.Unknown:
+		c.run.counters.unknown.Add(1)
+		c.run.counters.explain(code)
+	default:
+		c.run.counters.refuse(code)
+	}
+	c.takeToken(conn)
+}
+
+// takeToken remembers the newest token that a host reported.
+func (c *caller) takeToken(conn *pgx.Conn) {
+	if !c.useTokens || conn.IsClosed() {
+		return
+	}
+	if token := conn.PgConn().ParameterStatus(tokenParameter); token != "" {
+		c.token = token
+	}
+}
+
 const insertOrder = "INSERT INTO orders (id, caller, item, quantity, status) VALUES ($1, $2, $3, $4, $5)"
 
-func (c *caller) insert(ctx context.Context, conn *pgx.Conn, id string) (dfresult.Outcome, string) {
-	_, err := conn.Exec(ctx, insertOrder, id, c.name, versionedItem, 1+c.random.IntN(9), "booked")
+func (c *caller) insert(ctx context.Context, conn *pgx.Conn, id int64) (dfresult.Outcome, string) {
+	_, err := conn.Exec(ctx, insertOrder, id, c.name, versionedItem, firstQuantity, "booked")
 	return outcomeOf(err)
 }
 
 // transact writes in a transaction. A failure before COMMIT was sent means
 // that nothing ran.
-func (c *caller) transact(ctx context.Context, conn *pgx.Conn, id string, rollback bool) (dfresult.Outcome, string) {
+func (c *caller) transact(ctx context.Context, conn *pgx.Conn, id int64, rollback bool) (dfresult.Outcome, string) {
 	tx, err := conn.Begin(ctx)
 	if err != nil {
 		_, code := outcomeOf(err)
 		return dfresult.NotRun, code
 	}
-	_, err = tx.Exec(ctx, insertOrder, id, c.name, versionedItem, 1, "draft")
+	_, err = tx.Exec(ctx, insertOrder, id, c.name, versionedItem, firstQuantity, "draft")
 	if err == nil {
 		_, err = tx.Exec(ctx, "UPDATE orders SET status = $1 WHERE id = $2", "booked", id)
 	}
--- a/dfload/gap.go
+++ b/dfload/gap.go
@@ -81,8 +81,7 @@
 		time.Sleep(connectPause)
 		return
 	}
-	member.serial++
-	id := fmt.Sprintf("%s-%d-%d", member.name, member.run.options.Seed, member.serial)
+	id := member.nextID()
 	outcome, _ := member.insert(requestCtx, conn, id)
 	member.run.ledger.Tell(member.service.Service, id, outcome)
 	if conn.IsClosed() {
--- a/dfload/ledger.go
+++ b/dfload/ledger.go
@@ -12,13 +12,16 @@
 	outcome dfresult.Outcome
 	// attempts counts the statements sent for the write.
 	attempts int
+	// raised and doubtful count the increments of the order's quantity that
+	// were acknowledged and that have an unknown result.
+	raised, doubtful int64
 }
 
 // Ledger records what callers were told about their writes.
 type Ledger struct {
 	mu sync.Mutex
 	// writes is keyed by service and order id.
-	writes map[string]map[string]told
+	writes map[string]map[int64]told
 	// versions lists, by service, when each catalogue version was acknowledged.
 	versions map[string][]versionAck
 }
@@ -30,17 +33,17 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{writes: make(map[string]map[string]told), versions: make(map[string][]versionAck)}
+	return &Ledger{writes: make(map[string]map[int64]told), versions: make(map[string][]versionAck)}
 }
 
 // Tell records the outcome of a write. A later outcome replaces an earlier one,
 // except that done stays done.
-func (l *Ledger) Tell(service, id string, outcome dfresult.Outcome) {
+func (l *Ledger) Tell(service string, id int64, outcome dfresult.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	writes := l.writes[service]
 	if writes == nil {
-		writes = make(map[string]told)
+		writes = make(map[int64]told)
 		l.writes[service] = writes
 	}
 	entry := writes[id]
@@ -51,6 +54,20 @@
 	writes[id] = entry
 }
 
+// TellRaise records the outcome of an increment of an order's quantity.
+func (l *Ledger) TellRaise(service string, id int64, outcome dfresult.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.writes[service][id]
+	switch outcome {
+	case dfresult.Done:
+		entry.raised++
+	case dfresult.Unknown:
+		entry.doubtful++
+	}
+	l.writes[service][id] = entry
+}
+
 // mergeOutcome keeps an unknown result unknown when a repeat did not run.
 func mergeOutcome(entry told, outcome dfresult.Outcome) dfresult.Outcome {
 	if entry.outcome == dfresult.Unknown && outcome == dfresult.NotRun {
@@ -91,10 +108,23 @@
 
 // Record is what the upstreams of one service hold at the end.
 type Record struct {
-	// Surviving counts the rows of each order id in the log of the last primary.
-	Surviving map[string]int
+	// Surviving counts the rows of each order id at the last primary.
+	Surviving map[int64]int
+	// Quantities has the quantity of each order.
+	Quantities map[int64]int64
 	// Cut has the order ids in log tails that were discarded.
-	Cut map[string]bool
+	Cut map[int64]bool
+}
+
+// checkQuantity finds increments that ran twice or were lost.
+func (v *Verdict) checkQuantity(entry told, quantity int64) {
+	least := firstQuantity + entry.raised
+	if quantity > least+entry.doubtful {
+		v.DoubledWrites++
+	}
+	if quantity != 0 && quantity < least {
+		v.LostWrites++
+	}
 }
 
 // Check compares what callers were told with the record of a service.
@@ -115,6 +145,7 @@
 			if rows == 0 && record.Cut[id] {
 				verdict.ReplacedPrimaryAcks++
 			}
+			verdict.checkQuantity(entry, record.Quantities[id])
 		case dfresult.NotRun:
 			if rows > 0 {
 				verdict.NotRunButRan++
--- a/dfload/report.go
+++ b/dfload/report.go
@@ -43,6 +43,16 @@
 	DurationSeconds       float64
 }
 
+// WithDirect returns the report with the ratios to a run without hosts.
+func (r Report) WithDirect(direct Report) Report {
+	r.AddedLatencyMicrosP50 = r.LatencyMicrosP50 - direct.LatencyMicrosP50
+	r.AddedLatencyMicrosP99 = r.LatencyMicrosP99 - direct.LatencyMicrosP99
+	if direct.RequestsPerSecond > 0 {
+		r.ThroughputRatio = r.RequestsPerSecond / direct.RequestsPerSecond
+	}
+	return r
+}
+
 // WriteJSON prints the report on one line.
 func (r Report) WriteJSON(w io.Writer) error {
 	return json.NewEncoder(w).Encode(r)
--- a/dfload/run.go
+++ b/dfload/run.go
@@ -197,14 +197,14 @@
 		}
 	}
 	for i := range tickets {
-		id := fmt.Sprintf("ticket-%d", i)
+		id := int64(i + 1)
 		if err := conn.QueryRow(ctx, "SELECT count(*) FROM tickets WHERE id = $1 FOR UPDATE", id).Scan(&count); err != nil {
 			return err
 		}
 		if count > 0 {
 			continue
 		}
-		_, err := conn.Exec(ctx, "INSERT INTO tickets (id, order_id, state, ink, paper) VALUES ($1, $2, $3, $4, $5)", id, "none", "waiting", 50, 50)
+		_, err := conn.Exec(ctx, "INSERT INTO tickets (id, order_id, state, ink, paper) VALUES ($1, $2, $3, $4, $5)", id, 0, "waiting", 50, 50)
 		if err != nil {
 			return err
 		}
--- a/main.go
+++ b/main.go
@@ -1,8 +1,12 @@
 // Command dragonflygrade is a database proxy with session consistency.
 package main
 
-import "fmt"
+import (
+	"os"
+
+	"dragonflygrade/dfcli"
+)
 
 func main() {
-	fmt.Println("dragonflygrade")
+	os.Exit(dfcli.Run(os.Args[1:]))
 }
