--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -31,7 +31,7 @@
 
 // CLI is the whole command line.
 type CLI struct {
-	LogLevel string `help:"Lowest level of log lines: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+	LogLevel string `help:"Lowest level of log lines: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
 
 	Host    HostCommand    `cmd:"" help:"Run a host."`
 	Demo    DemoCommand    `cmd:"" help:"Run hosts and stand-ins in one process, under load and faults."`
--- a/dfcli/demo.go
+++ b/dfcli/demo.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"dragonflygrade/dfclock"
@@ -33,9 +32,6 @@
 
 // Run runs the demo.
 func (c *DemoCommand) Run(env *environment) error {
-	if log.DefaultLogger.Level < log.WarnLevel {
-		log.DefaultLogger.Level = log.WarnLevel
-	}
 	options := dfdemo.Options{
 		Deployment: c.Deployment,
 		Hosts:      c.Hosts,
--- a/dfdemo/demo.go
+++ b/dfdemo/demo.go
@@ -41,6 +41,8 @@
 	maxHosts = 50
 	// settleTimeout bounds the wait for healed upstreams after the load.
 	settleTimeout = 10 * time.Second
+	// gapWindow is how long after a fault a pause of writes counts as its effect.
+	gapWindow = 2 * time.Second
 )
 
 // Check returns every fault of the options.
@@ -120,6 +122,9 @@
 		return report, err
 	}
 	s.check(&report, ledger)
+	for _, lost := range schedule.primaryFaults {
+		report.AddGap(ledger.LongestPause(lost.service, lost.at, lost.at.Add(gapWindow)))
+	}
 	return report, nil
 }
 
--- a/dfdemo/schedule.go
+++ b/dfdemo/schedule.go
@@ -23,6 +23,14 @@
 	stack    *Stack
 	progress io.Writer
 	random   *rand.Rand
+	// primaryFaults lists the faults that make a primary change.
+	primaryFaults []primaryFault
+}
+
+// primaryFault is when the primary of a service was lost.
+type primaryFault struct {
+	service string
+	at      time.Time
 }
 
 func newSchedule(stack *Stack, progress io.Writer) *schedule {
@@ -34,6 +42,8 @@
 	name  string
 	begin func()
 	end   func()
+	// service is set if the fault makes its primary change.
+	service string
 }
 
 func (s *schedule) run(ctx context.Context) {
@@ -50,6 +60,9 @@
 
 func (s *schedule) cause(ctx context.Context, f fault) {
 	say(s.progress, "%s", f.name)
+	if f.service != "" {
+		s.primaryFaults = append(s.primaryFaults, primaryFault{service: f.service, at: time.Now()})
+	}
 	f.begin()
 	wait(ctx, faultLength)
 	f.end()
@@ -88,10 +101,11 @@
 }
 
 func (s *schedule) killedPrimary() fault {
-	_, primary := s.victim()
+	group, primary := s.victim()
 	return fault{
-		name:  "primary " + string(primary.ID()) + " is killed",
-		begin: primary.Crash,
+		service: group.Service,
+		name:    "primary " + string(primary.ID()) + " is killed",
+		begin:   primary.Crash,
 		end: func() {
 			if err := primary.Restart(); err != nil {
 				say(s.progress, "restart of %s: %v", primary.ID(), err)
@@ -101,16 +115,22 @@
 }
 
 func (s *schedule) pausedPrimary() fault {
-	_, primary := s.victim()
-	return fault{name: "primary " + string(primary.ID()) + " is paused", begin: primary.Pause, end: primary.Resume}
+	group, primary := s.victim()
+	return fault{
+		service: group.Service,
+		name:    "primary " + string(primary.ID()) + " is paused",
+		begin:   primary.Pause,
+		end:     primary.Resume,
+	}
 }
 
 func (s *schedule) isolatedPrimary() fault {
-	_, primary := s.victim()
+	group, primary := s.victim()
 	return fault{
-		name:  "primary " + string(primary.ID()) + " is cut off from everyone",
-		begin: func() { primary.Partition() },
-		end:   primary.Heal,
+		service: group.Service,
+		name:    "primary " + string(primary.ID()) + " is cut off from everyone",
+		begin:   func() { primary.Partition() },
+		end:     primary.Heal,
 	}
 }
 
--- a/dfload/gap.go
+++ b/dfload/gap.go
@@ -9,36 +9,47 @@
 	"dragonflygrade/dfresult"
 )
 
-// reportedGap is the shortest pause between acknowledged writes that is
-// reported as a failover gap.
-const reportedGap = 200 * time.Millisecond
-
-// gapRecorder collects the spans in which no write was acknowledged.
-type gapRecorder struct {
-	mu   sync.Mutex
-	gaps []int64
+// keptPause is the shortest pause between acknowledged writes that is kept. It
+// is above the ordinary pause between two acknowledgements.
+const keptPause = 20 * time.Millisecond
+
+// Pause is a span in which no write of the gap writers was acknowledged.
+type Pause struct {
+	From, To time.Time
 }
 
-func newGapRecorder() *gapRecorder {
-	return &gapRecorder{}
+// pauses collects the pauses of each service.
+type pauses struct {
+	mu sync.Mutex
+	// kept is keyed by service, in order of time.
+	kept map[string][]Pause
 }
 
-func (g *gapRecorder) add(gap time.Duration) {
-	if gap < reportedGap {
+func (p *pauses) add(service string, pause Pause) {
+	if pause.To.Sub(pause.From) < keptPause {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.gaps = append(g.gaps, gap.Milliseconds())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.kept == nil {
+		p.kept = make(map[string][]Pause)
+	}
+	p.kept[service] = append(p.kept[service], pause)
 }
 
-func (g *gapRecorder) report() (gaps []int64, longest int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, gap := range g.gaps {
-		longest = max(longest, gap)
+// LongestPause returns the longest span without an acknowledged write that
+// overlaps the window.
+func (l *Ledger) LongestPause(service string, from, to time.Time) time.Duration {
+	l.pauses.mu.Lock()
+	defer l.pauses.mu.Unlock()
+	var longest time.Duration
+	for _, pause := range l.pauses.kept[service] {
+		if pause.To.Before(from) || pause.From.After(to) {
+			continue
+		}
+		longest = max(longest, pause.To.Sub(pause.From))
 	}
-	return append([]int64{}, g.gaps...), longest
+	return longest
 }
 
 // gapWriters is the number of writers of one target whose writes together show
@@ -96,7 +107,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.last.IsZero() && now.After(w.last) {
-		w.caller.run.gaps.add(now.Sub(w.last))
+		w.caller.run.ledger.pauses.add(w.caller.service.Service, Pause{From: w.last, To: now})
 	}
 	w.last = now
 }
--- a/dfload/ledger.go
+++ b/dfload/ledger.go
@@ -24,6 +24,8 @@
 	writes map[string]map[int64]told
 	// versions lists, by service, when each catalogue version was acknowledged.
 	versions map[string][]versionAck
+
+	pauses pauses
 }
 
 type versionAck struct {
--- a/dfload/report.go
+++ b/dfload/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -43,6 +44,12 @@
 	DurationSeconds       float64
 }
 
+// AddGap adds the span without acknowledged writes around a change of primary.
+func (r *Report) AddGap(gap time.Duration) {
+	r.FailoverGapMs = append(r.FailoverGapMs, gap.Milliseconds())
+	r.FailoverGapMsMax = max(r.FailoverGapMsMax, gap.Milliseconds())
+}
+
 // WithDirect returns the report with the ratios to a run without hosts.
 func (r Report) WithDirect(direct Report) Report {
 	r.AddedLatencyMicrosP50 = r.LatencyMicrosP50 - direct.LatencyMicrosP50
--- a/dfload/run.go
+++ b/dfload/run.go
@@ -111,7 +111,6 @@
 	mix      Mix
 	ledger   *Ledger
 	counters *counters
-	gaps     *gapRecorder
 }
 
 // Run drives the targets and returns the figures and the ledger. Figures that
@@ -124,7 +123,7 @@
 	if err != nil {
 		return Report{}, nil, err
 	}
-	r := &run{options: options, mix: mix, ledger: NewLedger(), counters: newCounters(), gaps: newGapRecorder()}
+	r := &run{options: options, mix: mix, ledger: NewLedger(), counters: newCounters()}
 	for _, target := range options.Targets {
 		if err := r.seedTables(ctx, target); err != nil {
 			return Report{}, nil, err
@@ -134,7 +133,6 @@
 	r.drive(ctx)
 	var report Report
 	r.counters.fill(&report, time.Since(started))
-	report.FailoverGapMs, report.FailoverGapMsMax = r.gaps.report()
 	for _, sample := range r.counters.samples {
 		fmt.Println("load: stale read:", sample)
 	}
