Fill the tables before the faults begin, and settle silent connections once

Cause: the load filled its tables one row at a time for 6 s while the fault schedule ran already, so a gap was measured where no writer ran; a connection reported as silent was also given back to the pool; an update of no row could be answered by a replaced primary. Change: tables are filled by one statement per table; faults begin with the load; a silent connection is not returned; answers whose position is older than the term of the routing wait for a confirmation under that term.

--- a/dfdemo/demo.go
+++ b/dfdemo/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -106,15 +107,15 @@
 	faultCtx, stopFaults := context.WithCancel(ctx)
 	defer stopFaults()
 	schedule := newSchedule(s, progress)
-	faultsDone := make(chan struct{})
-	go func() {
-		defer close(faultsDone)
-		schedule.run(faultCtx)
-	}()
-	say(progress, "%d callers for %s", s.options.Callers, s.options.Duration)
-	report, ledger, err := dfload.Run(ctx, s.loadOptions())
+	var faults sync.WaitGroup
+	options := s.loadOptions()
+	options.Started = func() {
+		say(progress, "%d callers for %s", s.options.Callers, s.options.Duration)
+		faults.Go(func() { schedule.run(faultCtx) })
+	}
+	report, ledger, err := dfload.Run(ctx, options)
 	stopFaults()
-	<-faultsDone
+	faults.Wait()
 	if err != nil {
 		return report, err
 	}
--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -177,7 +177,7 @@
 	if !found {
 		return nil, dfresult.NewError(dfresult.NoPrimary, "database %s", h.options.Group).WithRetryAfter(retryHint)
 	}
-	return h.openOn(ctx, request, choice{upstream: primary})
+	return h.openOn(ctx, request, choice{upstream: primary, term: view.Term})
 }
 
 // choice is an upstream for one request.
@@ -186,6 +186,8 @@
 	replica  bool
 	// rung is the step of the read ladder, or zero for a write.
 	rung int
+	// term is the primary's term for a write.
+	term dfposition.Term
 }
 
 func (h *Holder) openOn(ctx context.Context, request dfunit.Request, chosen choice) (*unit, error) {
@@ -209,6 +211,7 @@
 		conn:     conn,
 		rung:     chosen.rung,
 		replica:  chosen.replica,
+		term:     chosen.term,
 		release: func() {
 			if write {
 				h.writing.Add(-1)
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -35,6 +35,10 @@
 	// slowest and failed describe the unit for the choice of later reads.
 	slowest dfclock.Millis
 	failed  bool
+	// gone is true once the pool has taken the connection back as silent.
+	gone bool
+	// term is the term of the primary to which a write was routed.
+	term dfposition.Term
 	// release gives the admission back; it is called once.
 	release func()
 	closed  bool
@@ -115,18 +119,29 @@
 			h.knowledge.answered(id, peer)
 		})
 	}
-	if err := h.watcher.AwaitAck(ctx, position); err != nil {
+	if err := u.awaitMajority(ctx, position); err != nil {
 		h.knowledge.abandon(id)
 		return err
 	}
 	return h.knowledge.await(ctx, id)
 }
 
+// awaitMajority waits until a majority has the position. A position of an
+// earlier term than the one of the routing shows that the unit wrote nothing;
+// its answer must then not come from a replaced primary.
+func (u *unit) awaitMajority(ctx context.Context, position dfposition.Position) error {
+	if position.Term == u.term {
+		return u.holder.watcher.AwaitAck(ctx, position)
+	}
+	return u.holder.watcher.AwaitConfirmed(ctx, position, u.term)
+}
+
 // report tells the failure detection of a connection that broke or was too slow.
 func (u *unit) report(ctx context.Context, started dfclock.Millis) {
 	if ctx.Err() != nil {
 		u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Silent{Upstream: u.upstream.ID})
 		u.pool.Silent(u.conn)
+		u.gone = true
 		return
 	}
 	u.holder.log.Debug().Str("Upstream", string(u.upstream.ID)).Int64("Started", int64(started)).Msg("holder: connection lost")
@@ -153,7 +168,9 @@
 		return
 	}
 	u.closed = true
-	u.pool.Put(u.conn)
+	if !u.gone {
+		u.pool.Put(u.conn)
+	}
 	u.holder.router.ended(choice{upstream: u.upstream, replica: u.replica, rung: u.rung}, u.slowest, !u.failed)
 	u.release()
 }
--- a/dfload/run.go
+++ b/dfload/run.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"net"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
 // versionedItem is the catalogue row whose price counts versions.
@@ -67,6 +69,8 @@
 	Seed uint64
 	// Plain leaves out what only hosts understand, for runs against upstreams.
 	Plain bool
+	// Started is called when the tables are filled and the load begins; it may be nil.
+	Started func()
 	// Dial replaces the network dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -124,10 +128,15 @@
 		return Report{}, nil, err
 	}
 	r := &run{options: options, mix: mix, ledger: NewLedger(), counters: newCounters()}
+	var seeding errgroup.Group
 	for _, target := range options.Targets {
-		if err := r.seedTables(ctx, target); err != nil {
-			return Report{}, nil, err
-		}
+		seeding.Go(func() error { return r.seedTables(ctx, target) })
+	}
+	if err := seeding.Wait(); err != nil {
+		return Report{}, nil, err
+	}
+	if options.Started != nil {
+		options.Started()
 	}
 	started := time.Now()
 	r.drive(ctx)
@@ -185,27 +194,14 @@
 	if err != nil {
 		return err
 	}
-	var count int64
-	if err := conn.QueryRow(ctx, "SELECT count(*) FROM catalogue WHERE item = $1 FOR UPDATE", versionedItem).Scan(&count); err != nil {
+	_, err = conn.Exec(ctx, "INSERT INTO catalogue (item, price, available) VALUES ($1, 0, 100) ON CONFLICT DO NOTHING", versionedItem)
+	if err != nil {
 		return err
 	}
-	if count == 0 {
-		if _, err := conn.Exec(ctx, "INSERT INTO catalogue (item, price, available) VALUES ($1, $2, $3)", versionedItem, 0, 100); err != nil {
-			return err
-		}
+	rows := make([]string, tickets)
+	for i := range rows {
+		rows[i] = fmt.Sprintf("(%d, 0, 'waiting', 50, 50)", i+1)
 	}
-	for i := range tickets {
-		id := int64(i + 1)
-		if err := conn.QueryRow(ctx, "SELECT count(*) FROM tickets WHERE id = $1 FOR UPDATE", id).Scan(&count); err != nil {
-			return err
-		}
-		if count > 0 {
-			continue
-		}
-		_, err := conn.Exec(ctx, "INSERT INTO tickets (id, order_id, state, ink, paper) VALUES ($1, $2, $3, $4, $5)", id, 0, "waiting", 50, 50)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	_, err = conn.Exec(ctx, "INSERT INTO tickets (id, order_id, state, ink, paper) VALUES "+strings.Join(rows, ", ")+" ON CONFLICT DO NOTHING")
+	return err
 }
