--- a/dflink/conn.go
+++ b/dflink/conn.go
@@ -25,8 +25,8 @@
 	mu     sync.Mutex
 	chunks []chunk
 	// bytes is the sum of the chunks; at most queueBytes, or one chunk.
-	bytes    int
-	last     time.Time
+	bytes int
+	last  time.Time
 	// readBy and writeBy bound pop and push; zero is no bound.
 	readBy  time.Time
 	writeBy time.Time
--- a/dfstandin/connection.go
+++ b/dfstandin/connection.go
@@ -167,7 +167,8 @@
 
 // open sends what follows a successful authentication.
 func (c *connection) open(startup *pgproto3.StartupMessage) {
-	settings := map[string]string{}
+	settings := map[string]string{"transaction_isolation": "serializable", "default_transaction_read_only": "off",
+		"idle_session_timeout": "0", "idle_in_transaction_session_timeout": "0", "statement_timeout": "0"}
 	for name, value := range reported {
 		settings[strings.ToLower(name)] = value
 	}
@@ -370,6 +371,9 @@
 // execute runs one statement under the statement timeout, cancel requests and
 // termination.
 func (c *connection) execute(statement *dfstandinsql.Statement, parameters []dfstandinsql.Value, oids []uint32) (dfstandinsql.Result, error) {
+	if !c.socket.open() {
+		return dfstandinsql.Result{}, errCrashed
+	}
 	ctx, cancel := context.WithCancelCause(c.base)
 	defer cancel(nil)
 	if bound := timeout(c.session.Setting("statement_timeout")); bound > 0 {
@@ -395,6 +399,9 @@
 }
 
 func (c *connection) executeWith(ctx context.Context, statement *dfstandinsql.Statement, parameters []dfstandinsql.Value, oids []uint32) (dfstandinsql.Result, error) {
+	if !c.control && c.upstream.options.StatementTime > 0 {
+		c.pause(span(c.upstream.options.StatementTime))
+	}
 	switch {
 	case statement.IsCopyIn():
 		return c.copyIn(ctx, statement)
--- a/dfstandin/environment.go
+++ b/dfstandin/environment.go
@@ -41,7 +41,7 @@
 	"group_record":   textColumns("Term", "Offset", "XID", "Cut", "Tags"),
 	"group_counters": textColumns("LimitExceeded", "MaxConnections", "Connects", "ControlConnects"),
 	"pg_stat_activity": append([]dfstandinsql.Column{{Name: "pid", OID: dfstandinsql.OIDInt4}},
-		textColumns("usename", "application_name", "backend_type")...),
+		textColumns("usename", "application_name", "state")...),
 }
 
 var functions = map[string]uint32{
@@ -230,7 +230,11 @@
 	var rows [][]dfstandinsql.Value
 	for pid, c := range u.connections {
 		c.mu.Lock()
-		rows = append(rows, []dfstandinsql.Value{int64(pid), c.user, c.application, "client backend"})
+		state := "idle"
+		if c.cancel != nil {
+			state = "active"
+		}
+		rows = append(rows, []dfstandinsql.Value{int64(pid), c.user, c.application, state})
 		c.mu.Unlock()
 	}
 	return rows
--- a/dfstandin/extended.go
+++ b/dfstandin/extended.go
@@ -53,6 +53,9 @@
 	if len(statements) > 1 {
 		return dfstandinsql.Errorf(dfstandinsql.CodeSyntax, "cannot insert multiple commands into a prepared statement")
 	}
+	if c.session.Status() == 'E' && len(statements) == 1 && !statements[0].EndsTransaction() {
+		return dfstandinsql.Errorf(dfstandinsql.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+	}
 	if _, known := c.statements[m.Name]; known && m.Name != "" {
 		return dfstandinsql.Errorf("42P05", "prepared statement %q already exists", m.Name)
 	}
--- a/dfstandin/fault.go
+++ b/dfstandin/fault.go
@@ -128,9 +128,35 @@
 // in a pause or partition, so that these can be ended.
 const FaultApplication = "dragonflygrade_fault"
 
+// Wrong is a deliberate error of an upstream. Tests of checkers use it to show
+// that a check fires.
+type Wrong string
+
+// Deliberate errors.
+const (
+	WrongNone Wrong = "none"
+	// WrongApplied reports the primary's log as applied on a replica.
+	WrongApplied Wrong = "applied"
+	// WrongFlushed reports the primary's log as flushed on a replica.
+	WrongFlushed Wrong = "flushed"
+	// WrongLose answers commits that the log lacks.
+	WrongLose Wrong = "lose"
+	// WrongDouble logs each commit twice.
+	WrongDouble Wrong = "double"
+)
+
+// SetWrong puts a deliberate error in force.
+func (u *Upstream) SetWrong(wrong Wrong) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	u.group.wrong = wrong
+	u.group.notify()
+}
+
 // Fault runs a fault command: "pause", "resume", "crash", "crash:milliseconds"
 // (with a restart after that span), "partition",
-// "partition:peer,peer", "heal", "silent", "lag:apply" or "lag:flush,apply".
+// "partition:peer,peer", "heal", "silent", "lag:apply", "lag:flush,apply" or
+// "wrong:" with the name of a deliberate error.
 func (u *Upstream) Fault(command string) error {
 	name, argument, _ := strings.Cut(command, ":")
 	switch name {
@@ -148,6 +174,8 @@
 		u.Partition(peerIDs(argument)...)
 	case "lag":
 		return u.lagCommand(argument)
+	case "wrong":
+		return u.wrongCommand(Wrong(argument))
 	default:
 		return dfstandinsql.Errorf(CodeRefused, "fault %q is not known", command)
 	}
@@ -188,6 +216,15 @@
 	return nil
 }
 
+func (u *Upstream) wrongCommand(wrong Wrong) error {
+	switch wrong {
+	case WrongNone, WrongApplied, WrongFlushed, WrongLose, WrongDouble:
+		u.SetWrong(wrong)
+		return nil
+	}
+	return dfstandinsql.Errorf(CodeRefused, "fault wrong: %q is not known", wrong)
+}
+
 func (u *Upstream) lagCommand(argument string) error {
 	flushText, applyText, both := strings.Cut(argument, ",")
 	if !both {
--- a/dfstandin/group.go
+++ b/dfstandin/group.go
@@ -48,6 +48,10 @@
 	received   []received
 	committed  map[uint64]bool
 	nextXID    uint64
+	// wrong is a deliberate error, so that checks can be seen to fire.
+	wrong Wrong
+	// primaryEnd is the end of the followed primary's log in its last answer.
+	primaryEnd dfposition.Offset
 	flushDelay time.Duration
 	applyDelay time.Duration
 	changed    chan struct{}
@@ -111,7 +115,13 @@
 	if commit.XID>>32 != uint64(g.accepted) {
 		return dfstandinsql.Errorf(dfstandinsql.CodeReadOnly, "cannot commit: the transaction began under term %d, the accepted term is %d", commit.XID>>32, g.accepted)
 	}
+	if g.wrong == WrongLose {
+		return nil
+	}
 	g.log = append(g.log, Entry{Term: g.accepted, Commit: commit, flushed: time.Now()})
+	if g.wrong == WrongDouble {
+		g.log = append(g.log, g.log[len(g.log)-1])
+	}
 	g.committed[commit.XID] = true
 	g.applied = len(g.log)
 	g.notify()
@@ -132,11 +142,15 @@
 
 func (g *group) statusLocked() dfgroup.Status {
 	status := dfgroup.Status{Upstream: g.id, DataCentre: g.dataCentre, Role: g.role, Accepted: g.accepted, Actor: g.actor,
-		Flushed: dfposition.Offset(len(g.log)), Applied: dfposition.Offset(g.applied), History: g.history,
+		Flushed: g.flushed(), Applied: dfposition.Offset(g.applied), History: g.history,
 		PrimarySilence: -1, Leaving: g.leaving, Discarded: g.discarded}
 	if len(g.log) > 0 {
 		status.LogTerm = g.log[len(g.log)-1].Term
 	}
+	if g.wrong == WrongApplied {
+		status.Applied = max(status.Flushed, g.primaryEnd)
+		status.Flushed = status.Applied
+	}
 	if g.role == dfgroup.RoleReplica {
 		status.Following = g.following
 	}
@@ -146,6 +160,15 @@
 	return status
 }
 
+// flushed returns the offset that is reported. The caller holds mu.
+func (g *group) flushed() dfposition.Offset {
+	end := dfposition.Offset(len(g.log))
+	if g.wrong == WrongFlushed {
+		return max(end, g.primaryEnd)
+	}
+	return end
+}
+
 func (g *group) refuse() error {
 	return &dfstandinsql.Error{Code: CodeRefused, Message: "term refused",
 		Detail: dfstandinsql.FormatText(int64(g.accepted))}
@@ -245,7 +268,7 @@
 		g.mu.Lock()
 		changed := g.changed
 		done := g.accepted > want.Term || (g.accepted == want.Term &&
-			g.history.Locate(dfposition.Offset(len(g.log)), want) == dfposition.Contained)
+			g.history.Locate(g.flushed(), want) == dfposition.Contained)
 		g.mu.Unlock()
 		if done {
 			return
@@ -271,7 +294,7 @@
 	if generation != g.generation {
 		return eris.New("replication: superseded")
 	}
-	g.heard, g.history = time.Now(), history
+	g.heard, g.history, g.primaryEnd = time.Now(), history, end
 	due := g.heard.Add(g.flushDelay)
 	for _, entry := range entries {
 		g.received = append(g.received, received{entry: entry, due: due})
--- a/dfstandin/options.go
+++ b/dfstandin/options.go
@@ -61,11 +61,14 @@
 	ConnectionLimit int
 	// ConnectTime is spent in each startup of an ordinary connection.
 	ConnectTime dfclock.Millis
+	// StatementTime is spent in each statement of an ordinary connection, so
+	// that the connections bound the throughput.
+	StatementTime dfclock.Millis
 	// FlushDelay lies between receipt and flush of an entry on a replica.
 	FlushDelay dfclock.Millis
 	// ApplyDelay lies between flush and application of an entry on a replica.
 	ApplyDelay dfclock.Millis
-	// Passwords by user; an empty map trusts every user.
+	// Passwords by user, ControlUser among them; an empty map trusts every user.
 	Passwords map[string]string
 	// Dial opens connections to peers; nil dials directly.
 	Dial Dial
--- a/dfstandin/password.go
+++ b/dfstandin/password.go
@@ -82,9 +82,16 @@
 	if !known {
 		return scram.StoredCredentials{}, eris.New("standin: unknown user")
 	}
+	if stored, cached := c.upstream.credentials.Load(c.user); cached {
+		return stored.(scram.StoredCredentials), nil
+	}
 	client, err := scram.SHA256.NewClient(c.user, password, "")
 	if err != nil {
 		return scram.StoredCredentials{}, eris.Wrap(err, "standin: scram")
 	}
-	return client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "dragonflygrade00", Iters: iterations})
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "dragonflygrade00", Iters: iterations})
+	if err == nil {
+		c.upstream.credentials.Store(c.user, stored)
+	}
+	return stored, err
 }
--- a/dfstandin/upstream.go
+++ b/dfstandin/upstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -34,6 +36,8 @@
 	group   *group
 	faults  faults
 	pids    atomic.Uint32
+	// credentials caches the derived keys by user, which take milliseconds each.
+	credentials sync.Map
 
 	mu       sync.Mutex
 	address  string
@@ -112,7 +116,7 @@
 	return u.group.database.Rows(table)
 }
 
-// Fence, Promote, Follow and SetLeaving are the control statements as methods.
+// Fence is group_fence.
 func (u *Upstream) Fence(term dfposition.Term, actor string) error {
 	return u.group.fence(term, actor)
 }
@@ -247,7 +251,7 @@
 func (u *Upstream) serve(ctx context.Context, s *socket) {
 	defer u.done.Done()
 	c := newConnection(ctx, u, s)
-	if err := c.run(); err != nil {
+	if err := c.run(); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		log.Debug().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: connection ended")
 	}
 	_ = s.Close()
--- a/dfstandinsql/database.go
+++ b/dfstandinsql/database.go
@@ -256,15 +256,6 @@
 	return slices.Sorted(slices.Values(index[value]))
 }
 
-func (t *table) column(name string) (int, error) {
-	for i, column := range t.columns {
-		if column.Name == name {
-			return i, nil
-		}
-	}
-	return 0, Errorf(CodeColumn, "column %q does not exist", name)
-}
-
 func (db *Database) columnsOf(name string) ([]Column, bool) {
 	db.mu.Lock()
 	defer db.mu.Unlock()
@@ -319,6 +310,7 @@
 		return
 	}
 	delete(db.open, tx)
+	tx.waitsFor = nil
 	for _, key := range tx.held {
 		delete(db.locks, key)
 	}
--- a/dfstandinsql/execution.go
+++ b/dfstandinsql/execution.go
@@ -107,10 +107,16 @@
 func (x *execution) find(condition *pg.Node) ([]foundRow, error) {
 	equal := x.equalities(condition)
 	from := func(t *table) []RowID {
-		for _, column := range slices.Sorted(maps.Keys(equal)) {
-			return t.candidates(column, equal[column])
+		best, indexed := -1, slices.Sorted(maps.Keys(equal))
+		for _, column := range indexed {
+			if best < 0 || (t.columns[column].Unique && !t.columns[best].Unique) {
+				best = column
+			}
+		}
+		if best < 0 {
+			return t.order
 		}
-		return t.order
+		return t.candidates(best, equal[best])
 	}
 	evaluator := x.evaluator
 	read := readSet{table: x.table.name, from: from, match: func(values []Value) (bool, error) {
@@ -239,6 +245,7 @@
 	for _, row := range rows {
 		id := x.table.next
 		if x.columns[0].Name == "id" && row[0] == nil && x.columns[0].OID == OIDInt8 {
+			id = x.freshID()
 			row[0] = int64(id)
 		}
 		column, err := x.duplicate(id, row)
@@ -252,13 +259,22 @@
 			return Result{}, &Error{Code: CodeUnique, Message: "duplicate key value violates unique constraint",
 				Detail: fmt.Sprintf("Column %s of table %s.", column, x.table.name)}
 		}
-		x.table.next++
+		x.table.next = max(x.table.next, id+1)
 		x.write(id, row)
 		inserted = append(inserted, foundRow{id: id, values: row})
 	}
 	return x.returned(fmt.Sprintf("INSERT 0 %d", len(inserted)), inserted, returning)
 }
 
+// freshID returns a row identity that no statement gave as a key.
+func (x *execution) freshID() RowID {
+	id := x.table.next
+	for len(x.table.candidates(0, int64(id))) > 0 {
+		id++
+	}
+	return id
+}
+
 // valueRows evaluates the VALUES lists into whole rows.
 func (x *execution) valueRows(statement *pg.InsertStmt) ([][]Value, error) {
 	targets, err := x.targets(statement.Cols)
--- a/dfstandinsql/expression.go
+++ b/dfstandinsql/expression.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -105,7 +106,7 @@
 		}
 		return name != "=", nil
 	}
-	if expression.Kind != pg.A_Expr_Kind_AEXPR_OP {
+	if expression.Kind != pg.A_Expr_Kind_AEXPR_OP && expression.Kind != pg.A_Expr_Kind_AEXPR_LIKE {
 		return nil, Errorf(CodeFeature, "operator is not supported")
 	}
 	right, err := e.eval(expression.Rexpr, row)
@@ -130,6 +131,8 @@
 	switch name {
 	case "=", "<>", "<", "<=", ">", ">=":
 		return comparison(name, left, right)
+	case "~~":
+		return like(FormatText(left), FormatText(right)), nil
 	case "||":
 		return FormatText(left) + FormatText(right), nil
 	case "+", "-", "*":
@@ -138,6 +141,14 @@
 	return nil, Errorf(CodeFeature, "operator %s is not supported", name)
 }
 
+// like matches a pattern of LIKE without escapes.
+func like(text, pattern string) bool {
+	quoted := regexp.QuoteMeta(pattern)
+	quoted = strings.NewReplacer("%", ".*", "_", ".").Replace(quoted)
+	matched, err := regexp.MatchString("(?s)^"+quoted+"$", text)
+	return err == nil && matched
+}
+
 func comparison(name string, left, right Value) (Value, error) {
 	result, err := compare(left, right)
 	if err != nil {
@@ -325,7 +336,9 @@
 	if name == "||" {
 		return OIDText, nil
 	}
-	if !strings.Contains("+-*", name) {
+	switch name {
+	case "+", "-", "*":
+	default:
 		return OIDBool, nil
 	}
 	left, err := e.typeOf(orZero(expression.Lexpr))
--- a/dfstandinsql/session.go
+++ b/dfstandinsql/session.go
@@ -29,6 +29,8 @@
 	database    *Database
 	environment Environment
 	settings    map[string]string
+	// defaults has the settings of the startup message, which RESET restores.
+	defaults map[string]string
 	// saved has the settings at the start of an explicit transaction.
 	saved map[string]string
 	// local has the settings to restore when the transaction ends.
@@ -41,7 +43,8 @@
 
 // NewSession returns a session with the settings of a startup message.
 func NewSession(database *Database, environment Environment, settings map[string]string) *Session {
-	return &Session{database: database, environment: environment, settings: maps.Clone(settings), local: map[string]string{}}
+	return &Session{database: database, environment: environment, settings: maps.Clone(settings),
+		defaults: maps.Clone(settings), local: map[string]string{}}
 }
 
 // Status returns the transaction status of ReadyForQuery.
@@ -127,7 +130,7 @@
 	if s.failed && !statement.EndsTransaction() {
 		return Result{}, Errorf(CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
 	}
-	if s.tx != nil && !s.failed {
+	if s.tx != nil && !s.failed && !statement.EndsTransaction() {
 		if err := s.database.abortReason(s.tx); err != nil {
 			return Result{}, err
 		}
@@ -273,7 +276,7 @@
 		s.resetAll()
 		return Result{Tag: "RESET"}, nil
 	case pg.VariableSetKind_VAR_RESET, pg.VariableSetKind_VAR_SET_DEFAULT:
-		s.set(name, "")
+		s.set(name, s.defaults[name])
 		return Result{Tag: "RESET"}, nil
 	case pg.VariableSetKind_VAR_SET_VALUE:
 		parts := make([]string, len(statement.Args))
@@ -299,8 +302,8 @@
 
 func (s *Session) resetAll() {
 	for name := range s.settings {
-		if name != "user" && name != "database" {
-			s.set(name, "")
+		if s.settings[name] != s.defaults[name] {
+			s.set(name, s.defaults[name])
 		}
 	}
 }
