--- a/dfstandin/extended.go
+++ b/dfstandin/extended.go
@@ -6,6 +6,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 type prepared struct {
@@ -16,7 +17,7 @@
 
 type portal struct {
 	prepared   *prepared
-	parameters []dfstandinsql.Value
+	parameters []dfstandinstore.Value
 	formats    []int16
 	started    bool
 	result     dfstandinsql.Result
@@ -42,7 +43,7 @@
 		c.backend.Send(&pgproto3.CloseComplete{})
 		return nil
 	}
-	return dfstandinsql.Errorf(codeProtocol, "message %T is not supported", message)
+	return dfstandinstore.Errorf(codeProtocol, "message %T is not supported", message)
 }
 
 func (c *connection) parse(m *pgproto3.Parse) error {
@@ -51,13 +52,13 @@
 		return err
 	}
 	if len(statements) > 1 {
-		return dfstandinsql.Errorf(dfstandinsql.CodeSyntax, "cannot insert multiple commands into a prepared statement")
+		return dfstandinstore.Errorf(dfstandinstore.CodeSyntax, "cannot insert multiple commands into a prepared statement")
 	}
 	if c.session.Status() == 'E' && len(statements) == 1 && !statements[0].EndsTransaction() {
-		return dfstandinsql.Errorf(dfstandinsql.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+		return dfstandinstore.Errorf(dfstandinstore.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
 	}
 	if _, known := c.statements[m.Name]; known && m.Name != "" {
-		return dfstandinsql.Errorf("42P05", "prepared statement %q already exists", m.Name)
+		return dfstandinstore.Errorf("42P05", "prepared statement %q already exists", m.Name)
 	}
 	entry := &prepared{}
 	if len(statements) == 1 {
@@ -74,15 +75,15 @@
 func (c *connection) bind(m *pgproto3.Bind) error {
 	entry := c.statements[m.PreparedStatement]
 	if entry == nil {
-		return dfstandinsql.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
+		return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
 	}
 	oids := entry.description.Parameters
 	if len(m.Parameters) != len(oids) {
-		return dfstandinsql.Errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d", len(m.Parameters), len(oids))
+		return dfstandinstore.Errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d", len(m.Parameters), len(oids))
 	}
 	bound := &portal{prepared: entry, formats: slices.Clone(m.ResultFormatCodes)}
 	for i, data := range m.Parameters {
-		value, err := dfstandinsql.Decode(data, oids[i], formatOf(m.ParameterFormatCodes, i))
+		value, err := dfstandinstore.Decode(data, oids[i], formatOf(m.ParameterFormatCodes, i))
 		if err != nil {
 			return err
 		}
@@ -97,7 +98,7 @@
 	if m.ObjectType == 'S' {
 		entry := c.statements[m.Name]
 		if entry == nil {
-			return dfstandinsql.Errorf(codeStatementName, "prepared statement %q does not exist", m.Name)
+			return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.Name)
 		}
 		c.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: entry.description.Parameters})
 		c.sendDescription(entry.description.Columns, nil)
@@ -105,13 +106,13 @@
 	}
 	bound := c.portals[m.Name]
 	if bound == nil {
-		return dfstandinsql.Errorf(codePortalName, "portal %q does not exist", m.Name)
+		return dfstandinstore.Errorf(codePortalName, "portal %q does not exist", m.Name)
 	}
 	c.sendDescription(bound.prepared.description.Columns, bound.formats)
 	return nil
 }
 
-func (c *connection) sendDescription(columns []dfstandinsql.Column, formats []int16) {
+func (c *connection) sendDescription(columns []dfstandinstore.Column, formats []int16) {
 	if columns == nil {
 		c.backend.Send(&pgproto3.NoData{})
 		return
@@ -122,7 +123,7 @@
 func (c *connection) executePortal(m *pgproto3.Execute) error {
 	bound := c.portals[m.Portal]
 	if bound == nil {
-		return dfstandinsql.Errorf(codePortalName, "portal %q does not exist", m.Portal)
+		return dfstandinstore.Errorf(codePortalName, "portal %q does not exist", m.Portal)
 	}
 	if bound.prepared.statement == nil {
 		c.backend.Send(&pgproto3.EmptyQueryResponse{})
--- a/dfstandin/fault.go
+++ b/dfstandin/fault.go
@@ -13,7 +13,7 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 // everyone stands for all peers and all clients in a partition.
@@ -177,7 +177,7 @@
 	case "wrong":
 		return u.wrongCommand(Wrong(argument))
 	default:
-		return dfstandinsql.Errorf(CodeRefused, "fault %q is not known", command)
+		return dfstandinstore.Errorf(CodeRefused, "fault %q is not known", command)
 	}
 	return nil
 }
@@ -201,7 +201,7 @@
 		restart, err = strconv.ParseInt(argument, 10, 64)
 	}
 	if err != nil || restart < 0 {
-		return dfstandinsql.Errorf(CodeRefused, "fault crash: %q is not a span in milliseconds", argument)
+		return dfstandinstore.Errorf(CodeRefused, "fault crash: %q is not a span in milliseconds", argument)
 	}
 	go func() {
 		u.Crash()
@@ -222,7 +222,7 @@
 		u.SetWrong(wrong)
 		return nil
 	}
-	return dfstandinsql.Errorf(CodeRefused, "fault wrong: %q is not known", wrong)
+	return dfstandinstore.Errorf(CodeRefused, "fault wrong: %q is not known", wrong)
 }
 
 func (u *Upstream) lagCommand(argument string) error {
@@ -232,11 +232,11 @@
 	}
 	flush, err := strconv.ParseInt(flushText, 10, 64)
 	if err != nil || flush < 0 {
-		return dfstandinsql.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", flushText)
+		return dfstandinstore.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", flushText)
 	}
 	apply, err := strconv.ParseInt(applyText, 10, 64)
 	if err != nil || apply < 0 {
-		return dfstandinsql.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", applyText)
+		return dfstandinstore.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", applyText)
 	}
 	u.SetLag(dfclock.Millis(flush), dfclock.Millis(apply))
 	return nil
--- a/dfstandin/group.go
+++ b/dfstandin/group.go
@@ -11,7 +11,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 // CodeRefused is the SQLSTATE of a refused control statement.
@@ -21,7 +21,7 @@
 type group struct {
 	id         dfgroup.UpstreamID
 	dataCentre string
-	database   *dfstandinsql.Database
+	database   *dfstandinstore.Database
 
 	// applying is held while entries are applied or the database is rebuilt.
 	// Locks are taken in the order applying, database, mu.
@@ -74,7 +74,7 @@
 	if options.Following != "" {
 		g.role, g.following, g.verified = dfgroup.RoleReplica, options.Following, true
 	}
-	g.database = dfstandinsql.NewDatabase(dfstandinsql.Hooks{Writable: g.writable, Append: g.append, NextXID: g.newXID})
+	g.database = dfstandinstore.NewDatabase(dfstandinstore.Hooks{Writable: g.writable, Append: g.append, NextXID: g.newXID})
 	return g
 }
 
@@ -94,7 +94,7 @@
 	if g.role == dfgroup.RolePrimary {
 		return nil
 	}
-	return dfstandinsql.Errorf(dfstandinsql.CodeReadOnly, "cannot write: this upstream is %s under term %d", g.role, g.accepted)
+	return dfstandinstore.Errorf(dfstandinstore.CodeReadOnly, "cannot write: this upstream is %s under term %d", g.role, g.accepted)
 }
 
 // newXID carries the term in its upper half, so that two primaries never give
@@ -106,14 +106,14 @@
 	return uint64(g.accepted)<<32 | g.nextXID
 }
 
-func (g *group) append(commit dfstandinsql.Commit) error {
+func (g *group) append(commit dfstandinstore.Commit) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err := g.writableLocked(); err != nil {
 		return err
 	}
 	if commit.XID>>32 != uint64(g.accepted) {
-		return dfstandinsql.Errorf(dfstandinsql.CodeReadOnly, "cannot commit: the transaction began under term %d, the accepted term is %d", commit.XID>>32, g.accepted)
+		return dfstandinstore.Errorf(dfstandinstore.CodeReadOnly, "cannot commit: the transaction began under term %d, the accepted term is %d", commit.XID>>32, g.accepted)
 	}
 	if g.wrong == WrongLose {
 		return nil
@@ -170,8 +170,8 @@
 }
 
 func (g *group) refuse() error {
-	return &dfstandinsql.Error{Code: CodeRefused, Message: "term refused",
-		Detail: dfstandinsql.FormatText(int64(g.accepted))}
+	return &dfstandinstore.Error{Code: CodeRefused, Message: "term refused",
+		Detail: dfstandinstore.FormatText(int64(g.accepted))}
 }
 
 // fence accepts a term and stops writes and replication of lower terms.
@@ -187,7 +187,7 @@
 	}
 	g.accept(term, actor)
 	g.mu.Unlock()
-	g.database.AbortOpen(dfstandinsql.Errorf(dfstandinsql.CodeReadOnly, "transaction rolled back: this upstream was fenced by term %d", term))
+	g.database.AbortOpen(dfstandinstore.Errorf(dfstandinstore.CodeReadOnly, "transaction rolled back: this upstream was fenced by term %d", term))
 	return nil
 }
 
@@ -230,7 +230,7 @@
 	end := dfposition.Offset(len(g.log))
 	history, err := g.history.WithCut(end).WithTerm(term, end)
 	if err != nil {
-		return dfstandinsql.Errorf(CodeRefused, "term %d cannot begin: %s", term, err)
+		return dfstandinstore.Errorf(CodeRefused, "term %d cannot begin: %s", term, err)
 	}
 	g.history, g.role = history, dfgroup.RolePrimary
 	g.notify()
@@ -256,7 +256,7 @@
 	g.accept(term, actor)
 	g.following, g.heard = primary, time.Now()
 	g.mu.Unlock()
-	g.database.AbortOpen(dfstandinsql.Errorf(dfstandinsql.CodeReadOnly, "transaction rolled back: this upstream follows %s under term %d", primary, term))
+	g.database.AbortOpen(dfstandinstore.Errorf(dfstandinstore.CodeReadOnly, "transaction rolled back: this upstream follows %s under term %d", primary, term))
 	return nil
 }
 
@@ -323,7 +323,7 @@
 	rebuild := common < g.applied
 	g.cutTail(common)
 	g.history, g.verified, g.role = history, true, dfgroup.RoleReplica
-	var kept []dfstandinsql.Commit
+	var kept []dfstandinstore.Commit
 	for _, entry := range g.log[:g.applied] {
 		kept = append(kept, entry.Commit)
 	}
@@ -342,7 +342,7 @@
 		return
 	}
 	from := dfposition.Position{Term: g.log[len(g.log)-1].Term, Offset: dfposition.Offset(end)}
-	g.discarded = from.String() + "-" + dfstandinsql.FormatText(int64(len(g.log)))
+	g.discarded = from.String() + "-" + dfstandinstore.FormatText(int64(len(g.log)))
 	for i := end; i < len(g.log); i++ {
 		g.cut = append(g.cut, committedAt(g.log[i], i, true))
 		delete(g.committed, g.log[i].Commit.XID)
@@ -410,7 +410,7 @@
 }
 
 // transactionStatus answers pg_xact_status.
-func (g *group) transactionStatus(xid uint64) dfstandinsql.Value {
+func (g *group) transactionStatus(xid uint64) dfstandinstore.Value {
 	running := g.database.InProgress(xid)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/dfstandin/log.go
+++ b/dfstandin/log.go
@@ -8,14 +8,14 @@
 	"github.com/rotisserie/eris"
 
 	"dragonflygrade/dfposition"
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 // Entry is one committed transaction in the log.
 type Entry struct {
 	// Term is the term under which the primary committed; it never falls within a log.
 	Term   dfposition.Term
-	Commit dfstandinsql.Commit
+	Commit dfstandinstore.Commit
 	// flushed is when this upstream flushed the entry.
 	flushed time.Time
 }
@@ -26,7 +26,7 @@
 	// Offset is the log's end after the entry.
 	Offset dfposition.Offset
 	XID    uint64
-	Tags   []dfstandinsql.Tag
+	Tags   []dfstandinstore.Tag
 	// Cut is true if a later follow removed the entry from this upstream's log.
 	Cut bool
 }
@@ -36,14 +36,14 @@
 	Row    uint64
 	Delete bool
 	Values []*string
-	Schema []dfstandinsql.Column
+	Schema []dfstandinstore.Column
 }
 
 type wireEntry struct {
 	Term    uint64
 	XID     uint64
 	Changes []wireChange
-	Tags    []dfstandinsql.Tag
+	Tags    []dfstandinstore.Tag
 }
 
 // encodeEntry writes an entry as text; the first letter of a value is its type.
@@ -66,11 +66,11 @@
 	if err := json.Unmarshal([]byte(text), &wire); err != nil {
 		return Entry{}, eris.Wrap(err, "log entry")
 	}
-	entry := Entry{Term: dfposition.Term(wire.Term), Commit: dfstandinsql.Commit{XID: wire.XID, Tags: wire.Tags}}
+	entry := Entry{Term: dfposition.Term(wire.Term), Commit: dfstandinstore.Commit{XID: wire.XID, Tags: wire.Tags}}
 	for _, in := range wire.Changes {
-		change := dfstandinsql.Change{Table: in.Table, Row: dfstandinsql.RowID(in.Row), Schema: in.Schema}
+		change := dfstandinstore.Change{Table: in.Table, Row: dfstandinstore.RowID(in.Row), Schema: in.Schema}
 		if !in.Delete {
-			change.Values = make([]dfstandinsql.Value, len(in.Values))
+			change.Values = make([]dfstandinstore.Value, len(in.Values))
 		}
 		for i, value := range in.Values {
 			decoded, err := decodeValue(value)
@@ -84,8 +84,8 @@
 	return entry, nil
 }
 
-func encodeValue(value dfstandinsql.Value) *string {
-	text := dfstandinsql.FormatText(value)
+func encodeValue(value dfstandinstore.Value) *string {
+	text := dfstandinstore.FormatText(value)
 	switch value.(type) {
 	case nil:
 		return nil
@@ -101,7 +101,7 @@
 	return &text
 }
 
-func decodeValue(text *string) (dfstandinsql.Value, error) {
+func decodeValue(text *string) (dfstandinstore.Value, error) {
 	if text == nil {
 		return nil, nil
 	}
--- a/dfstandin/replication.go
+++ b/dfstandin/replication.go
@@ -12,7 +12,7 @@
 
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 // retryDelay lies between attempts of a replica to reach its primary.
@@ -160,7 +160,7 @@
 
 // fetch answers a replica: the log's end and history, then entries. Without
 // news it answers after the heartbeat.
-func (u *Upstream) fetch(ctx context.Context, c call) ([][]dfstandinsql.Value, error) {
+func (u *Upstream) fetch(ctx context.Context, c call) ([][]dfstandinstore.Value, error) {
 	term, replica := dfposition.Term(c.number(0)), dfgroup.UpstreamID(c.text(1))
 	offset, limit := int(c.number(2)), int(c.number(3))
 	g := u.group
@@ -193,14 +193,14 @@
 	}
 }
 
-func encodeEntries(header string, entries []Entry) ([][]dfstandinsql.Value, error) {
-	rows := [][]dfstandinsql.Value{{header}}
+func encodeEntries(header string, entries []Entry) ([][]dfstandinstore.Value, error) {
+	rows := [][]dfstandinstore.Value{{header}}
 	for _, entry := range entries {
 		text, err := encodeEntry(entry)
 		if err != nil {
 			return nil, err
 		}
-		rows = append(rows, []dfstandinsql.Value{text})
+		rows = append(rows, []dfstandinstore.Value{text})
 	}
 	return rows, nil
 }
--- a/dfstandin/upstream.go
+++ b/dfstandin/upstream.go
@@ -15,7 +15,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 // Counters count connections since the start.
@@ -112,7 +112,7 @@
 }
 
 // Rows returns the applied rows of a table.
-func (u *Upstream) Rows(table string) [][]dfstandinsql.Value {
+func (u *Upstream) Rows(table string) [][]dfstandinstore.Value {
 	return u.group.database.Rows(table)
 }
 
@@ -273,7 +273,7 @@
 	}
 	if u.ordinary >= int64(u.options.ConnectionLimit) {
 		u.counters.LimitExceeded++
-		return dfstandinsql.Errorf("53300", "sorry, too many clients already")
+		return dfstandinstore.Errorf("53300", "sorry, too many clients already")
 	}
 	u.ordinary++
 	u.counters.Connects++
--- a/dfstandinsql/parse.go
+++ b/dfstandinsql/parse.go
@@ -1,3 +1,6 @@
+// Package dfstandinsql is a small SQL engine over dfstandinstore for the
+// upstream stand-in. It covers the statements of the tests, the demo and the
+// load tool. Statements are parsed by PostgreSQL's parser.
 package dfstandinsql
 
 import (
@@ -5,6 +8,8 @@
 	"sync"
 
 	pg "github.com/pganalyze/pg_query_go/v6"
+
+	"dragonflygrade/dfstandinstore"
 )
 
 // cachedTexts bounds the statement cache; parsing takes tens of microseconds.
@@ -31,7 +36,7 @@
 	}
 	tree, err := pg.Parse(text)
 	if err != nil {
-		return nil, Errorf(CodeSyntax, "%s", err.Error())
+		return nil, dfstandinstore.Errorf(dfstandinstore.CodeSyntax, "%s", err.Error())
 	}
 	for _, raw := range tree.Stmts {
 		sql := text[raw.StmtLocation:]
--- a/dfstandinsql/value.go
+++ b/dfstandinstore/value.go
@@ -1,8 +1,7 @@
-// Package dfstandinsql is a small in-memory SQL engine for the upstream
-// stand-in. It covers the statements of the tests, the demo and the load tool.
-// Statements are parsed by PostgreSQL's parser. Committed results are
-// serialisable: writes lock rows, and a commit checks again what it has read.
-package dfstandinsql
+// Package dfstandinstore holds the tables of an upstream stand-in, with their
+// transactions. Committed results are serialisable: writes lock rows and unique
+// values, and a commit repeats the scans that its transaction made.
+package dfstandinstore
 
 import (
 	"encoding/binary"
@@ -21,7 +20,7 @@
 	OIDFloat8 uint32 = 701
 )
 
-// SQLSTATE codes that the engine returns.
+// SQLSTATE codes of the store and of the engine above it.
 const (
 	CodeFeature       = "0A000"
 	CodeReadOnly      = "25006"
@@ -182,8 +181,8 @@
 	return text, nil
 }
 
-// compare orders two values that are not null; numbers compare as numbers.
-func compare(left, right Value) (int, error) {
+// Compare orders two values that are not null; numbers compare as numbers.
+func Compare(left, right Value) (int, error) {
 	switch l := left.(type) {
 	case string:
 		return strings.Compare(l, FormatText(right)), nil
@@ -219,7 +218,8 @@
 	return 0
 }
 
-func typeOID(name string) uint32 {
+// TypeOID returns the type for a name in SQL; unknown types are text.
+func TypeOID(name string) uint32 {
 	switch name {
 	case "int2", "int4", "integer", "serial":
 		return OIDInt4
