Split replication state and protocol server from the upstream stand-in

The replication state without input or output is now dfstandingroup, and the server side of the protocol is dfstandinwire; dfstandin joins them with faults and replication links.

--- a/dfstandin/environment.go
+++ b/dfstandin/environment.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
-
-	"github.com/jackc/pgx/v5/pgproto3"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandinsql"
 	"dragonflygrade/dfstandinstore"
+	"dragonflygrade/dfstandinwire"
 )
 
 // environment supplies the functions of an upstream to one connection.
 type environment struct {
-	connection *connection
+	connection *dfstandinwire.Conn
+	upstream   *Upstream
 }
 
 func textColumns(names ...string) []dfstandinstore.Column {
@@ -63,24 +63,19 @@
 	return columns, known
 }
 
+// Environment supplies the functions of the upstream to a connection.
+func (u *Upstream) Environment(c *dfstandinwire.Conn) dfstandinsql.Environment {
+	return &environment{connection: c, upstream: u}
+}
+
 // Changed tells the client of a reported setting.
 func (e *environment) Changed(name, value string) {
-	c := e.connection
-	if name == "application_name" {
-		c.mu.Lock()
-		c.application = value
-		c.mu.Unlock()
-	}
-	for reportedName := range reported {
-		if strings.EqualFold(reportedName, name) {
-			c.backend.Send(&pgproto3.ParameterStatus{Name: reportedName, Value: value})
-		}
-	}
+	e.connection.Report(name, value)
 }
 
 // Call runs a scalar function.
 func (e *environment) Call(_ context.Context, name string, arguments []dfstandinstore.Value) (dfstandinstore.Value, error) {
-	u := e.connection.upstream
+	u := e.upstream
 	if len(arguments) == 0 {
 		return e.callPlain(name)
 	}
@@ -88,7 +83,7 @@
 	value, isNumber := number.(int64)
 	switch name {
 	case "group_fault":
-		if !e.connection.control {
+		if !e.connection.Control() {
 			return nil, dfstandinstore.Errorf("42501", "faults need a control connection")
 		}
 		return "done", u.Fault(dfstandinstore.FormatText(arguments[0]))
@@ -96,16 +91,16 @@
 		if !isNumber {
 			return nil, nil
 		}
-		return u.group.transactionStatus(uint64(value)), nil
+		return u.group.TransactionStatus(uint64(value)), nil
 	case "pg_terminate_backend", "pg_cancel_backend":
-		c := u.find(uint32(value))
+		c := u.Find(uint32(value))
 		if c == nil || !isNumber {
 			return false, nil
 		}
 		if name == "pg_terminate_backend" {
-			c.interrupt(errTerminated)
+			c.Interrupt(dfstandinwire.ErrTerminated)
 		} else {
-			c.cancelRunning()
+			c.CancelRunning()
 		}
 		return true, nil
 	}
@@ -113,14 +108,14 @@
 }
 
 func (e *environment) callPlain(name string) (dfstandinstore.Value, error) {
-	u := e.connection.upstream
+	u := e.upstream
 	switch name {
 	case "group_position":
-		return u.group.position().String(), nil
+		return u.group.Position().String(), nil
 	case "pg_backend_pid":
-		return int64(e.connection.pid), nil
+		return int64(e.connection.PID()), nil
 	case "pg_is_in_recovery":
-		return u.group.status().Role != dfgroup.RolePrimary, nil
+		return u.group.Status().Role != dfgroup.RolePrimary, nil
 	case "version":
 		return "PostgreSQL 17.0 (stand-in)", nil
 	}
@@ -130,16 +125,16 @@
 // Relation returns the rows of a view or of a function in FROM.
 func (e *environment) Relation(ctx context.Context, name string, arguments []dfstandinstore.Value) ([][]dfstandinstore.Value, error) {
 	if name == "pg_stat_activity" {
-		return e.connection.upstream.activity(), nil
+		return e.upstream.activity(), nil
 	}
-	if !e.connection.control {
+	if !e.connection.Control() {
 		return nil, dfstandinstore.Errorf("42501", "%s needs a control connection", name)
 	}
 	call, err := newCall(name, arguments)
 	if err != nil {
 		return nil, err
 	}
-	u := e.connection.upstream
+	u := e.upstream
 	switch name {
 	case "group_fetch":
 		return u.fetch(ctx, call)
@@ -152,21 +147,21 @@
 	if err := u.control(ctx, call); err != nil {
 		return nil, err
 	}
-	return [][]dfstandinstore.Value{statusRow(u.group.status())}, nil
+	return [][]dfstandinstore.Value{statusRow(u.group.Status())}, nil
 }
 
 func (u *Upstream) control(ctx context.Context, c call) error {
 	term := dfposition.Term(c.number(0))
 	switch c.name {
 	case "group_fence":
-		return u.group.fence(term, c.text(1))
+		return u.group.Fence(term, c.text(1))
 	case "group_promote":
-		return u.group.promote(term, c.text(1))
+		return u.group.Promote(term, c.text(1))
 	case "group_follow":
-		return u.group.follow(term, c.text(1), dfgroup.UpstreamID(c.text(2)))
+		return u.group.Follow(term, c.text(1), dfgroup.UpstreamID(c.text(2)))
 	case "group_wait":
 		want := dfposition.Position{Term: term, Offset: dfposition.Offset(c.number(1))}
-		u.group.wait(ctx, want, dfclock.Millis(c.number(2)))
+		u.group.Wait(ctx, want, dfclock.Millis(c.number(2)))
 		return context.Cause(ctx)
 	case "group_leaving":
 		leaving, err := dfstandinstore.Coerce(c.arguments[0], dfstandinstore.OIDBool)
@@ -186,7 +181,7 @@
 
 // signatures give the types of arguments: n is a number, t a text.
 var signatures = map[string]string{"group_status": "", "group_fence": "nt", "group_promote": "nt", "group_follow": "ntt",
-	"group_wait": "nnn", "group_leaving": "t", "group_fetch": "ntnnt", "group_record": "nn", "group_counters": ""}
+	"group_wait": "nnn", "group_leaving": "t", "group_fetch": "ntnn", "group_record": "nn", "group_counters": ""}
 
 func newCall(name string, arguments []dfstandinstore.Value) (call, error) {
 	signature := signatures[name]
@@ -229,13 +224,12 @@
 	defer u.mu.Unlock()
 	var rows [][]dfstandinstore.Value
 	for pid, c := range u.connections {
-		c.mu.Lock()
+		application, active := c.Activity()
 		state := "idle"
-		if c.cancel != nil {
+		if active {
 			state = "active"
 		}
-		rows = append(rows, []dfstandinstore.Value{int64(pid), c.user, c.application, state})
-		c.mu.Unlock()
+		rows = append(rows, []dfstandinstore.Value{int64(pid), c.User(), application, state})
 	}
 	return rows
 }
--- a/dfstandin/fault.go
+++ b/dfstandin/fault.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfstandingroup"
 	"dragonflygrade/dfstandinstore"
 )
 
@@ -110,47 +109,20 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, c := range u.connections {
-		if !c.control {
-			c.socket.silent.Store(true)
+		if s, ok := c.Socket().(*socket); ok && !c.Control() {
+			s.silent.Store(true)
 		}
 	}
 }
 
 // SetLag changes the two replication delays.
 func (u *Upstream) SetLag(flush, apply dfclock.Millis) {
-	u.group.mu.Lock()
-	defer u.group.mu.Unlock()
-	u.group.flushDelay, u.group.applyDelay = span(flush), span(apply)
-	u.group.notify()
+	u.group.SetDelays(flush, apply)
 }
 
-// FaultApplication is the application name of control connections that work on
-// in a pause or partition, so that these can be ended.
-const FaultApplication = "dragonflygrade_fault"
-
-// Wrong is a deliberate error of an upstream. Tests of checkers use it to show
-// that a check fires.
-type Wrong string
-
-// Deliberate errors.
-const (
-	WrongNone Wrong = "none"
-	// WrongApplied reports the primary's log as applied on a replica.
-	WrongApplied Wrong = "applied"
-	// WrongFlushed reports the primary's log as flushed on a replica.
-	WrongFlushed Wrong = "flushed"
-	// WrongLose answers commits that the log lacks.
-	WrongLose Wrong = "lose"
-	// WrongDouble logs each commit twice.
-	WrongDouble Wrong = "double"
-)
-
 // SetWrong puts a deliberate error in force.
-func (u *Upstream) SetWrong(wrong Wrong) {
-	u.group.mu.Lock()
-	defer u.group.mu.Unlock()
-	u.group.wrong = wrong
-	u.group.notify()
+func (u *Upstream) SetWrong(wrong dfstandingroup.Wrong) {
+	u.group.SetWrong(wrong)
 }
 
 // Fault runs a fault command: "pause", "resume", "crash", "crash:milliseconds"
@@ -175,9 +147,9 @@
 	case "lag":
 		return u.lagCommand(argument)
 	case "wrong":
-		return u.wrongCommand(Wrong(argument))
+		return u.wrongCommand(dfstandingroup.Wrong(argument))
 	default:
-		return dfstandinstore.Errorf(CodeRefused, "fault %q is not known", command)
+		return dfstandinstore.Errorf(dfstandingroup.CodeRefused, "fault %q is not known", command)
 	}
 	return nil
 }
@@ -201,7 +173,7 @@
 		restart, err = strconv.ParseInt(argument, 10, 64)
 	}
 	if err != nil || restart < 0 {
-		return dfstandinstore.Errorf(CodeRefused, "fault crash: %q is not a span in milliseconds", argument)
+		return dfstandinstore.Errorf(dfstandingroup.CodeRefused, "fault crash: %q is not a span in milliseconds", argument)
 	}
 	go func() {
 		u.Crash()
@@ -216,13 +188,13 @@
 	return nil
 }
 
-func (u *Upstream) wrongCommand(wrong Wrong) error {
+func (u *Upstream) wrongCommand(wrong dfstandingroup.Wrong) error {
 	switch wrong {
-	case WrongNone, WrongApplied, WrongFlushed, WrongLose, WrongDouble:
+	case dfstandingroup.WrongNone, dfstandingroup.WrongApplied, dfstandingroup.WrongFlushed, dfstandingroup.WrongLose, dfstandingroup.WrongDouble:
 		u.SetWrong(wrong)
 		return nil
 	}
-	return dfstandinstore.Errorf(CodeRefused, "fault wrong: %q is not known", wrong)
+	return dfstandinstore.Errorf(dfstandingroup.CodeRefused, "fault wrong: %q is not known", wrong)
 }
 
 func (u *Upstream) lagCommand(argument string) error {
@@ -232,74 +204,12 @@
 	}
 	flush, err := strconv.ParseInt(flushText, 10, 64)
 	if err != nil || flush < 0 {
-		return dfstandinstore.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", flushText)
+		return dfstandinstore.Errorf(dfstandingroup.CodeRefused, "fault lag: %q is not a span in milliseconds", flushText)
 	}
 	apply, err := strconv.ParseInt(applyText, 10, 64)
 	if err != nil || apply < 0 {
-		return dfstandinstore.Errorf(CodeRefused, "fault lag: %q is not a span in milliseconds", applyText)
+		return dfstandinstore.Errorf(dfstandingroup.CodeRefused, "fault lag: %q is not a span in milliseconds", applyText)
 	}
 	u.SetLag(dfclock.Millis(flush), dfclock.Millis(apply))
 	return nil
 }
-
-// socket is a network connection subject to the upstream's faults.
-type socket struct {
-	net.Conn
-	upstream *Upstream
-	silent   atomic.Bool
-	once     sync.Once
-	// ended is closed with the socket.
-	ended chan struct{}
-	// exempt sockets work on in a pause and in a partition, so that these can be ended.
-	exempt atomic.Bool
-	// started is set when the startup message was read, which faults do not hold up.
-	started atomic.Bool
-}
-
-func (s *socket) open() bool {
-	f := &s.upstream.faults
-	return f.await(s.ended, func() bool {
-		return s.started.Load() && !s.exempt.Load() && (f.paused || f.cut[everyone])
-	})
-}
-
-// Read drops what arrives on a silent socket and waits while the link is cut.
-func (s *socket) Read(p []byte) (int, error) {
-	for {
-		n, err := s.Conn.Read(p)
-		if !s.open() {
-			return 0, net.ErrClosed
-		}
-		if err != nil || !s.silent.Load() {
-			return n, err
-		}
-	}
-}
-
-// Write sends nothing on a silent socket and waits while the link is cut.
-func (s *socket) Write(p []byte) (int, error) {
-	if !s.open() {
-		return 0, net.ErrClosed
-	}
-	if s.silent.Load() {
-		return len(p), nil
-	}
-	return s.Conn.Write(p)
-}
-
-// Close leaves a silent socket open towards its peer until the upstream ends.
-func (s *socket) Close() error {
-	s.once.Do(func() { close(s.ended) })
-	if s.silent.Load() {
-		return nil
-	}
-	return s.Conn.Close()
-}
-
-func (s *socket) reset() {
-	s.once.Do(func() { close(s.ended) })
-	if conn, ok := s.Conn.(*net.TCPConn); ok {
-		_ = conn.SetLinger(0)
-	}
-	_ = s.Conn.Close()
-}
--- a/dfstandin/group_test.go
+++ b/dfstandin/group_test.go
@@ -8,6 +8,7 @@
 
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandingroup"
 	"dragonflygrade/dfstandinstore"
 )
 
@@ -93,7 +94,7 @@
 	for _, sql := range []string{"SELECT * FROM group_fence(5, 'h2')", "SELECT * FROM group_fence(4, 'h1')",
 		"SELECT * FROM group_promote(6, 'h1')", "SELECT * FROM group_promote(5, 'h2')"} {
 		_, err = control.Exec(ctx, sql)
-		requireCode(t, err, CodeRefused)
+		requireCode(t, err, dfstandingroup.CodeRefused)
 	}
 	_, err = conn.Exec(ctx, "SELECT * FROM group_fence(6, 'h1')")
 	requireCode(t, err, "42501")
--- a/dfstandin/options.go
+++ b/dfstandin/options.go
@@ -10,15 +10,16 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
-	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandinwire"
 )
 
 // ControlUser is the user of control connections, which the connection limit
 // does not count.
-const ControlUser = "dragonflygrade_control"
+const ControlUser = dfstandinwire.ControlUser
 
-// FirstTerm is the term under which a new group starts.
-const FirstTerm dfposition.Term = 1
+// FaultApplication is the application name of control connections that work on
+// in a pause or partition, so that these can be ended.
+const FaultApplication = dfstandinwire.FaultApplication
 
 // Defaults and bounds.
 const (
@@ -31,10 +32,6 @@
 	linkBound = 500 * dfclock.Millisecond
 	// fetchLimit bounds the entries of one answer to a replica.
 	fetchLimit = 512
-	// receivedLimit bounds the entries that wait for the flush delay.
-	receivedLimit = 16384
-	// copyLimit bounds the data of one COPY in bytes.
-	copyLimit = 16 << 20
 )
 
 // Peer is another upstream of the same group.
--- a/dfstandin/replication.go
+++ b/dfstandin/replication.go
@@ -4,27 +4,24 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandingroup"
 	"dragonflygrade/dfstandinstore"
 )
 
 // retryDelay lies between attempts of a replica to reach its primary.
 const retryDelay = 20 * time.Millisecond
 
-// target is what a replica pulls under one generation.
-type target struct {
-	generation int
-	term       dfposition.Term
-	peer       Peer
-}
-
 // pull keeps a replica connected to the primary that it follows.
 func (u *Upstream) pull(ctx context.Context) {
 	defer u.done.Done()
@@ -32,76 +29,62 @@
 		if !u.faults.running(ctx) {
 			return
 		}
-		if target, ok := u.target(); ok {
-			err := u.pullFrom(ctx, target)
+		changed := u.group.Changed()
+		request, following := u.group.Request()
+		if following && !u.faults.isCut(request.Primary) {
+			err := u.pullFrom(ctx, request)
 			log.Debug().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: replication link ended")
 		}
-		u.group.mu.Lock()
-		changed := u.group.changed
-		idle := u.group.following == ""
-		u.group.mu.Unlock()
-		bound := retryDelay
-		if idle {
-			bound = time.Second
+		// Entries of this replica's own log are changes too; do not spin on them.
+		if following {
+			changed = nil
 		}
-		timer := time.NewTimer(bound)
+		timer := time.NewTimer(retryDelay)
 		select {
 		case <-timer.C:
 		case <-changed:
-			// A change may be an entry of this replica's own log; do not spin on it.
-			if !idle {
-				<-timer.C
-			}
 		case <-ctx.Done():
 		}
 		timer.Stop()
 	}
 }
 
-func (u *Upstream) target() (target, bool) {
-	u.group.mu.Lock()
-	following, generation, term := u.group.following, u.group.generation, u.group.accepted
-	u.group.mu.Unlock()
-	if following == "" || u.faults.isCut(following) {
-		return target{}, false
-	}
+// pullFrom asks the primary until the link fails or another request is due.
+func (u *Upstream) pullFrom(ctx context.Context, request dfstandingroup.Request) error {
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	peer, known := u.peers[following]
-	return target{generation: generation, term: term, peer: peer}, known
-}
-
-func (u *Upstream) pullFrom(ctx context.Context, t target) error {
-	conn, err := u.connect(ctx, t.peer)
+	peer, known := u.peers[request.Primary]
+	u.mu.Unlock()
+	if !known {
+		return eris.Errorf("replication: no address of %s", request.Primary)
+	}
+	conn, err := u.connect(ctx, peer)
 	if err != nil {
 		return err
 	}
-	defer u.disconnect(conn)
-	for {
-		if !u.faults.running(ctx) || u.faults.isCut(t.peer.ID) {
-			return eris.New("replication: link is cut")
+	// Closing does not wait for the peer, which may be silent.
+	defer func() { _ = conn.Conn().Close() }()
+	for generation := request.Generation; ; request, _ = u.group.Request() {
+		if request.Generation != generation {
+			return eris.New("replication: superseded")
 		}
-		u.group.mu.Lock()
-		generation := u.group.generation
-		offset := len(u.group.log) + len(u.group.received)
-		full := len(u.group.received) >= receivedLimit
-		if !u.group.verified {
-			offset = 0
+		if !u.faults.running(ctx) || u.faults.isCut(peer.ID) {
+			return errCut
 		}
-		limit := fetchLimit
-		if full || !u.group.verified {
-			limit = 0
+		answer, err := u.ask(ctx, conn, request)
+		if err != nil {
+			return err
 		}
-		u.group.mu.Unlock()
-		if generation != t.generation {
-			return eris.New("replication: superseded")
+		if !u.faults.running(ctx) || u.faults.isCut(peer.ID) {
+			return errCut
 		}
-		if err := u.pullOnce(ctx, conn, t, offset, limit); err != nil {
+		if err := u.group.Heard(generation, answer); err != nil {
 			return err
 		}
 	}
 }
 
+var errCut = eris.New("replication: link is cut")
+
 func (u *Upstream) connect(ctx context.Context, peer Peer) (*pgconn.PgConn, error) {
 	config, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s@%s/postgres?sslmode=disable", ControlUser, peer.Address))
 	if err != nil {
@@ -118,70 +101,62 @@
 	return conn, eris.Wrap(err, "replication")
 }
 
-// disconnect does not wait for the peer, which may be silent.
-func (u *Upstream) disconnect(conn *pgconn.PgConn) {
-	_ = conn.Conn().Close()
-}
-
-func (u *Upstream) pullOnce(ctx context.Context, conn *pgconn.PgConn, t target, offset, limit int) error {
+func (u *Upstream) ask(ctx context.Context, conn *pgconn.PgConn, request dfstandingroup.Request) (dfstandingroup.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, span(linkBound))
 	defer cancel()
-	sql := fmt.Sprintf("SELECT * FROM group_fetch(%d, '%s', %d, %d, '%s')", t.term, u.options.ID, offset, limit, u.group.position())
+	sql := fmt.Sprintf("SELECT * FROM group_fetch(%d, '%s', %d, %d)", request.Term, u.options.ID, request.Offset, min(request.Room, fetchLimit))
 	results, err := conn.Exec(ctx, sql).ReadAll()
 	if err != nil {
-		return eris.Wrap(err, "replication")
+		return dfstandingroup.Answer{}, eris.Wrap(err, "replication")
 	}
 	if len(results) != 1 || len(results[0].Rows) == 0 {
-		return eris.New("replication: empty answer")
+		return dfstandingroup.Answer{}, eris.New("replication: empty answer")
 	}
-	rows := results[0].Rows
-	var end uint64
-	var historyText string
-	if _, err := fmt.Sscanf(string(rows[0][0]), "%d %s", &end, &historyText); err != nil {
-		return eris.Wrap(err, "replication: header")
+	return decodeAnswer(results[0].Rows)
+}
+
+// decodeAnswer reads the end and the history of the log from the first row, and
+// entries from the others.
+func decodeAnswer(rows [][][]byte) (dfstandingroup.Answer, error) {
+	endText, historyText, _ := strings.Cut(string(rows[0][0]), " ")
+	end, err := strconv.ParseUint(endText, 10, 64)
+	if err != nil {
+		return dfstandingroup.Answer{}, eris.Wrap(err, "replication: end of log")
 	}
 	history, err := dfposition.ParseHistory(historyText)
 	if err != nil {
-		return err
+		return dfstandingroup.Answer{}, err
 	}
-	var entries []Entry
+	answer := dfstandingroup.Answer{End: dfposition.Offset(end), History: history}
 	for _, row := range rows[1:] {
-		entry, err := decodeEntry(string(row[0]))
+		entry, err := dfstandingroup.DecodeEntry(string(row[0]))
 		if err != nil {
-			return err
+			return dfstandingroup.Answer{}, err
 		}
-		entries = append(entries, entry)
+		answer.Entries = append(answer.Entries, entry)
 	}
-	if !u.faults.running(ctx) || u.faults.isCut(t.peer.ID) {
-		return eris.New("replication: link is cut")
-	}
-	return u.group.heardFrom(t.generation, history, dfposition.Offset(end), entries)
+	return answer, nil
 }
 
 // fetch answers a replica: the log's end and history, then entries. Without
 // news it answers after the heartbeat.
 func (u *Upstream) fetch(ctx context.Context, c call) ([][]dfstandinstore.Value, error) {
 	term, replica := dfposition.Term(c.number(0)), dfgroup.UpstreamID(c.text(1))
-	offset, limit := int(c.number(2)), int(c.number(3))
-	g := u.group
+	offset, room := int(c.number(2)), int(c.number(3))
 	timer := time.NewTimer(span(heartbeat))
 	defer timer.Stop()
 	for waited := false; ; {
 		if u.faults.isCut(replica) {
 			<-ctx.Done()
-			return nil, eris.New("replication: link is cut")
+			return nil, errCut
 		}
-		g.mu.Lock()
-		if g.role != dfgroup.RolePrimary || g.accepted != term {
-			defer g.mu.Unlock()
-			return nil, g.refuse()
+		changed := u.group.Changed()
+		answer, fresh, err := u.group.Serve(term, offset, room)
+		if err != nil {
+			return nil, err
 		}
-		changed, entries := g.changed, g.log[min(offset, len(g.log)):]
-		header := fmt.Sprintf("%d %s", len(g.log), g.history)
-		first := offset == 0 && limit == 0
-		g.mu.Unlock()
-		if waited || first || (len(entries) > 0 && limit > 0) {
-			return encodeEntries(header, entries[:min(limit, len(entries))])
+		if fresh || waited {
+			return encodeAnswer(answer)
 		}
 		select {
 		case <-changed:
@@ -193,10 +168,10 @@
 	}
 }
 
-func encodeEntries(header string, entries []Entry) ([][]dfstandinstore.Value, error) {
-	rows := [][]dfstandinstore.Value{{header}}
-	for _, entry := range entries {
-		text, err := encodeEntry(entry)
+func encodeAnswer(answer dfstandingroup.Answer) ([][]dfstandinstore.Value, error) {
+	rows := [][]dfstandinstore.Value{{fmt.Sprintf("%d %s", answer.End, answer.History)}}
+	for _, entry := range answer.Entries {
+		text, err := dfstandingroup.EncodeEntry(entry)
 		if err != nil {
 			return nil, err
 		}
@@ -204,3 +179,7 @@
 	}
 	return rows, nil
 }
+
+func span(millis dfclock.Millis) time.Duration {
+	return time.Duration(millis) * time.Millisecond
+}
--- a/dfstandin/upstream.go
+++ b/dfstandin/upstream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -15,7 +14,9 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandingroup"
 	"dragonflygrade/dfstandinstore"
+	"dragonflygrade/dfstandinwire"
 )
 
 // Counters count connections since the start.
@@ -33,11 +34,9 @@
 // Upstream is one running stand-in.
 type Upstream struct {
 	options Options
-	group   *group
+	group   *dfstandingroup.Group
+	wire    *dfstandinwire.Server
 	faults  faults
-	pids    atomic.Uint32
-	// credentials caches the derived keys by user, which take milliseconds each.
-	credentials sync.Map
 
 	mu       sync.Mutex
 	address  string
@@ -45,7 +44,7 @@
 	peers    map[dfgroup.UpstreamID]Peer
 	// sockets has all open network connections, also those before startup.
 	sockets     map[*socket]bool
-	connections map[uint32]*connection
+	connections map[uint32]*dfstandinwire.Conn
 	ordinary    int64
 	counters    Counters
 	// stop ends the goroutines of the present run.
@@ -57,7 +56,9 @@
 func Start(options Options) (*Upstream, error) {
 	options = options.withDefaults()
 	u := &Upstream{options: options, group: newGroup(options), address: options.Listen,
-		sockets: map[*socket]bool{}, connections: map[uint32]*connection{}}
+		sockets: map[*socket]bool{}, connections: map[uint32]*dfstandinwire.Conn{}}
+	u.wire = &dfstandinwire.Server{Host: u, Database: u.group.Database(), Passwords: options.Passwords,
+		ConnectTime: options.ConnectTime, StatementTime: options.StatementTime}
 	u.faults.cut = map[dfgroup.UpstreamID]bool{}
 	u.faults.opened = make(chan struct{})
 	u.SetPeers(options.Peers)
@@ -67,6 +68,11 @@
 	return u, nil
 }
 
+func newGroup(options Options) *dfstandingroup.Group {
+	return dfstandingroup.New(dfstandingroup.Options{ID: options.ID, DataCentre: options.DataCentre, Following: options.Following,
+		FlushDelay: options.FlushDelay, ApplyDelay: options.ApplyDelay})
+}
+
 // SetPeers replaces the group's other upstreams.
 func (u *Upstream) SetPeers(peers []Peer) {
 	u.mu.Lock()
@@ -103,62 +109,54 @@
 
 // Status returns what group_status answers.
 func (u *Upstream) Status() dfgroup.Status {
-	return u.group.status()
+	return u.group.Status()
 }
 
 // Position returns the end of the log.
 func (u *Upstream) Position() dfposition.Position {
-	return u.group.position()
+	return u.group.Position()
 }
 
 // Rows returns the applied rows of a table.
 func (u *Upstream) Rows(table string) [][]dfstandinstore.Value {
-	return u.group.database.Rows(table)
+	return u.group.Database().Rows(table)
 }
 
 // Fence is group_fence.
 func (u *Upstream) Fence(term dfposition.Term, actor string) error {
-	return u.group.fence(term, actor)
+	return u.group.Fence(term, actor)
 }
 
 // Promote is group_promote.
 func (u *Upstream) Promote(term dfposition.Term, actor string) error {
-	return u.group.promote(term, actor)
+	return u.group.Promote(term, actor)
 }
 
 // Follow is group_follow.
 func (u *Upstream) Follow(term dfposition.Term, actor string, primary dfgroup.UpstreamID) error {
-	return u.group.follow(term, actor, primary)
+	return u.group.Follow(term, actor, primary)
 }
 
 // SetLeaving is group_leaving.
 func (u *Upstream) SetLeaving(leaving bool) {
-	u.group.mu.Lock()
-	defer u.group.mu.Unlock()
-	u.group.leaving = leaving
+	u.group.SetLeaving(leaving)
 }
 
 // Wait is group_wait.
 func (u *Upstream) Wait(ctx context.Context, want dfposition.Position, bound dfclock.Millis) dfgroup.Status {
-	u.group.wait(ctx, want, bound)
-	return u.group.status()
+	u.group.Wait(ctx, want, bound)
+	return u.group.Status()
 }
 
 // Record returns every transaction that this upstream committed or received,
 // first the surviving log in order, then what was cut.
-func (u *Upstream) Record() []Committed {
-	u.group.mu.Lock()
-	defer u.group.mu.Unlock()
-	var record []Committed
-	for i, entry := range u.group.log {
-		record = append(record, committedAt(entry, i, false))
-	}
-	return append(record, u.group.cut...)
+func (u *Upstream) Record() []dfstandingroup.Committed {
+	return u.group.Record()
 }
 
 // Surviving returns the log of the present primary, that is of the primary
 // with the highest accepted term.
-func Surviving(upstreams ...*Upstream) ([]Committed, bool) {
+func Surviving(upstreams ...*Upstream) ([]dfstandingroup.Committed, bool) {
 	var primary *Upstream
 	for _, upstream := range upstreams {
 		status := upstream.Status()
@@ -169,7 +167,7 @@
 	if primary == nil {
 		return nil, false
 	}
-	var surviving []Committed
+	var surviving []dfstandingroup.Committed
 	for _, committed := range primary.Record() {
 		if !committed.Cut {
 			surviving = append(surviving, committed)
@@ -196,8 +194,8 @@
 	u.done.Add(4)
 	go u.accept(ctx, listener)
 	go u.pull(ctx)
-	go u.pace(ctx, u.group.flushDue)
-	go u.pace(ctx, u.group.applyDue)
+	go u.pace(ctx, u.group.FlushDue)
+	go u.pace(ctx, u.group.ApplyDue)
 	return nil
 }
 
@@ -216,17 +214,13 @@
 		s.reset()
 	}
 	for _, c := range u.connections {
-		c.interrupt(errCrashed)
+		c.Interrupt(dfstandinwire.ErrStopped)
 	}
 	u.mu.Unlock()
 	u.done.Wait()
-	u.group.mu.Lock()
-	u.group.dropReceived()
-	u.group.mu.Unlock()
+	u.group.Crash()
 }
 
-var errCrashed = eris.New("upstream stops")
-
 func (u *Upstream) accept(ctx context.Context, listener net.Listener) {
 	defer u.done.Done()
 	for {
@@ -250,8 +244,7 @@
 
 func (u *Upstream) serve(ctx context.Context, s *socket) {
 	defer u.done.Done()
-	c := newConnection(ctx, u, s)
-	if err := c.run(); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+	if err := u.wire.Serve(ctx, s); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		log.Debug().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: connection ended")
 	}
 	_ = s.Close()
@@ -262,13 +255,13 @@
 	}
 }
 
-// admit registers a connection after startup, or refuses it for the limit.
-func (u *Upstream) admit(c *connection) error {
+// Admit registers a connection after startup, or refuses it for the limit.
+func (u *Upstream) Admit(c *dfstandinwire.Conn) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if c.control {
+	if c.Control() {
 		u.counters.ControlConnects++
-		u.connections[c.pid] = c
+		u.connections[c.PID()] = c
 		return nil
 	}
 	if u.ordinary >= int64(u.options.ConnectionLimit) {
@@ -278,23 +271,25 @@
 	u.ordinary++
 	u.counters.Connects++
 	u.counters.MaxConnections = max(u.counters.MaxConnections, u.ordinary)
-	u.connections[c.pid] = c
+	u.connections[c.PID()] = c
 	return nil
 }
 
-func (u *Upstream) release(c *connection) {
+// Release frees the place of a connection.
+func (u *Upstream) Release(c *dfstandinwire.Conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.connections[c.pid] != c {
+	if u.connections[c.PID()] != c {
 		return
 	}
-	delete(u.connections, c.pid)
-	if !c.control {
+	delete(u.connections, c.PID())
+	if !c.Control() {
 		u.ordinary--
 	}
 }
 
-func (u *Upstream) find(pid uint32) *connection {
+// Find returns an admitted connection, or nil.
+func (u *Upstream) Find(pid uint32) *dfstandinwire.Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.connections[pid]
@@ -307,9 +302,7 @@
 		if !u.faults.running(ctx) {
 			return
 		}
-		u.group.mu.Lock()
-		changed := u.group.changed
-		u.group.mu.Unlock()
+		changed := u.group.Changed()
 		next := step(time.Now())
 		if next <= 0 {
 			next = time.Second
--- a/dfstandin/upstream_test.go
+++ b/dfstandin/upstream_test.go
@@ -195,10 +195,8 @@
 }
 
 func running(u *Upstream, pid uint32) bool {
-	c := u.find(pid)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cancel != nil
+	_, active := u.Find(pid).Activity()
+	return active
 }
 
 // Guards against a limit that is not enforced, that counts control
--- a/dfstandin/group.go
+++ b/dfstandingroup/group.go
@@ -1,24 +1,30 @@
-package dfstandin
+// Package dfstandingroup is the replication state of one upstream stand-in: its
+// log, terms, fencing, promotion and the delays of a replica. It does no input
+// or output.
+package dfstandingroup
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfstandinstore"
 )
 
+// FirstTerm is the term under which a new group starts.
+const FirstTerm dfposition.Term = 1
+
+// receivedLimit bounds the entries that wait for the flush delay.
+const receivedLimit = 16384
+
 // CodeRefused is the SQLSTATE of a refused control statement.
 const CodeRefused = "55000"
 
-// group is the replication state of one upstream.
-type group struct {
+// Group is the replication state of one upstream.
+type Group struct {
 	id         dfgroup.UpstreamID
 	dataCentre string
 	database   *dfstandinstore.Database
@@ -57,6 +63,35 @@
 	changed    chan struct{}
 }
 
+// Options describe one member of a group.
+type Options struct {
+	ID         dfgroup.UpstreamID
+	DataCentre string
+	// Following is the first primary; empty makes this member the first primary.
+	Following dfgroup.UpstreamID
+	// FlushDelay lies between receipt and flush of an entry on a replica.
+	FlushDelay dfclock.Millis
+	// ApplyDelay lies between flush and application of an entry on a replica.
+	ApplyDelay dfclock.Millis
+}
+
+// Wrong is a deliberate error of an upstream. Tests of checkers use it to show
+// that a check fires.
+type Wrong string
+
+// Deliberate errors.
+const (
+	WrongNone Wrong = "none"
+	// WrongApplied reports the primary's log as applied on a replica.
+	WrongApplied Wrong = "applied"
+	// WrongFlushed reports the primary's log as flushed on a replica.
+	WrongFlushed Wrong = "flushed"
+	// WrongLose answers commits that the log lacks.
+	WrongLose Wrong = "lose"
+	// WrongDouble logs each commit twice.
+	WrongDouble Wrong = "double"
+)
+
 type received struct {
 	entry Entry
 	due   time.Time
@@ -66,9 +101,10 @@
 	return time.Duration(millis) * time.Millisecond
 }
 
-func newGroup(options Options) *group {
+// New returns a member with an empty log.
+func New(options Options) *Group {
 	history, _ := dfposition.NewHistory(dfposition.Start{Term: FirstTerm})
-	g := &group{id: options.ID, dataCentre: options.DataCentre, accepted: FirstTerm, role: dfgroup.RolePrimary,
+	g := &Group{id: options.ID, dataCentre: options.DataCentre, accepted: FirstTerm, role: dfgroup.RolePrimary,
 		history: history, heard: time.Now(), committed: map[uint64]bool{}, changed: make(chan struct{}),
 		flushDelay: span(options.FlushDelay), applyDelay: span(options.ApplyDelay)}
 	if options.Following != "" {
@@ -78,19 +114,73 @@
 	return g
 }
 
+// Database returns the applied tables.
+func (g *Group) Database() *dfstandinstore.Database {
+	return g.database
+}
+
+// Changed returns a channel that is closed at the next change.
+func (g *Group) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+// SetLeaving is group_leaving.
+func (g *Group) SetLeaving(leaving bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = leaving
+}
+
+// SetDelays changes the two replication delays.
+func (g *Group) SetDelays(flush, apply dfclock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.flushDelay, g.applyDelay = span(flush), span(apply)
+	g.notify()
+}
+
+// SetWrong puts a deliberate error in force.
+func (g *Group) SetWrong(wrong Wrong) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wrong = wrong
+	g.notify()
+}
+
+// Crash loses what was received and not flushed.
+func (g *Group) Crash() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dropReceived()
+}
+
+// Record returns every transaction that this member committed or received,
+// first the surviving log in order, then what was cut.
+func (g *Group) Record() []Committed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	record := make([]Committed, 0, len(g.log)+len(g.cut))
+	for i, entry := range g.log {
+		record = append(record, committedAt(entry, i, false))
+	}
+	return append(record, g.cut...)
+}
+
 // notify wakes everything that waits for a change. The caller holds mu.
-func (g *group) notify() {
+func (g *Group) notify() {
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
 
-func (g *group) writable() error {
+func (g *Group) writable() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.writableLocked()
 }
 
-func (g *group) writableLocked() error {
+func (g *Group) writableLocked() error {
 	if g.role == dfgroup.RolePrimary {
 		return nil
 	}
@@ -99,14 +189,14 @@
 
 // newXID carries the term in its upper half, so that two primaries never give
 // one identity to two transactions.
-func (g *group) newXID() uint64 {
+func (g *Group) newXID() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextXID++
 	return uint64(g.accepted)<<32 | g.nextXID
 }
 
-func (g *group) append(commit dfstandinstore.Commit) error {
+func (g *Group) append(commit dfstandinstore.Commit) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err := g.writableLocked(); err != nil {
@@ -128,19 +218,21 @@
 	return nil
 }
 
-func (g *group) position() dfposition.Position {
+// Position returns the end of the log.
+func (g *Group) Position() dfposition.Position {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return dfposition.Position{Term: g.history.Last(), Offset: dfposition.Offset(len(g.log))}
 }
 
-func (g *group) status() dfgroup.Status {
+// Status returns what group_status answers.
+func (g *Group) Status() dfgroup.Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.statusLocked()
 }
 
-func (g *group) statusLocked() dfgroup.Status {
+func (g *Group) statusLocked() dfgroup.Status {
 	status := dfgroup.Status{Upstream: g.id, DataCentre: g.dataCentre, Role: g.role, Accepted: g.accepted, Actor: g.actor,
 		Flushed: g.flushed(), Applied: dfposition.Offset(g.applied), History: g.history,
 		PrimarySilence: -1, Leaving: g.leaving, Discarded: g.discarded}
@@ -161,7 +253,7 @@
 }
 
 // flushed returns the offset that is reported. The caller holds mu.
-func (g *group) flushed() dfposition.Offset {
+func (g *Group) flushed() dfposition.Offset {
 	end := dfposition.Offset(len(g.log))
 	if g.wrong == WrongFlushed {
 		return max(end, g.primaryEnd)
@@ -169,13 +261,13 @@
 	return end
 }
 
-func (g *group) refuse() error {
+func (g *Group) refuse() error {
 	return &dfstandinstore.Error{Code: CodeRefused, Message: "term refused",
 		Detail: dfstandinstore.FormatText(int64(g.accepted))}
 }
 
-// fence accepts a term and stops writes and replication of lower terms.
-func (g *group) fence(term dfposition.Term, actor string) error {
+// Fence accepts a term and stops writes and replication of lower terms.
+func (g *Group) Fence(term dfposition.Term, actor string) error {
 	g.mu.Lock()
 	if term < g.accepted || (term == g.accepted && actor != g.actor) {
 		defer g.mu.Unlock()
@@ -192,20 +284,20 @@
 }
 
 // accept stops everything of the former term. The caller holds mu.
-func (g *group) accept(term dfposition.Term, actor string) {
+func (g *Group) accept(term dfposition.Term, actor string) {
 	g.accepted, g.actor = term, actor
 	g.role, g.following, g.verified = dfgroup.RoleFenced, "", false
 	g.dropReceived()
 }
 
-func (g *group) dropReceived() {
+func (g *Group) dropReceived() {
 	g.generation++
 	g.received = nil
 	g.notify()
 }
 
-// promote makes this upstream the primary of a term that it has accepted.
-func (g *group) promote(term dfposition.Term, actor string) error {
+// Promote makes this upstream the primary of a term that it has accepted.
+func (g *Group) Promote(term dfposition.Term, actor string) error {
 	g.applying.Lock()
 	defer g.applying.Unlock()
 	g.mu.Lock()
@@ -237,9 +329,9 @@
 	return nil
 }
 
-// follow makes this upstream a replica of the primary of a term. Its role
+// Follow makes this upstream a replica of the primary of a term. Its role
 // stays fenced until its log was compared with the primary's.
-func (g *group) follow(term dfposition.Term, actor string, primary dfgroup.UpstreamID) error {
+func (g *Group) Follow(term dfposition.Term, actor string, primary dfgroup.UpstreamID) error {
 	g.mu.Lock()
 	if term < g.accepted || (term == g.accepted && actor != g.actor) || primary == g.id {
 		defer g.mu.Unlock()
@@ -260,8 +352,8 @@
 	return nil
 }
 
-// wait blocks until the log contains the position under the accepted term.
-func (g *group) wait(ctx context.Context, want dfposition.Position, bound dfclock.Millis) {
+// Wait blocks until the log contains the position under the accepted term.
+func (g *Group) Wait(ctx context.Context, want dfposition.Position, bound dfclock.Millis) {
 	timer := time.NewTimer(span(bound))
 	defer timer.Stop()
 	for {
@@ -283,134 +375,8 @@
 	}
 }
 
-// heardFrom takes one answer of the followed primary: the first one cuts the
-// tail that the primary lacks, and later ones bring entries.
-func (g *group) heardFrom(generation int, history dfposition.History, end dfposition.Offset, entries []Entry) error {
-	if err := g.verify(generation, history, end); err != nil {
-		return err
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if generation != g.generation {
-		return eris.New("replication: superseded")
-	}
-	g.heard, g.history, g.primaryEnd = time.Now(), history, end
-	due := g.heard.Add(g.flushDelay)
-	for _, entry := range entries {
-		g.received = append(g.received, received{entry: entry, due: due})
-	}
-	if len(entries) > 0 {
-		g.notify()
-	}
-	return nil
-}
-
-func (g *group) verify(generation int, history dfposition.History, end dfposition.Offset) error {
-	g.mu.Lock()
-	done := g.verified
-	g.mu.Unlock()
-	if done {
-		return nil
-	}
-	g.applying.Lock()
-	defer g.applying.Unlock()
-	g.mu.Lock()
-	if generation != g.generation {
-		g.mu.Unlock()
-		return eris.New("replication: superseded")
-	}
-	common := int(commonEnd(g.history, dfposition.Offset(len(g.log)), history, end))
-	rebuild := common < g.applied
-	g.cutTail(common)
-	g.history, g.verified, g.role = history, true, dfgroup.RoleReplica
-	var kept []dfstandinstore.Commit
-	for _, entry := range g.log[:g.applied] {
-		kept = append(kept, entry.Commit)
-	}
-	g.notify()
-	g.mu.Unlock()
-	if rebuild {
-		g.database.Rebuild(kept)
-	}
-	return nil
-}
-
-// cutTail removes the log behind an offset. The caller holds mu.
-func (g *group) cutTail(end int) {
-	g.discarded = ""
-	if end >= len(g.log) {
-		return
-	}
-	from := dfposition.Position{Term: g.log[len(g.log)-1].Term, Offset: dfposition.Offset(end)}
-	g.discarded = from.String() + "-" + dfstandinstore.FormatText(int64(len(g.log)))
-	for i := end; i < len(g.log); i++ {
-		g.cut = append(g.cut, committedAt(g.log[i], i, true))
-		delete(g.committed, g.log[i].Commit.XID)
-	}
-	g.log = slices.Clone(g.log[:end])
-	g.applied = min(g.applied, end)
-}
-
-func committedAt(entry Entry, index int, cut bool) Committed {
-	return Committed{Term: entry.Term, Offset: dfposition.Offset(index + 1), XID: entry.Commit.XID, Tags: entry.Commit.Tags, Cut: cut}
-}
-
-// flushDue moves received entries into the log when their delay has passed,
-// and returns the span to the next one, or zero.
-func (g *group) flushDue(now time.Time) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count := 0
-	for count < len(g.received) && !g.received[count].due.After(now) {
-		entry := g.received[count].entry
-		entry.flushed = now
-		g.log = append(g.log, entry)
-		g.committed[entry.Commit.XID] = true
-		count++
-	}
-	g.received = g.received[count:]
-	if count > 0 {
-		g.notify()
-	}
-	if len(g.received) > 0 {
-		return g.received[0].due.Sub(now)
-	}
-	return 0
-}
-
-// applyDue applies entries whose delay has passed, and returns the span to the
-// next one, or zero.
-func (g *group) applyDue(now time.Time) time.Duration {
-	g.applying.Lock()
-	defer g.applying.Unlock()
-	return g.applyUpTo(now)
-}
-
-// applyUpTo applies entries that are due; a zero time applies all. The caller
-// holds applying.
-func (g *group) applyUpTo(now time.Time) time.Duration {
-	for {
-		g.mu.Lock()
-		if g.applied >= len(g.log) {
-			g.mu.Unlock()
-			return 0
-		}
-		entry := g.log[g.applied]
-		delay := entry.flushed.Add(g.applyDelay).Sub(now)
-		g.mu.Unlock()
-		if delay > 0 && !now.IsZero() {
-			return delay
-		}
-		g.database.Apply(entry.Commit)
-		g.mu.Lock()
-		g.applied++
-		g.notify()
-		g.mu.Unlock()
-	}
-}
-
-// transactionStatus answers pg_xact_status.
-func (g *group) transactionStatus(xid uint64) dfstandinstore.Value {
+// TransactionStatus answers pg_xact_status.
+func (g *Group) TransactionStatus(xid uint64) dfstandinstore.Value {
 	running := g.database.InProgress(xid)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/dfstandin/log.go
+++ b/dfstandingroup/log.go
@@ -1,4 +1,4 @@
-package dfstandin
+package dfstandingroup
 
 import (
 	"encoding/json"
@@ -46,8 +46,8 @@
 	Tags    []dfstandinstore.Tag
 }
 
-// encodeEntry writes an entry as text; the first letter of a value is its type.
-func encodeEntry(entry Entry) (string, error) {
+// EncodeEntry writes an entry as text; the first letter of a value is its type.
+func EncodeEntry(entry Entry) (string, error) {
 	wire := wireEntry{Term: uint64(entry.Term), XID: entry.Commit.XID, Tags: entry.Commit.Tags}
 	for _, change := range entry.Commit.Changes {
 		out := wireChange{Table: change.Table, Row: uint64(change.Row), Schema: change.Schema,
@@ -61,7 +61,8 @@
 	return string(text), eris.Wrap(err, "log entry")
 }
 
-func decodeEntry(text string) (Entry, error) {
+// DecodeEntry reads what EncodeEntry wrote.
+func DecodeEntry(text string) (Entry, error) {
 	var wire wireEntry
 	if err := json.Unmarshal([]byte(text), &wire); err != nil {
 		return Entry{}, eris.Wrap(err, "log entry")
--- a/dfstandin/extended.go
+++ b/dfstandinwire/extended.go
@@ -1,4 +1,4 @@
-package dfstandin
+package dfstandinwire
 
 import (
 	"slices"
@@ -24,7 +24,7 @@
 	sent       int
 }
 
-func (c *connection) extended(message pgproto3.FrontendMessage) error {
+func (c *Conn) extended(message pgproto3.FrontendMessage) error {
 	switch m := message.(type) {
 	case *pgproto3.Parse:
 		return c.parse(m)
@@ -46,7 +46,7 @@
 	return dfstandinstore.Errorf(codeProtocol, "message %T is not supported", message)
 }
 
-func (c *connection) parse(m *pgproto3.Parse) error {
+func (c *Conn) parse(m *pgproto3.Parse) error {
 	statements, err := dfstandinsql.Parse(m.Query)
 	if err != nil {
 		return err
@@ -72,7 +72,7 @@
 	return nil
 }
 
-func (c *connection) bind(m *pgproto3.Bind) error {
+func (c *Conn) bind(m *pgproto3.Bind) error {
 	entry := c.statements[m.PreparedStatement]
 	if entry == nil {
 		return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
@@ -94,7 +94,7 @@
 	return nil
 }
 
-func (c *connection) describe(m *pgproto3.Describe) error {
+func (c *Conn) describe(m *pgproto3.Describe) error {
 	if m.ObjectType == 'S' {
 		entry := c.statements[m.Name]
 		if entry == nil {
@@ -112,7 +112,7 @@
 	return nil
 }
 
-func (c *connection) sendDescription(columns []dfstandinstore.Column, formats []int16) {
+func (c *Conn) sendDescription(columns []dfstandinstore.Column, formats []int16) {
 	if columns == nil {
 		c.backend.Send(&pgproto3.NoData{})
 		return
@@ -120,7 +120,7 @@
 	c.backend.Send(rowDescription(columns, formats))
 }
 
-func (c *connection) executePortal(m *pgproto3.Execute) error {
+func (c *Conn) executePortal(m *pgproto3.Execute) error {
 	bound := c.portals[m.Portal]
 	if bound == nil {
 		return dfstandinstore.Errorf(codePortalName, "portal %q does not exist", m.Portal)
--- a/dfstandin/password.go
+++ b/dfstandinwire/password.go
@@ -1,4 +1,4 @@
-package dfstandin
+package dfstandinwire
 
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -15,8 +15,8 @@
 )
 
 // authenticate runs SCRAM-SHA-256, or trusts everyone without passwords.
-func (c *connection) authenticate() error {
-	if len(c.upstream.options.Passwords) == 0 {
+func (c *Conn) authenticate() error {
+	if len(c.server.Passwords) == 0 {
 		c.backend.Send(&pgproto3.AuthenticationOk{})
 		return nil
 	}
@@ -42,7 +42,7 @@
 	return c.converse(server.NewConversation(), string(first.Data))
 }
 
-func (c *connection) converse(conversation *scram.ServerConversation, challenge string) error {
+func (c *Conn) converse(conversation *scram.ServerConversation, challenge string) error {
 	answer, err := conversation.Step(challenge)
 	if err != nil {
 		return c.refused()
@@ -71,18 +71,18 @@
 	return nil
 }
 
-func (c *connection) refused() error {
+func (c *Conn) refused() error {
 	return dfstandinstore.Errorf(codePassword, "password authentication failed for user %q", c.user)
 }
 
 // credentials ignores the name in the exchange, as PostgreSQL does, and takes
 // the user of the startup message.
-func (c *connection) credentials(string) (scram.StoredCredentials, error) {
-	password, known := c.upstream.options.Passwords[c.user]
+func (c *Conn) credentials(string) (scram.StoredCredentials, error) {
+	password, known := c.server.Passwords[c.user]
 	if !known {
 		return scram.StoredCredentials{}, eris.New("standin: unknown user")
 	}
-	if stored, cached := c.upstream.credentials.Load(c.user); cached {
+	if stored, cached := c.server.credentials.Load(c.user); cached {
 		return stored.(scram.StoredCredentials), nil
 	}
 	client, err := scram.SHA256.NewClient(c.user, password, "")
@@ -91,7 +91,7 @@
 	}
 	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "dragonflygrade00", Iters: iterations})
 	if err == nil {
-		c.upstream.credentials.Store(c.user, stored)
+		c.server.credentials.Store(c.user, stored)
 	}
 	return stored, err
 }
