--- a/dfstandin/environment.go
+++ b/dfstandin/environment.go
@@ -79,6 +79,9 @@
 	if len(arguments) == 0 {
 		return e.callPlain(name)
 	}
+	if len(arguments) > 1 {
+		return nil, dfstandinstore.Errorf(dfstandinstore.CodeFunction, "function %s does not take %d arguments", name, len(arguments))
+	}
 	number, _ := dfstandinstore.Coerce(arguments[0], dfstandinstore.OIDInt8)
 	value, isNumber := number.(int64)
 	switch name {
--- a/dfstandinsql/describe.go
+++ b/dfstandinsql/describe.go
@@ -116,8 +116,8 @@
 // CopyColumns returns the number of columns that a COPY statement moves.
 func (s *Session) CopyColumns(statement *Statement) (int, error) {
 	copying := statement.node.GetCopyStmt()
-	if len(copying.Options) > 0 {
-		return 0, dfstandinstore.Errorf(dfstandinstore.CodeFeature, "only COPY in text format is supported")
+	if statement.unsupported() {
+		return 0, dfstandinstore.Errorf(dfstandinstore.CodeFeature, "only COPY of a table in text format is supported")
 	}
 	columns, found := s.columnsOf(statement.tableName())
 	if !found {
--- a/dfstandinsql/execution.go
+++ b/dfstandinsql/execution.go
@@ -73,6 +73,11 @@
 
 // find returns the rows that the transaction sees for a condition.
 func (x *execution) find(condition *pg.Node) ([]dfstandinstore.Row, error) {
+	if condition != nil {
+		if _, err := x.typeOf(condition); err != nil {
+			return nil, err
+		}
+	}
 	scan := x.evaluator
 	return x.tx.Find(x.table, x.equalities(condition), func(values []dfstandinstore.Value) (bool, error) {
 		return scan.truth(condition, values)
@@ -181,6 +186,11 @@
 	if err := x.tx.Writes(); err != nil {
 		return Result{}, err
 	}
+	for _, target := range statement.TargetList {
+		if _, err := x.typeOf(target.GetResTarget().Val); err != nil {
+			return Result{}, err
+		}
+	}
 	rows, err := x.find(statement.WhereClause)
 	if err != nil {
 		return Result{}, err
--- a/dfstandinsql/expression.go
+++ b/dfstandinsql/expression.go
@@ -315,7 +315,7 @@
 	case *pg.Node_FuncCall:
 		return e.functionOID(n.FuncCall)
 	}
-	return dfstandinstore.OIDText, nil
+	return 0, dfstandinstore.Errorf(dfstandinstore.CodeFeature, "expression is not supported")
 }
 
 func constantOID(c *pg.A_Const) uint32 {
@@ -363,6 +363,9 @@
 	name := lastName(call.Funcname)
 	switch name {
 	case "count":
+		if !call.AggStar && len(call.Args) != 1 {
+			return 0, dfstandinstore.Errorf(dfstandinstore.CodeFunction, "function count needs one argument")
+		}
 		return dfstandinstore.OIDInt8, nil
 	case "sum", "max", "min":
 		if len(call.Args) != 1 {
--- a/dfstandinsql/parse.go
+++ b/dfstandinsql/parse.go
@@ -74,6 +74,25 @@
 	return false
 }
 
+// unsupported reports clauses that the engine would otherwise ignore.
+func (s *Statement) unsupported() bool {
+	switch n := s.node.Node.(type) {
+	case *pg.Node_SelectStmt:
+		q := n.SelectStmt
+		return len(q.GroupClause) > 0 || q.HavingClause != nil || len(q.DistinctClause) > 0 || q.WithClause != nil ||
+			q.LimitOffset != nil || q.Op != pg.SetOperation_SETOP_NONE || len(q.FromClause) > 1 || q.IntoClause != nil
+	case *pg.Node_InsertStmt:
+		return n.InsertStmt.WithClause != nil || len(n.InsertStmt.SelectStmt.GetSelectStmt().GetValuesLists()) == 0
+	case *pg.Node_UpdateStmt:
+		return n.UpdateStmt.WithClause != nil || len(n.UpdateStmt.FromClause) > 0
+	case *pg.Node_DeleteStmt:
+		return n.DeleteStmt.WithClause != nil || len(n.DeleteStmt.UsingClause) > 0
+	case *pg.Node_CopyStmt:
+		return n.CopyStmt.Relation == nil || len(n.CopyStmt.Options) > 0 || n.CopyStmt.WhereClause != nil
+	}
+	return false
+}
+
 // tableName returns the name of the only table that the statement names.
 func (s *Statement) tableName() string {
 	switch {
--- a/dfstandinsql/projection.go
+++ b/dfstandinsql/projection.go
@@ -43,9 +43,6 @@
 
 // project sorts, limits and evaluates the target list.
 func (x *execution) project(statement *pg.SelectStmt, rows [][]dfstandinstore.Value) (Result, error) {
-	if len(statement.GroupClause) > 0 || statement.HavingClause != nil || len(statement.DistinctClause) > 0 || statement.WithClause != nil {
-		return Result{}, dfstandinstore.Errorf(dfstandinstore.CodeFeature, "GROUP BY, HAVING, DISTINCT and WITH are not supported")
-	}
 	rows, err := x.sorted(statement, rows)
 	if err != nil {
 		return Result{}, err
--- a/dfstandinsql/session.go
+++ b/dfstandinsql/session.go
@@ -131,6 +131,9 @@
 	if s.failed && !statement.EndsTransaction() {
 		return Result{}, dfstandinstore.Errorf(dfstandinstore.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
 	}
+	if statement.unsupported() {
+		return Result{}, dfstandinstore.Errorf(dfstandinstore.CodeFeature, "statement has a clause that is not supported: %.60s", statement.SQL)
+	}
 	if s.tx != nil && !s.failed && !statement.EndsTransaction() {
 		if err := s.tx.AbortReason(); err != nil {
 			return Result{}, err
