--- a/dfstandin/upstream.go
+++ b/dfstandin/upstream.go
@@ -47,6 +47,8 @@
 	connections map[uint32]*dfstandinwire.Conn
 	ordinary    int64
 	counters    Counters
+	// stopped is set by Stop; nothing runs again after it.
+	stopped bool
 	// stop ends the goroutines of the present run.
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -178,6 +180,9 @@
 
 // Stop closes everything and waits for the goroutines.
 func (u *Upstream) Stop() {
+	u.mu.Lock()
+	u.stopped = true
+	u.mu.Unlock()
 	u.Heal()
 	u.halt()
 }
@@ -189,9 +194,15 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	u.mu.Lock()
+	if u.stopped || u.listener != nil {
+		u.mu.Unlock()
+		stop()
+		_ = listener.Close()
+		return eris.New("standin: runs already or was stopped")
+	}
 	u.listener, u.address, u.stop = listener, listener.Addr().String(), stop
-	u.mu.Unlock()
 	u.done.Add(4)
+	u.mu.Unlock()
 	go u.accept(ctx, listener)
 	go u.pull(ctx)
 	go u.pace(ctx, u.group.FlushDue)
--- a/dfstandinplatform/server.go
+++ b/dfstandinplatform/server.go
@@ -144,9 +144,16 @@
 	return reply, nil
 }
 
-// SetMember changes the host list.
+// KindFault marks a member whose identity is a fault command, so that another
+// process can put faults in force.
+const KindFault = "fault"
+
+// SetMember changes the host list, or the faults in force.
 func (s *Server) SetMember(_ context.Context, request *dfproto.SetMemberRequest) (*dfproto.SetMemberReply, error) {
 	member := request.GetMember()
+	if member.GetKind() == KindFault {
+		return &dfproto.SetMemberReply{}, answer(s.store.Fault(member.GetID()))
+	}
 	s.store.SetMember(dfplatform.Member{ID: member.GetID(), Kind: dfplatform.MemberKind(member.GetKind()),
 		DataCentre: member.GetDataCentre(), Address: member.GetAddress(), Leaving: member.GetLeaving()}, request.GetRemove())
 	return &dfproto.SetMemberReply{}, nil
--- a/dfstandinplatform/store.go
+++ b/dfstandinplatform/store.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -119,6 +120,34 @@
 	s.faults = faults
 }
 
+// Fault changes the faults in force by a command: "outage:refused",
+// "outage:silent", "slow:milliseconds", "lost:probability",
+// "memberlag:milliseconds" or "heal".
+func (s *Store) Fault(command string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, argument, _ := strings.Cut(command, ":")
+	number, err := strconv.ParseFloat(argument, 64)
+	valid := err == nil && number >= 0
+	switch {
+	case command == "heal":
+		s.faults = Faults{}
+	case command == "outage:refused":
+		s.faults.Outage = OutageRefused
+	case command == "outage:silent":
+		s.faults.Outage = OutageSilent
+	case name == "slow" && valid:
+		s.faults.Slowness = dfclock.Millis(number)
+	case name == "lost" && valid && number <= 1:
+		s.faults.LostAnswers = number
+	case name == "memberlag" && valid:
+		s.lag = dfclock.Millis(number)
+	default:
+		return eris.Wrapf(ErrInvalid, "fault %q", command)
+	}
+	return nil
+}
+
 // SetMemberLag changes the age of the host list that is shown.
 func (s *Store) SetMemberLag(lag dfclock.Millis) {
 	s.mu.Lock()
--- a/dfstandinplatform/store_test.go
+++ b/dfstandinplatform/store_test.go
@@ -108,7 +108,10 @@
 	members, err := client.ListMembers(ctx, &dfproto.ListMembersRequest{})
 	require.NoError(t, err)
 	require.Len(t, members.GetMembers(), 1)
-	store.SetFaults(Faults{Outage: OutageRefused})
+	_, err = client.SetMember(ctx, &dfproto.SetMemberRequest{Member: &dfproto.Member{ID: "lost:2", Kind: KindFault}})
+	require.Equal(t, codes.InvalidArgument, status.Code(err))
+	_, err = client.SetMember(ctx, &dfproto.SetMemberRequest{Member: &dfproto.Member{ID: "outage:refused", Kind: KindFault}})
+	require.NoError(t, err)
 	_, err = client.PutObject(ctx, &dfproto.PutObjectRequest{Name: "o"})
 	require.Equal(t, codes.Unavailable, status.Code(err))
 }
