--- a/dfstandin/group_test.go
+++ b/dfstandin/group_test.go
@@ -245,3 +245,35 @@
 	require.Len(t, all[0].Record(), 3)
 	require.Error(t, all[0].Fault("wrong:else"))
 }
+
+// Guards against a primary cut off from everyone that still answers, against
+// fault commands that nobody can end, and against a record that other
+// processes cannot read.
+func TestIsolatedPrimaryByCommands(t *testing.T) {
+	all, ctx := trio(t), background(t)
+	conn := connect(t, all[0], "anna:a", "")
+	require.NoError(t, addOrder(conn, "k1"))
+	requireWait(t, all[1], 1, 1)
+	operator := connect(t, all[0], ControlUser+":c", "&application_name="+FaultApplication)
+	_, err := operator.Exec(ctx, "SELECT group_fault('partition')")
+	require.NoError(t, err)
+	answered := make(chan error, 1)
+	go func() { answered <- addOrder(conn, "k2") }()
+	eventually(t, func() bool { return all[1].Status().PrimarySilence > 100 && all[2].Status().PrimarySilence > 100 })
+	require.Empty(t, answered)
+	_, err = operator.Exec(ctx, "SELECT group_fault('heal')")
+	require.NoError(t, err)
+	require.NoError(t, <-answered)
+	requireWait(t, all[1], 1, 2)
+	var term, offset, xid, cut, tags string
+	require.NoError(t, operator.QueryRow(ctx, "SELECT * FROM group_record(1, 10)").Scan(&term, &offset, &xid, &cut, &tags))
+	require.Equal(t, []string{"1", "2", "f"}, []string{term, offset, cut})
+	require.Contains(t, tags, `"Marker":"k2"`)
+	_, err = operator.Exec(ctx, "SELECT group_fault('crash:1')")
+	require.NoError(t, err)
+	eventually(t, func() bool {
+		conn, err := tryConnect(all[0], "anna:a", "")
+		return err == nil && conn.Close(ctx) == nil && all[0].Counters().Connects > 1
+	})
+	require.Len(t, all[0].Record(), 2)
+}
--- a/dfstandin/replication.go
+++ b/dfstandin/replication.go
@@ -32,8 +32,9 @@
 		changed := u.group.Changed()
 		request, following := u.group.Request()
 		if following && !u.faults.isCut(request.Primary) {
-			err := u.pullFrom(ctx, request)
-			log.Debug().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: replication link ended")
+			if err := u.pullFrom(ctx, request); err != nil && ctx.Err() == nil {
+				log.Debug().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: replication link ended")
+			}
 		}
 		// Entries of this replica's own log are changes too; do not spin on them.
 		if following {
@@ -49,13 +50,14 @@
 	}
 }
 
-// pullFrom asks the primary until the link fails or another request is due.
+// pullFrom asks the primary until the link fails or the request is superseded.
+// It does nothing while the primary's address is not known.
 func (u *Upstream) pullFrom(ctx context.Context, request dfstandingroup.Request) error {
 	u.mu.Lock()
 	peer, known := u.peers[request.Primary]
 	u.mu.Unlock()
 	if !known {
-		return eris.Errorf("replication: no address of %s", request.Primary)
+		return nil
 	}
 	conn, err := u.connect(ctx, peer)
 	if err != nil {
