--- a/dfstandin/options.go
+++ b/dfstandin/options.go
@@ -10,15 +10,16 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
-	"dragonflygrade/dfposition"
+	"dragonflygrade/dfstandinwire"
 )
 
 // ControlUser is the user of control connections, which the connection limit
 // does not count.
-const ControlUser = "dragonflygrade_control"
+const ControlUser = dfstandinwire.ControlUser
 
-// FirstTerm is the term under which a new group starts.
-const FirstTerm dfposition.Term = 1
+// FaultApplication is the application name of control connections that work on
+// in a pause or partition, so that these can be ended.
+const FaultApplication = dfstandinwire.FaultApplication
 
 // Defaults and bounds.
 const (
@@ -31,10 +32,6 @@
 	linkBound = 500 * dfclock.Millisecond
 	// fetchLimit bounds the entries of one answer to a replica.
 	fetchLimit = 512
-	// receivedLimit bounds the entries that wait for the flush delay.
-	receivedLimit = 16384
-	// copyLimit bounds the data of one COPY in bytes.
-	copyLimit = 16 << 20
 )
 
 // Peer is another upstream of the same group.
@@ -61,11 +58,14 @@
 	ConnectionLimit int
 	// ConnectTime is spent in each startup of an ordinary connection.
 	ConnectTime dfclock.Millis
+	// StatementTime is spent in each statement of an ordinary connection, so
+	// that the connections bound the throughput.
+	StatementTime dfclock.Millis
 	// FlushDelay lies between receipt and flush of an entry on a replica.
 	FlushDelay dfclock.Millis
 	// ApplyDelay lies between flush and application of an entry on a replica.
 	ApplyDelay dfclock.Millis
-	// Passwords by user; an empty map trusts every user.
+	// Passwords by user, ControlUser among them; an empty map trusts every user.
 	Passwords map[string]string
 	// Dial opens connections to peers; nil dials directly.
 	Dial Dial
--- a/dfstandin/log.go
+++ b/dfstandingroup/log.go
@@ -1,4 +1,4 @@
-package dfstandin
+package dfstandingroup
 
 import (
 	"encoding/json"
@@ -8,14 +8,14 @@
 	"github.com/rotisserie/eris"
 
 	"dragonflygrade/dfposition"
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 // Entry is one committed transaction in the log.
 type Entry struct {
 	// Term is the term under which the primary committed; it never falls within a log.
 	Term   dfposition.Term
-	Commit dfstandinsql.Commit
+	Commit dfstandinstore.Commit
 	// flushed is when this upstream flushed the entry.
 	flushed time.Time
 }
@@ -26,7 +26,7 @@
 	// Offset is the log's end after the entry.
 	Offset dfposition.Offset
 	XID    uint64
-	Tags   []dfstandinsql.Tag
+	Tags   []dfstandinstore.Tag
 	// Cut is true if a later follow removed the entry from this upstream's log.
 	Cut bool
 }
@@ -36,18 +36,18 @@
 	Row    uint64
 	Delete bool
 	Values []*string
-	Schema []dfstandinsql.Column
+	Schema []dfstandinstore.Column
 }
 
 type wireEntry struct {
 	Term    uint64
 	XID     uint64
 	Changes []wireChange
-	Tags    []dfstandinsql.Tag
+	Tags    []dfstandinstore.Tag
 }
 
-// encodeEntry writes an entry as text; the first letter of a value is its type.
-func encodeEntry(entry Entry) (string, error) {
+// EncodeEntry writes an entry as text; the first letter of a value is its type.
+func EncodeEntry(entry Entry) (string, error) {
 	wire := wireEntry{Term: uint64(entry.Term), XID: entry.Commit.XID, Tags: entry.Commit.Tags}
 	for _, change := range entry.Commit.Changes {
 		out := wireChange{Table: change.Table, Row: uint64(change.Row), Schema: change.Schema,
@@ -61,16 +61,17 @@
 	return string(text), eris.Wrap(err, "log entry")
 }
 
-func decodeEntry(text string) (Entry, error) {
+// DecodeEntry reads what EncodeEntry wrote.
+func DecodeEntry(text string) (Entry, error) {
 	var wire wireEntry
 	if err := json.Unmarshal([]byte(text), &wire); err != nil {
 		return Entry{}, eris.Wrap(err, "log entry")
 	}
-	entry := Entry{Term: dfposition.Term(wire.Term), Commit: dfstandinsql.Commit{XID: wire.XID, Tags: wire.Tags}}
+	entry := Entry{Term: dfposition.Term(wire.Term), Commit: dfstandinstore.Commit{XID: wire.XID, Tags: wire.Tags}}
 	for _, in := range wire.Changes {
-		change := dfstandinsql.Change{Table: in.Table, Row: dfstandinsql.RowID(in.Row), Schema: in.Schema}
+		change := dfstandinstore.Change{Table: in.Table, Row: dfstandinstore.RowID(in.Row), Schema: in.Schema}
 		if !in.Delete {
-			change.Values = make([]dfstandinsql.Value, len(in.Values))
+			change.Values = make([]dfstandinstore.Value, len(in.Values))
 		}
 		for i, value := range in.Values {
 			decoded, err := decodeValue(value)
@@ -84,8 +85,8 @@
 	return entry, nil
 }
 
-func encodeValue(value dfstandinsql.Value) *string {
-	text := dfstandinsql.FormatText(value)
+func encodeValue(value dfstandinstore.Value) *string {
+	text := dfstandinstore.FormatText(value)
 	switch value.(type) {
 	case nil:
 		return nil
@@ -101,7 +102,7 @@
 	return &text
 }
 
-func decodeValue(text *string) (dfstandinsql.Value, error) {
+func decodeValue(text *string) (dfstandinstore.Value, error) {
 	if text == nil {
 		return nil, nil
 	}
--- a/dfstandinsql/parse.go
+++ b/dfstandinsql/parse.go
@@ -1,3 +1,6 @@
+// Package dfstandinsql is a small SQL engine over dfstandinstore for the
+// upstream stand-in. It covers the statements of the tests, the demo and the
+// load tool. Statements are parsed by PostgreSQL's parser.
 package dfstandinsql
 
 import (
@@ -5,6 +8,8 @@
 	"sync"
 
 	pg "github.com/pganalyze/pg_query_go/v6"
+
+	"dragonflygrade/dfstandinstore"
 )
 
 // cachedTexts bounds the statement cache; parsing takes tens of microseconds.
@@ -31,7 +36,7 @@
 	}
 	tree, err := pg.Parse(text)
 	if err != nil {
-		return nil, Errorf(CodeSyntax, "%s", err.Error())
+		return nil, dfstandinstore.Errorf(dfstandinstore.CodeSyntax, "%s", err.Error())
 	}
 	for _, raw := range tree.Stmts {
 		sql := text[raw.StmtLocation:]
@@ -69,6 +74,25 @@
 	return false
 }
 
+// unsupported reports clauses that the engine would otherwise ignore.
+func (s *Statement) unsupported() bool {
+	switch n := s.node.Node.(type) {
+	case *pg.Node_SelectStmt:
+		q := n.SelectStmt
+		return len(q.GroupClause) > 0 || q.HavingClause != nil || len(q.DistinctClause) > 0 || q.WithClause != nil ||
+			q.LimitOffset != nil || q.Op != pg.SetOperation_SETOP_NONE || len(q.FromClause) > 1 || q.IntoClause != nil
+	case *pg.Node_InsertStmt:
+		return n.InsertStmt.WithClause != nil || len(n.InsertStmt.SelectStmt.GetSelectStmt().GetValuesLists()) == 0
+	case *pg.Node_UpdateStmt:
+		return n.UpdateStmt.WithClause != nil || len(n.UpdateStmt.FromClause) > 0
+	case *pg.Node_DeleteStmt:
+		return n.DeleteStmt.WithClause != nil || len(n.DeleteStmt.UsingClause) > 0
+	case *pg.Node_CopyStmt:
+		return n.CopyStmt.Relation == nil || len(n.CopyStmt.Options) > 0 || n.CopyStmt.WhereClause != nil
+	}
+	return false
+}
+
 // tableName returns the name of the only table that the statement names.
 func (s *Statement) tableName() string {
 	switch {
--- a/dfstandin/extended.go
+++ b/dfstandinwire/extended.go
@@ -1,4 +1,4 @@
-package dfstandin
+package dfstandinwire
 
 import (
 	"slices"
@@ -6,6 +6,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 type prepared struct {
@@ -16,14 +17,14 @@
 
 type portal struct {
 	prepared   *prepared
-	parameters []dfstandinsql.Value
+	parameters []dfstandinstore.Value
 	formats    []int16
 	started    bool
 	result     dfstandinsql.Result
 	sent       int
 }
 
-func (c *connection) extended(message pgproto3.FrontendMessage) error {
+func (c *Conn) extended(message pgproto3.FrontendMessage) error {
 	switch m := message.(type) {
 	case *pgproto3.Parse:
 		return c.parse(m)
@@ -42,19 +43,22 @@
 		c.backend.Send(&pgproto3.CloseComplete{})
 		return nil
 	}
-	return dfstandinsql.Errorf(codeProtocol, "message %T is not supported", message)
+	return dfstandinstore.Errorf(codeProtocol, "message %T is not supported", message)
 }
 
-func (c *connection) parse(m *pgproto3.Parse) error {
+func (c *Conn) parse(m *pgproto3.Parse) error {
 	statements, err := dfstandinsql.Parse(m.Query)
 	if err != nil {
 		return err
 	}
 	if len(statements) > 1 {
-		return dfstandinsql.Errorf(dfstandinsql.CodeSyntax, "cannot insert multiple commands into a prepared statement")
+		return dfstandinstore.Errorf(dfstandinstore.CodeSyntax, "cannot insert multiple commands into a prepared statement")
+	}
+	if c.session.Status() == 'E' && len(statements) == 1 && !statements[0].EndsTransaction() {
+		return dfstandinstore.Errorf(dfstandinstore.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
 	}
 	if _, known := c.statements[m.Name]; known && m.Name != "" {
-		return dfstandinsql.Errorf("42P05", "prepared statement %q already exists", m.Name)
+		return dfstandinstore.Errorf("42P05", "prepared statement %q already exists", m.Name)
 	}
 	entry := &prepared{}
 	if len(statements) == 1 {
@@ -68,18 +72,18 @@
 	return nil
 }
 
-func (c *connection) bind(m *pgproto3.Bind) error {
+func (c *Conn) bind(m *pgproto3.Bind) error {
 	entry := c.statements[m.PreparedStatement]
 	if entry == nil {
-		return dfstandinsql.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
+		return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
 	}
 	oids := entry.description.Parameters
 	if len(m.Parameters) != len(oids) {
-		return dfstandinsql.Errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d", len(m.Parameters), len(oids))
+		return dfstandinstore.Errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d", len(m.Parameters), len(oids))
 	}
 	bound := &portal{prepared: entry, formats: slices.Clone(m.ResultFormatCodes)}
 	for i, data := range m.Parameters {
-		value, err := dfstandinsql.Decode(data, oids[i], formatOf(m.ParameterFormatCodes, i))
+		value, err := dfstandinstore.Decode(data, oids[i], formatOf(m.ParameterFormatCodes, i))
 		if err != nil {
 			return err
 		}
@@ -90,11 +94,11 @@
 	return nil
 }
 
-func (c *connection) describe(m *pgproto3.Describe) error {
+func (c *Conn) describe(m *pgproto3.Describe) error {
 	if m.ObjectType == 'S' {
 		entry := c.statements[m.Name]
 		if entry == nil {
-			return dfstandinsql.Errorf(codeStatementName, "prepared statement %q does not exist", m.Name)
+			return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.Name)
 		}
 		c.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: entry.description.Parameters})
 		c.sendDescription(entry.description.Columns, nil)
@@ -102,13 +106,13 @@
 	}
 	bound := c.portals[m.Name]
 	if bound == nil {
-		return dfstandinsql.Errorf(codePortalName, "portal %q does not exist", m.Name)
+		return dfstandinstore.Errorf(codePortalName, "portal %q does not exist", m.Name)
 	}
 	c.sendDescription(bound.prepared.description.Columns, bound.formats)
 	return nil
 }
 
-func (c *connection) sendDescription(columns []dfstandinsql.Column, formats []int16) {
+func (c *Conn) sendDescription(columns []dfstandinstore.Column, formats []int16) {
 	if columns == nil {
 		c.backend.Send(&pgproto3.NoData{})
 		return
@@ -116,10 +120,10 @@
 	c.backend.Send(rowDescription(columns, formats))
 }
 
-func (c *connection) executePortal(m *pgproto3.Execute) error {
+func (c *Conn) executePortal(m *pgproto3.Execute) error {
 	bound := c.portals[m.Portal]
 	if bound == nil {
-		return dfstandinsql.Errorf(codePortalName, "portal %q does not exist", m.Portal)
+		return dfstandinstore.Errorf(codePortalName, "portal %q does not exist", m.Portal)
 	}
 	if bound.prepared.statement == nil {
 		c.backend.Send(&pgproto3.EmptyQueryResponse{})
--- a/dfstandin/password.go
+++ b/dfstandinwire/password.go
@@ -1,11 +1,11 @@
-package dfstandin
+package dfstandinwire
 
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 	"github.com/xdg-go/scram"
 
-	"dragonflygrade/dfstandinsql"
+	"dragonflygrade/dfstandinstore"
 )
 
 const (
@@ -15,8 +15,8 @@
 )
 
 // authenticate runs SCRAM-SHA-256, or trusts everyone without passwords.
-func (c *connection) authenticate() error {
-	if len(c.upstream.options.Passwords) == 0 {
+func (c *Conn) authenticate() error {
+	if len(c.server.Passwords) == 0 {
 		c.backend.Send(&pgproto3.AuthenticationOk{})
 		return nil
 	}
@@ -37,12 +37,12 @@
 	}
 	first, ok := message.(*pgproto3.SASLInitialResponse)
 	if !ok || first.AuthMechanism != mechanism {
-		return dfstandinsql.Errorf(codeProtocol, "expected SASL authentication by %s", mechanism)
+		return dfstandinstore.Errorf(codeProtocol, "expected SASL authentication by %s", mechanism)
 	}
 	return c.converse(server.NewConversation(), string(first.Data))
 }
 
-func (c *connection) converse(conversation *scram.ServerConversation, challenge string) error {
+func (c *Conn) converse(conversation *scram.ServerConversation, challenge string) error {
 	answer, err := conversation.Step(challenge)
 	if err != nil {
 		return c.refused()
@@ -60,7 +60,7 @@
 	}
 	second, ok := message.(*pgproto3.SASLResponse)
 	if !ok {
-		return dfstandinsql.Errorf(codeProtocol, "expected a SASL response")
+		return dfstandinstore.Errorf(codeProtocol, "expected a SASL response")
 	}
 	answer, err = conversation.Step(string(second.Data))
 	if err != nil || !conversation.Valid() {
@@ -71,20 +71,27 @@
 	return nil
 }
 
-func (c *connection) refused() error {
-	return dfstandinsql.Errorf(codePassword, "password authentication failed for user %q", c.user)
+func (c *Conn) refused() error {
+	return dfstandinstore.Errorf(codePassword, "password authentication failed for user %q", c.user)
 }
 
 // credentials ignores the name in the exchange, as PostgreSQL does, and takes
 // the user of the startup message.
-func (c *connection) credentials(string) (scram.StoredCredentials, error) {
-	password, known := c.upstream.options.Passwords[c.user]
+func (c *Conn) credentials(string) (scram.StoredCredentials, error) {
+	password, known := c.server.Passwords[c.user]
 	if !known {
 		return scram.StoredCredentials{}, eris.New("standin: unknown user")
 	}
+	if stored, cached := c.server.credentials.Load(c.user); cached {
+		return stored.(scram.StoredCredentials), nil
+	}
 	client, err := scram.SHA256.NewClient(c.user, password, "")
 	if err != nil {
 		return scram.StoredCredentials{}, eris.Wrap(err, "standin: scram")
 	}
-	return client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "dragonflygrade00", Iters: iterations})
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "dragonflygrade00", Iters: iterations})
+	if err == nil {
+		c.server.credentials.Store(c.user, stored)
+	}
+	return stored, err
 }
