End what still runs at a replaced primary

Cause: writes in flight at a paused primary held their callers until their deadlines, so writes stood still for the whole pause although another primary was in force; a transaction at a replaced primary ended with SQLSTATE 25006, which drivers do not repeat. Change: the slot holder closes the connections of units of lower terms when a new primary is in force; refusals for the role inside a transaction become DF1103 (40001); the stand-in names the end of its log by the last entry's term, and group_status without arguments has a test.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -40,6 +40,10 @@
 	// working counts the admitted requests.
 	working atomic.Int64
 
+	unitsMu sync.Mutex
+	// units has the open units at a primary.
+	units map[*unit]struct{}
+
 	marksMu sync.Mutex
 	// marks has the leaving marks that this holder passed on.
 	marks map[dfgroup.UpstreamID]bool
@@ -69,6 +73,7 @@
 		log:       logger,
 		control:   control,
 		pools:     make(map[dfgroup.UpstreamID]*dfupstream.Pool, len(upstreams)),
+		units:     make(map[*unit]struct{}),
 		marks:     make(map[dfgroup.UpstreamID]bool),
 		knowledge: newKnowledge(dfsession.New(options.ClaimedAt, options.FromVacant, 0, 0), options.Now),
 	}
@@ -107,6 +112,7 @@
 	options.Now = h.options.Now
 	options.InFlight = func() int { return int(h.writing.Load()) }
 	options.OnAudit = h.options.OnAudit
+	options.OnView = h.viewChanged
 	return options
 }
 
@@ -203,7 +209,7 @@
 		}
 		return nil, err
 	}
-	return &unit{
+	opened := &unit{
 		holder:   h,
 		request:  request,
 		upstream: chosen.upstream,
@@ -218,7 +224,39 @@
 			}
 			h.working.Add(-1)
 		},
-	}, nil
+	}
+	if write {
+		h.remember(opened)
+	}
+	return opened, nil
+}
+
+func (h *Holder) remember(u *unit) {
+	h.unitsMu.Lock()
+	defer h.unitsMu.Unlock()
+	h.units[u] = struct{}{}
+}
+
+func (h *Holder) forget(u *unit) {
+	h.unitsMu.Lock()
+	defer h.unitsMu.Unlock()
+	delete(h.units, u)
+}
+
+// viewChanged ends what still runs at a replaced primary. It can't be
+// acknowledged any more, and a paused primary would hold its callers until
+// their deadlines.
+func (h *Holder) viewChanged(view dfgroup.View) {
+	if view.Primary == "" {
+		return
+	}
+	h.unitsMu.Lock()
+	defer h.unitsMu.Unlock()
+	for u := range h.units {
+		if u.term < view.Term {
+			go u.conn.Close()
+		}
+	}
 }
 
 // confirmLeadership starts a barrier and returns the channel of its outcome.
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -37,6 +37,8 @@
 	failed  bool
 	// gone is true once the pool has taken the connection back as silent.
 	gone bool
+	// aborted is true after an error that the caller has seen.
+	aborted bool
 	// term is the term of the primary to which a write was routed.
 	term dfposition.Term
 	// release gives the admission back; it is called once.
@@ -55,7 +57,7 @@
 	if write {
 		options.Gate = u.gate
 	}
-	inspected := &refusalSink{sink: sink, enabled: u.batches == 1}
+	inspected := &refusalSink{sink: sink, enabled: u.batches == 1 || write, later: u.batches > 1, aborted: u.aborted}
 	started := u.holder.now()
 	result, err := u.conn.Exchange(ctx, batch, inspected, options)
 	u.slowest = max(u.slowest, u.holder.now().Since(started))
@@ -66,8 +68,10 @@
 	}
 	u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Answered{Upstream: u.upstream.ID, Span: u.holder.now().Since(started)})
 	if inspected.refusal != nil {
+		u.conn.Close()
 		return dfunit.Result{}, inspected.refusal
 	}
+	u.aborted = result.Status == 'E'
 	if err := inspected.flush(); err != nil {
 		return dfunit.Result{}, err
 	}
@@ -168,6 +172,7 @@
 		return
 	}
 	u.closed = true
+	u.holder.forget(u)
 	if !u.gone {
 		u.pool.Put(u.conn)
 	}
@@ -178,6 +183,7 @@
 // SQLSTATEs by which an upstream refuses work because of its role.
 const (
 	stateReadOnly  = "25006"
+	stateAborted   = "25P02"
 	stateNotInRole = "57P03"
 	fieldSQLState  = 'C'
 	errorResponse  = 'E'
@@ -187,8 +193,12 @@
 // role for which it was chosen, so that the request can go elsewhere.
 type refusalSink struct {
 	sink dfunit.Sink
-	// enabled is false once the caller has received something.
+	// enabled is false once the caller has received something of the batch.
 	enabled bool
+	// later is true if earlier batches of the transaction ran.
+	later bool
+	// aborted is true if the caller knows that its transaction has failed.
+	aborted bool
 	refusal *dfresult.Error
 	// held has the messages that come before the first row or error, each with
 	// type and length.
@@ -210,7 +220,7 @@
 		return nil
 	}
 	if messageType == errorResponse {
-		r.refusal = refusalOf(body)
+		r.refusal = r.refusalOf(body)
 		if r.refusal != nil {
 			return nil
 		}
@@ -244,11 +254,19 @@
 	return false
 }
 
-func refusalOf(body []byte) *dfresult.Error {
-	switch sqlState(body) {
-	case stateReadOnly:
+// refusalOf tells whether an error means that the upstream lost its role. Inside
+// a transaction the upstream has rolled back, which the caller learns as such
+// and not as a fault of its own statement.
+func (r *refusalSink) refusalOf(body []byte) *dfresult.Error {
+	state := sqlState(body)
+	switch {
+	case r.aborted:
+		return nil
+	case r.later && (state == stateReadOnly || state == stateNotInRole || state == stateAborted):
+		return dfresult.NewError(dfresult.TransactionLost, "the primary was replaced")
+	case state == stateReadOnly:
 		return dfresult.NewError(dfresult.NeedsPrimary, "refused by a replica")
-	case stateNotInRole:
+	case state == stateNotInRole:
 		return dfresult.NewError(dfresult.TermSuperseded, "the upstream is not in its role any more")
 	}
 	return nil
--- a/dfstandin/environment.go
+++ b/dfstandin/environment.go
@@ -154,16 +154,15 @@
 }
 
 func (u *Upstream) control(ctx context.Context, c call) error {
-	term := dfposition.Term(c.number(0))
 	switch c.name {
 	case "group_fence":
-		return u.group.Fence(term, c.text(1))
+		return u.group.Fence(c.term(), c.text(1))
 	case "group_promote":
-		return u.group.Promote(term, c.text(1))
+		return u.group.Promote(c.term(), c.text(1))
 	case "group_follow":
-		return u.group.Follow(term, c.text(1), dfgroup.UpstreamID(c.text(2)))
+		return u.group.Follow(c.term(), c.text(1), dfgroup.UpstreamID(c.text(2)))
 	case "group_wait":
-		want := dfposition.Position{Term: term, Offset: dfposition.Offset(c.number(1))}
+		want := dfposition.Position{Term: c.term(), Offset: dfposition.Offset(c.number(1))}
 		u.group.Wait(ctx, want, dfclock.Millis(c.number(2)))
 		return context.Cause(ctx)
 	case "group_leaving":
@@ -213,6 +212,10 @@
 	return c.arguments[i].(int64)
 }
 
+func (c call) term() dfposition.Term {
+	return dfposition.Term(c.number(0))
+}
+
 func (c call) text(i int) string {
 	return c.arguments[i].(string)
 }
--- a/dfstandin/upstream_test.go
+++ b/dfstandin/upstream_test.go
@@ -216,3 +216,17 @@
 	require.Equal(t, []int64{2, 3, 1}, []int64{counters.MaxConnections, counters.Connects, counters.ControlConnects})
 	require.Equal(t, dfgroup.RolePrimary, u.Status().Role)
 }
+
+// Guards against control statements without arguments that read one.
+func TestStatusIsAskedOverAConnection(t *testing.T) {
+	u, ctx := start(t, Options{ID: "one", DataCentre: "north"}), background(t)
+	conn := connect(t, u, ControlUser, "")
+	rows, err := conn.Query(ctx, "SELECT * FROM group_status()")
+	require.NoError(t, err)
+	defer rows.Close()
+	require.True(t, rows.Next())
+	values, err := rows.Values()
+	require.NoError(t, err)
+	require.Equal(t, "one", values[0])
+	require.Equal(t, "primary", values[2])
+}
--- a/dfstandingroup/group.go
+++ b/dfstandingroup/group.go
@@ -222,7 +222,13 @@
 func (g *Group) Position() dfposition.Position {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return dfposition.Position{Term: g.history.Last(), Offset: dfposition.Offset(len(g.log))}
+	position := dfposition.Position{Term: g.history.Last(), Offset: dfposition.Offset(len(g.log))}
+	if len(g.log) > 0 {
+		// A term without entries names no position: another primary may be
+		// chosen whose log never had the start of that term.
+		position.Term = g.log[len(g.log)-1].Term
+	}
+	return position
 }
 
 // Status returns what group_status answers.
