Ask a barrier when a position that may be unacknowledged was discarded

Cause: a slot holder records a write's position before the acknowledgement; a write cut by a promotion left a position that no log can reach, and each later read of that caller was refused with DF2005. The session kept a second record of failed transactions beside the caller side, and the two disagreed after ROLLBACK. Change: only a discarded position from a token is reported; one from a slot holder's knowledge sends the read to the barrier. The caller side alone keeps failed transactions. Connections of replaced primaries are closed before their units give them back.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -254,7 +254,7 @@
 	defer h.unitsMu.Unlock()
 	for u := range h.units {
 		if u.term < view.Term {
-			go u.conn.Close()
+			u.conn.Close()
 		}
 	}
 }
--- a/dfhost/session.go
+++ b/dfhost/session.go
@@ -47,8 +47,6 @@
 	canceller unitPointer
 	// inside is true while the caller is in a transaction.
 	inside bool
-	// failed is true from the loss of a transaction until the caller ends it.
-	failed bool
 }
 
 // Run executes one batch and returns the transaction status.
@@ -61,9 +59,6 @@
 	if p.isLocal {
 		return s.answerSetting(p.local, batch, sink)
 	}
-	if s.failed {
-		return s.endFailed(p, sink)
-	}
 	limit := service.Deadlines.Write
 	if s.unit == nil && p.class == dfunit.ClassRead {
 		limit = service.Deadlines.Read
@@ -126,8 +121,9 @@
 	if err != nil {
 		wasInside := s.inside
 		s.closeUnit()
-		s.failed = wasInside && !isCommitDoubt(err)
-		if s.failed {
+		if wasInside && !isCommitDoubt(err) {
+			// The caller's side answers everything but the end of the
+			// transaction from here on.
 			return statusFailed, err
 		}
 		return statusIdle, err
@@ -180,18 +176,6 @@
 	s.report(parameterToken, text)
 }
 
-// endFailed answers a caller whose transaction was lost until it ends it.
-func (s *session) endFailed(p plan, sink dfunit.Sink) (byte, error) {
-	if p.control != dfclassify.ControlRollback && p.control != dfclassify.ControlCommit {
-		return statusFailed, dfresult.NewError(dfresult.TransactionLost, "end the transaction with ROLLBACK first")
-	}
-	s.failed = false
-	if err := sink.Send('C', commandComplete("ROLLBACK")); err != nil {
-		return statusIdle, err
-	}
-	return statusIdle, sink.Send('Z', []byte{statusIdle})
-}
-
 // Cancel cancels the statement that runs now.
 func (s *session) Cancel() {
 	if unit := s.canceller.get(); unit != nil {
--- a/dfroute/router.go
+++ b/dfroute/router.go
@@ -207,7 +207,7 @@
 		return r.use(ladder, at)
 	}
 	if r.lost(&ladder.need) {
-		return ladder, discarded(ladder.need)
+		return r.afterLoss(now, ladder)
 	}
 	if !ladder.waited {
 		if at, until := r.worthWaiting(now, &ladder); at >= 0 {
@@ -229,6 +229,19 @@
 	return r.confirm(now, ladder)
 }
 
+// afterLoss handles a position that is gone for good. The position in a token
+// was acknowledged, so its loss is reported. What a slot holder knows may belong
+// to a write that was never acknowledged; a barrier then tells what the read
+// must see.
+func (r *Router) afterLoss(now dfclock.Millis, ladder Ladder) (Ladder, Action) {
+	token := need{maxAge: ladder.need.maxAge}
+	token.positions[0] = ladder.need.positions[0]
+	if ladder.rung == RungBarrier || r.lost(&token) {
+		return ladder, discarded(ladder.need)
+	}
+	return r.barrier(now, ladder)
+}
+
 // use checks a choice against the view before it takes effect.
 func (r *Router) use(ladder Ladder, at int) (Ladder, Action) {
 	upstream := &r.view.Upstreams[at]
