--- a/dfroute/route_test.go
+++ b/dfroute/route_test.go
@@ -16,6 +16,7 @@
 
 func init() {
 	OnViolation = func(invariant string) { panic(invariant) }
+	dfsession.OnViolation = OnViolation
 }
 
 func at(term dfposition.Term, offset dfposition.Offset) dfposition.Position {
--- a/dfroute/router.go
+++ b/dfroute/router.go
@@ -115,7 +115,7 @@
 		}
 		return r.place(now, ladder)
 	case stepConfirm:
-		return r.afterConfirm(now, ladder, event)
+		return r.afterConfirm(ladder, event)
 	}
 	return ladder, refuse(dfresult.NoFreshUpstream, "the read has already been routed")
 }
@@ -167,7 +167,7 @@
 		return ladder, Refuse{Error: noPrimary(r.view)}
 	}
 	if ladder.need.covered && ladder.barrier.Upstream == r.candidates[at].id {
-		return r.afterConfirm(now, ladder, PrimaryConfirmed(ladder.barrier))
+		return r.afterConfirm(ladder, PrimaryConfirmed(ladder.barrier))
 	}
 	ladder.step = stepConfirm
 	return ladder, ConfirmPrimary{
@@ -177,7 +177,7 @@
 	}
 }
 
-func (r *Router) afterConfirm(now dfclock.Millis, ladder Ladder, event Event) (Ladder, Action) {
+func (r *Router) afterConfirm(ladder Ladder, event Event) (Ladder, Action) {
 	confirmed, ok := event.(PrimaryConfirmed)
 	at := r.primary()
 	if !ok || at < 0 || r.candidates[at].id != confirmed.Upstream || confirmed.Position.Term != r.view.Term {
--- a/dfsession/session.go
+++ b/dfsession/session.go
@@ -65,7 +65,8 @@
 	leaseSince dfclock.Millis
 	// grantUntil ends the lease granted to the peer, with the margin.
 	grantUntil dfclock.Millis
-	// introduced is true once the peer is known to count this holder as one.
+	// introduced is true once the peer granted a lease: it does so only to
+	// holders in its own roster. A request from the peer would not prove that.
 	introduced bool
 }
 
@@ -184,7 +185,6 @@
 		return false
 	}
 	state.grantUntil = k.now.Add(LeaseSpan + ClockMargin)
-	state.introduced = true
 	return true
 }
 
--- a/dfsession/write.go
+++ b/dfsession/write.go
@@ -1,6 +1,8 @@
 package dfsession
 
 import (
+	"slices"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfposition"
 )
@@ -56,13 +58,8 @@
 	if at < 0 {
 		return
 	}
-	waiting := k.writes.pending[at].waiting
-	for i := range waiting {
-		if waiting[i] == peer {
-			k.writes.pending[at].waiting = append(waiting[:i], waiting[i+1:]...)
-			return
-		}
-	}
+	pending := &k.writes.pending[at]
+	pending.waiting = slices.DeleteFunc(pending.waiting, func(other Peer) bool { return other == peer })
 }
 
 // MayAcknowledge reports whether the peers' knowledge permits the
