--- a/dfroute/host_test.go
+++ b/dfroute/host_test.go
@@ -23,7 +23,6 @@
 	heldUntil   dfclock.Millis
 	pausedUntil dfclock.Millis
 	dead        bool
-	barriers    []func(BarrierReached)
 	// waits are reads that wait for a newer view.
 	waits []func()
 }
