Keep the floor while it covers every lease

Each barrier that a read took raised the floor for all callers, and a higher floor asks more of replicas. Policies now get the same requests.

--- a/dfmeasure/host.go
+++ b/dfmeasure/host.go
@@ -186,7 +186,7 @@
 	}
 	switch action := action.(type) {
 	case dfroute.Refuse:
-		h.m.counts.refuse(h.m, result)
+		h.m.counts.refuse(result)
 	case dfroute.UseUpstream:
 		h.execute(result, action)
 	case dfroute.AskPeers:
--- a/dfmeasure/model.go
+++ b/dfmeasure/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfposition"
@@ -94,7 +95,7 @@
 	c.DelayMax = max(c.DelayMax, delay)
 }
 
-func (c *Counts) refuse(m *model, result *result) {
+func (c *Counts) refuse(result *result) {
 	if result.arrivedAt >= warmUp {
 		c.Refused++
 	}
@@ -111,6 +112,8 @@
 	tokens     []dfposition.Position
 	wroteAt    []dfclock.Millis
 	counts     *Counts
+	// arrivals draws requests, so that every policy gets the same ones.
+	arrivals *rand.Rand
 }
 
 // Run measures one cell of the table: a deployment under a policy at a lag, for
@@ -118,8 +121,9 @@
 func Run(deployment Deployment, policy Policy, lag, span dfclock.Millis, seed uint64) (Counts, error) {
 	m := &model{
 		seed: seed, deployment: deployment, policy: policy, time: newTimeline(seed), counts: &Counts{},
-		tokens:  make([]dfposition.Position, deployment.Callers),
-		wroteAt: make([]dfclock.Millis, deployment.Callers),
+		arrivals: rand.New(rand.NewPCG(seed, 1000)),
+		tokens:   make([]dfposition.Position, deployment.Callers),
+		wroteAt:  make([]dfclock.Millis, deployment.Callers),
 	}
 	group, err := newGroup(m.time, lag)
 	if err != nil {
@@ -154,9 +158,9 @@
 // to the slot holder next to it.
 func (m *model) arrive() {
 	mean := float64(dfclock.Second) / float64(m.deployment.Rate)
-	m.time.after(dfclock.Millis(m.time.source.ExpFloat64()*mean), m.arrive)
-	caller, class := m.time.source.IntN(m.deployment.Callers), m.draw()
-	host := m.time.source.IntN(m.deployment.Hosts)
+	m.time.after(dfclock.Millis(m.arrivals.ExpFloat64()*mean), m.arrive)
+	caller, class := m.arrivals.IntN(m.deployment.Callers), m.draw()
+	host := m.arrivals.IntN(m.deployment.Hosts)
 	if host < len(m.holders) {
 		m.request(m.holders[host], caller, class)
 		return
@@ -166,7 +170,7 @@
 }
 
 func (m *model) draw() Class {
-	rest := m.time.source.Float64()
+	rest := m.arrivals.Float64()
 	for _, class := range m.deployment.Mix {
 		if rest -= class.Share; rest < 0 {
 			return class
@@ -224,7 +228,7 @@
 		case seen >= own:
 			m.counts.read(m, result, seen)
 		case m.time.now >= result.arrivedAt+requestSpan:
-			m.counts.refuse(m, result)
+			m.counts.refuse(result)
 		default:
 			m.time.after(1, attempt)
 		}
--- a/dfsession/session.go
+++ b/dfsession/session.go
@@ -194,9 +194,12 @@
 	k.memory.raise(caller, position)
 }
 
-// SetFloor takes a barrier position. Later barriers replace earlier ones.
+// SetFloor takes a barrier position. It is ignored while the present floor
+// covers every lease, because a higher floor would ask more of replicas.
 func (k *Knowledge) SetFloor(now dfclock.Millis, floor Floor) {
-	k.observe(now)
+	if !k.NeedsFloor(now) {
+		return
+	}
 	// Equal instants are refused here and in covered, because events within
 	// one millisecond have no order.
 	if floor.StartedAt <= k.claimedAt || floor.StartedAt > k.now {
