Take a new floor when a peer leaves whose writes may be unknown

A removed peer that was not covered now leaves a gap until a later floor, and a host that gives up its slot records no more writes.

--- a/dfroute/host_test.go
+++ b/dfroute/host_test.go
@@ -174,6 +174,7 @@
 	if h.slot < 0 || h.s.now < h.pausedUntil || h.dead {
 		return
 	}
+	h.know.Release(h.s.now)
 	row := &h.s.slots[h.slot]
 	if row.host == h && row.peer == h.peer {
 		row.host = nil
--- a/dfroute/route_test.go
+++ b/dfroute/route_test.go
@@ -98,6 +98,13 @@
 	_, fresh := Ages{}.With(v).FreshAt(history(t, "1:0"), 1000)
 	require.False(t, fresh)
 	require.IsType(t, Refuse{}, router(v).Write())
+	// The host has not heard of a higher term, and only the primary reports.
+	alone := dfgroup.NewView("g", []dfgroup.Upstream{{ID: "p"}, {ID: "r"}, {ID: "s"}}).WithStatus(primary, 300, 305)
+	_, fresh = Ages{}.With(alone).FreshAt(history(t, "1:0"), 1000)
+	require.False(t, fresh, "one report is no majority")
+	early := alone.WithStatus(replica(t, "r", 1000), 200, 205)
+	since, _ := Ages{}.With(early).FreshAt(history(t, "1:0"), 1000)
+	require.Equal(t, dfclock.Millis(200), since, "the majority's reports must be as recent")
 }
 
 // TestAgesStayBounded guards against a history that grows, or that loses the
--- a/dfroute/sim_test.go
+++ b/dfroute/sim_test.go
@@ -84,6 +84,16 @@
 	require.Greater(t, len(total.acked), 10*seeds(t), "most writes must be acknowledged")
 }
 
+// TestSoakFindings repeats the seeds by which a soak run found a holder that
+// forgot the writes of a peer which had left before it granted a lease.
+func TestSoakFindings(t *testing.T) {
+	for _, seed := range []uint64{2714, 5301} {
+		s := newSim(seed, faultNone)
+		s.run()
+		require.Empty(t, s.faults, "seed %d", seed)
+	}
+}
+
 // TestSimulationNoticesFaults puts faults into the protocol on purpose, so that
 // a simulation that checks nothing is noticed.
 func TestSimulationNoticesFaults(t *testing.T) {
--- a/dfsession/session.go
+++ b/dfsession/session.go
@@ -82,7 +82,14 @@
 	memory     memory
 	floor      Floor
 	hasFloor   bool
-	writes     writes
+	// gapAt is when a peer was removed whose writes may be unknown here; only a
+	// later floor covers them.
+	gapAt dfclock.Millis
+	// released is true once the slot is being given up.
+	released bool
+	// muted is true if that happened before peers counted this host as holder.
+	muted  bool
+	writes writes
 	// now is the latest instant seen; it never falls.
 	now dfclock.Millis
 }
@@ -123,6 +130,15 @@
 	return next
 }
 
+// Release begins to give the slot up; the slot row is changed only afterwards.
+// From then on no lease is granted and no write recorded, because peers that no
+// longer count this host as a holder would not miss the notification.
+func (k *Knowledge) Release(now dfclock.Millis) {
+	k.observe(now)
+	k.released = true
+	k.muted = k.muted || k.now < k.introductionDue()
+}
+
 // SetRoster takes newer slot rows. Leases granted to a former holder stay in
 // force until they end, because it may still serve reads under them.
 func (k *Knowledge) SetRoster(now dfclock.Millis, roster Roster) {
@@ -141,7 +157,13 @@
 		next = append(next, state)
 	}
 	for _, state := range k.peers {
-		if !contains(roster.Peers, state.peer) && k.now < state.grantUntil {
+		if contains(roster.Peers, state.peer) {
+			continue
+		}
+		if state.current && !k.covered(&state) {
+			k.gapAt = k.now
+		}
+		if k.now < state.grantUntil {
 			state.current = false
 			next = append(next, state)
 		}
@@ -178,7 +200,7 @@
 func (k *Knowledge) Grant(now dfclock.Millis, peer Peer) bool {
 	k.observe(now)
 	state := k.find(peer)
-	if state == nil || !state.current {
+	if k.released || state == nil || !state.current {
 		return false
 	}
 	if k.writes.overdue(k.now, peer) {
@@ -217,7 +239,7 @@
 // complete.
 func (k *Knowledge) NeedsFloor(now dfclock.Millis) bool {
 	k.observe(now)
-	if !k.hasFloor {
+	if !k.floorHolds() {
 		return true
 	}
 	for i := range k.peers {
@@ -232,7 +254,7 @@
 // Complete reports whether every acknowledged write of other holders is known.
 func (k *Knowledge) Complete(now dfclock.Millis) bool {
 	k.observe(now)
-	if !k.hasFloor || !k.rosterHolds() {
+	if !k.floorHolds() || !k.rosterHolds() {
 		return false
 	}
 	for i := range k.peers {
@@ -252,7 +274,7 @@
 		holds(k.allLeased(), "complete knowledge needs a lease from every peer")
 		return answer
 	}
-	answer.Askable = k.hasFloor && k.rosterHolds()
+	answer.Askable = k.floorHolds() && k.rosterHolds()
 	for i := range k.peers {
 		if k.peers[i].current && !k.covered(&k.peers[i]) {
 			answer.Missing = append(answer.Missing, k.peers[i].peer)
@@ -280,6 +302,11 @@
 	}
 }
 
+// floorHolds reports whether the floor covers the writes of all former holders.
+func (k *Knowledge) floorHolds() bool {
+	return k.hasFloor && k.floor.StartedAt > k.gapAt
+}
+
 // rosterHolds reports whether no unknown host can have acknowledged a write.
 func (k *Knowledge) rosterHolds() bool {
 	return k.roster.ReadAt > 0 && (k.roster.Vacant == 0 || k.now < k.roster.ReadAt.Add(RosterSpan))
--- a/dfsession/session_test.go
+++ b/dfsession/session_test.go
@@ -113,6 +113,41 @@
 	require.Equal(t, 2100+LeaseSpan+ClockMargin, due)
 }
 
+// TestRemovedPeerLeavesAGap guards against forgetting that a holder without a
+// lease from this host's view wrote before it gave its slot up.
+func TestRemovedPeerLeavesAGap(t *testing.T) {
+	k := ready()
+	next := Peer{Host: "d", Incarnation: "1", Epoch: 2}
+	k.SetRoster(2100, Roster{ReadAt: 2090, Peers: []Peer{peerC, next}})
+	k.Leased(2120, next, 2110, LeaseSpan)
+	require.False(t, k.Complete(2130))
+	k.SetRoster(2140, Roster{ReadAt: 2135, Peers: []Peer{peerC}, Vacant: 1})
+	require.False(t, k.Complete(2150))
+	require.False(t, k.Ask(2150, 7).Askable)
+	k.SetFloor(2170, Floor{StartedAt: 2141, Position: at(120)})
+	require.True(t, k.Complete(2170))
+	covered := ready()
+	covered.SetRoster(2100, Roster{ReadAt: 2090, Peers: []Peer{peerC}, Vacant: 1})
+	require.True(t, covered.Complete(2100), "a covered peer leaves no gap")
+}
+
+// TestReleasedRecordsNothing guards against writes of a host that its peers no
+// longer count as a holder.
+func TestReleasedRecordsNothing(t *testing.T) {
+	k := ready()
+	id, _, _ := k.Record(2100, 7, at(110))
+	k.Release(2110)
+	require.False(t, k.Grant(2110, peerB))
+	_, _, ok := k.Record(2120, 7, at(120))
+	require.False(t, ok)
+	require.True(t, k.Acknowledge(2120, id), "recorded before, and the peers knew the holder")
+	unknown := New(0, false, 0, 0)
+	id, _, _ = unknown.Record(10, 7, at(5))
+	unknown.Release(20)
+	may, _ := unknown.MayAcknowledge(5000, id)
+	require.False(t, may)
+}
+
 // TestReclaimedKeepsGrants guards against a process that forgets the leases it
 // granted when it takes a slot again.
 func TestReclaimedKeepsGrants(t *testing.T) {
--- a/dfsession/write.go
+++ b/dfsession/write.go
@@ -32,12 +32,12 @@
 
 // Record takes the position of an own write after it committed at the primary
 // and before it is acknowledged. It returns the peers to notify, which may be
-// none. ok is false if too many writes wait; the write must then be answered
-// "unknown".
+// none. ok is false if too many writes wait or the slot is released; the write
+// must then be answered "unknown".
 func (k *Knowledge) Record(now dfclock.Millis, caller Caller, position dfposition.Position) (id WriteID, notify []Peer, ok bool) {
 	k.observe(now)
 	k.memory.raise(caller, position)
-	if len(k.writes.pending) >= k.writes.limit {
+	if k.released || len(k.writes.pending) >= k.writes.limit {
 		return 0, nil, false
 	}
 	for i := range k.peers {
@@ -68,7 +68,7 @@
 func (k *Knowledge) MayAcknowledge(now dfclock.Millis, id WriteID) (bool, dfclock.Millis) {
 	k.observe(now)
 	at := k.writes.find(id)
-	if at < 0 {
+	if at < 0 || k.muted {
 		return false, dfclock.Never
 	}
 	due := k.introductionDue()
