--- a/dfclassify/function.go
+++ b/dfclassify/function.go
@@ -5,7 +5,8 @@
 // readOnly has the built-in functions that change neither data nor session
 // state and that work on a replica. A function that is not listed is taken to
 // write. Functions that need a transaction identity or the end of the local log
-// (txid_current, pg_current_wal_lsn) are left out on purpose.
+// (txid_current, pg_current_wal_lsn) and those that run a query given as text
+// (query_to_xml, ts_rewrite) are left out on purpose.
 var readOnly = set(`
 	abs acos acosd acosh asin asind asinh atan atan2 atan2d atand atanh cbrt ceil ceiling cos cosd cosh
 	cot cotd degrees div exp erf erfc factorial floor gcd lcm ln log log10 min_scale mod pi power pow
@@ -40,7 +41,7 @@
 	jsonb_path_query_first_tz jsonb_pretty json_typeof jsonb_typeof json_agg jsonb_agg json_object_agg jsonb_object_agg
 	json_agg_strict jsonb_agg_strict json_object_agg_strict jsonb_object_agg_strict
 	array_to_tsvector get_current_ts_config numnode plainto_tsquery phraseto_tsquery websearch_to_tsquery querytree
-	setweight strip to_tsquery to_tsvector ts_delete ts_filter ts_headline ts_rank ts_rank_cd ts_rewrite
+	setweight strip to_tsquery to_tsvector ts_delete ts_filter ts_headline ts_rank ts_rank_cd
 	tsquery_phrase tsvector_to_array ts_debug ts_lexize ts_token_type
 	isempty lower_inc lower_inf upper_inc upper_inf range_merge multirange int4range int8range numrange tsrange
 	tstzrange daterange
@@ -66,7 +67,7 @@
 	pg_last_wal_receive_lsn pg_last_wal_replay_lsn pg_last_xact_replay_timestamp pg_wal_lsn_diff
 	pg_stat_get_activity pg_partition_tree pg_partition_ancestors pg_partition_root
 	xmlcomment xmlconcat xmlexists xml_is_well_formed xpath xpath_exists
-	pg_sleep pg_sleep_for pg_sleep_until group_status group_position group_wait
+	pg_sleep pg_sleep_for pg_sleep_until group_status group_position
 `)
 
 // advisory has the functions that take or release locks of the session.
