Add grouped placement of slots

Independent placement gives a host up to 29 peers for position leases at full size. Hosts now form cells that share the groups hashed to them, so a host has as many peers as its cell. The cell count leaves hosts over to stand by and rarely changes.

--- a/dfmember/constants.go
+++ b/dfmember/constants.go
@@ -9,4 +9,10 @@
 	// silentBound is how long contact with a listed host must fail before the
 	// host no longer counts as live. It spans a few lost packets and a restart.
 	silentBound = 5 * dfclock.Second
+	// maxStandBy bounds the hosts that stand by for a cell. They try one after
+	// the other, so more would not take over sooner.
+	maxStandBy = 16
+	// standByShare keeps one in so many hosts without a seat, so that a failed
+	// holder's seat goes to a host that exchanges leases with nobody yet.
+	standByShare = 16
 )
--- /dev/null
+++ b/dfmember/member_test.go
@@ -0,0 +1,148 @@
+package dfmember
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfplatform"
+)
+
+func made(count, centres int) []Host {
+	hosts := make([]Host, count)
+	for i := range hosts {
+		hosts[i] = Host{ID: fmt.Sprintf("h%d", i), DataCentre: fmt.Sprintf("dc%d", i%centres)}
+	}
+	return hosts
+}
+
+func groups(count, slots int) []Group {
+	all := make([]Group, count)
+	for i := range all {
+		all[i] = Group{ID: fmt.Sprintf("service/%d", i), Slots: slots}
+	}
+	return all
+}
+
+// TestRank guards against ranks that depend on the order of the list, and
+// against keys that move although their host stays.
+func TestRank(t *testing.T) {
+	hosts := made(9, 3)
+	turned := append(append([]Host(nil), hosts[4:]...), hosts[:4]...)
+	for i := range 200 {
+		key := fmt.Sprint(i)
+		ranked := Rank(key, hosts)
+		require.Equal(t, ranked, Rank(key, turned))
+		require.Equal(t, 3, RankOf(key, hosts, ranked[3].ID))
+		var without []Host
+		for _, host := range hosts {
+			if host.ID != ranked[3].ID {
+				without = append(without, host)
+			}
+		}
+		require.Equal(t, append(append([]Host(nil), ranked[:3]...), ranked[4:]...), Rank(key, without))
+	}
+	require.Equal(t, -1, RankOf("key", hosts, "absent"))
+}
+
+// TestChoose guards against duties given to leaving hosts or to too many hosts.
+func TestChoose(t *testing.T) {
+	hosts := made(20, 3)
+	first := Choose("head", hosts, 1)[0]
+	for i := range hosts {
+		hosts[i].Leaving = hosts[i].ID == first.ID
+	}
+	chosen := ChoosePerDataCentre("head", hosts, 2)
+	require.Len(t, chosen, 3)
+	count := 0
+	for _, host := range hosts {
+		if Chosen("head", hosts, 2, host.ID) {
+			require.NotEqual(t, first.ID, host.ID)
+			count++
+		}
+	}
+	require.Equal(t, 6, count)
+}
+
+// TestPlace guards against hosts that exchange leases with more peers than
+// their cell has, cells within one data centre, uneven load, and a change of
+// one host that moves many seats.
+func TestPlace(t *testing.T) {
+	for _, c := range []struct{ hosts, centres, groups, slots int }{
+		{6, 3, 3, 3}, {7, 3, 3, 5}, {2, 1, 3, 5}, {400, 18, 720, 5},
+	} {
+		hosts := made(c.hosts, c.centres)
+		all := groups(c.groups, c.slots)
+		placement := Place(hosts, all)
+		for _, host := range hosts {
+			require.LessOrEqual(t, len(placement.Peers(host.ID, c.slots)), c.slots-1)
+		}
+		for _, group := range all {
+			candidates := placement.Candidates(group.ID)
+			require.GreaterOrEqual(t, len(candidates), min(c.slots, c.hosts))
+			centres := make(map[string]int)
+			for _, id := range candidates[:min(c.slots, c.hosts)] {
+				var number int
+				_, err := fmt.Sscanf(id, "h%d", &number)
+				require.NoError(t, err)
+				centres[hosts[number].DataCentre]++
+			}
+			require.GreaterOrEqual(t, len(centres), min(2, c.centres))
+		}
+	}
+	hosts, all := made(410, 18), groups(720, 5)
+	before, moved, seats := Place(hosts, all), 0, 0
+	for i := range 20 {
+		after := Place(append(append([]Host(nil), hosts[:i]...), hosts[i+1:]...), all)
+		for name, holders := range before.cells {
+			for _, id := range holders[:5] {
+				seats++
+				if !slices.Contains(after.cells[name][:5], id) {
+					moved++
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d seats moved by 20 changes", moved, seats)
+	require.LessOrEqual(t, moved, seats/20)
+}
+
+// TestList guards against hosts dropped because the platform's list lags, and
+// against hosts kept although nobody reaches them.
+func TestList(t *testing.T) {
+	live := func(list List, now dfclock.Millis) (ids []string) {
+		for _, host := range list.Live(now) {
+			ids = append(ids, host.ID)
+		}
+		return ids
+	}
+	a, b := dfplatform.Member{ID: "a", Kind: dfplatform.KindHost}, dfplatform.Member{ID: "b", Kind: dfplatform.KindHost}
+	list := NewList().WithMembers([]dfplatform.Member{a, b, {ID: "u", Kind: dfplatform.KindUpstream}})
+	require.Equal(t, []string{"a", "b"}, live(list, 0))
+	list = list.WithHeard(Host{ID: "new"}, 100)
+	require.Equal(t, []string{"a", "b", "new"}, live(list, 100+heardBound))
+	require.Equal(t, []string{"a", "b"}, live(list, 101+heardBound))
+	list = list.WithFailed("a", 200).WithFailed("a", 300)
+	require.Contains(t, live(list, 199+silentBound), "a")
+	require.NotContains(t, live(list, 200+silentBound), "a")
+	require.Contains(t, live(list.WithHeard(Host{ID: "a"}, 400), 9000), "a")
+	list = list.WithLeaving("b")
+	host, ok := list.Find("b")
+	require.True(t, ok && host.Leaving)
+	// The mark outlasts a list that lags, and ends with the entry.
+	host, _ = list.WithMembers([]dfplatform.Member{b}).Find("b")
+	require.True(t, host.Leaving)
+	host, _ = list.WithMembers(nil).WithMembers([]dfplatform.Member{b}).Find("b")
+	require.False(t, host.Leaving)
+}
+
+// BenchmarkPlace measures the placement at full size.
+func BenchmarkPlace(b *testing.B) {
+	hosts, all := made(2000, 18), groups(3600, 5)
+	for b.Loop() {
+		Place(hosts, all)
+	}
+}
