--- /dev/null
+++ b/dfconfig/adoption_test.go
@@ -0,0 +1,202 @@
+package dfconfig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfgroup"
+)
+
+// seeds returns how many seeds to run.
+func seeds(t *testing.T) uint64 {
+	text := os.Getenv("DRAGONFLYGRADE_SEEDS")
+	if text == "" {
+		return 200
+	}
+	count, err := strconv.ParseUint(text, 10, 32)
+	require.NoError(t, err)
+	return count
+}
+
+func sample(name string, age int) Service {
+	return Service{
+		Name: name, SessionMaxAge: dfclock.Millis(age),
+		Databases: []Database{{Name: "main", Slots: 1, ConnectionLimit: 3, Upstreams: []Upstream{{ID: "a"}}}},
+	}
+}
+
+// versions returns snapshots with random changes, by version, with all documents.
+func versions(t *testing.T, random *rand.Rand, count int) ([]Snapshot, map[string][]byte) {
+	t.Helper()
+	all, documents := []Snapshot{{}}, make(map[string][]byte)
+	for i := 1; i <= count; i++ {
+		next, name := all[i-1], fmt.Sprintf("s%d", random.IntN(5))
+		if random.IntN(4) == 0 {
+			next = next.WithoutService(name)
+		} else {
+			service := sample(name, i)
+			document, err := Encode(service)
+			require.NoError(t, err)
+			documents[Address(document)] = document
+			next, err = next.WithService(service)
+			require.NoError(t, err)
+		}
+		all = append(all, next.Next("ada", fmt.Sprintf("attempt%d", i)))
+	}
+	return all, documents
+}
+
+// TestAdoption guards against versions that fall, and against a snapshot that
+// differs from the published one, with offers and documents in any order, lost
+// and repeated.
+func TestAdoption(t *testing.T) {
+	for seed := range seeds(t) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		all, documents := versions(t, random, 40)
+		ahead, behind := NewAdoption(), NewAdoption()
+		inForce := uint64(0)
+		for behind.InForce().Version() < 40 {
+			offered := all[1+random.IntN(40)].Index()
+			var actions []Action
+			switch random.IntN(3) {
+			case 0:
+				actions = behind.OfferIndex(offered)
+			case 1:
+				ahead.OfferIndex(offered)
+				for _, address := range ahead.Missing() {
+					ahead.Deliver(documents[address])
+				}
+				payload, err := ahead.Difference(behind.InForce().Version()).Encode()
+				require.NoError(t, err)
+				if difference, err := DecodeDifference(payload); err == nil {
+					actions = behind.OfferDifference(difference)
+				}
+			default:
+				for _, address := range behind.Missing() {
+					if random.IntN(2) == 0 {
+						actions = behind.Deliver(documents[address])
+					}
+				}
+			}
+			for _, action := range actions {
+				if adopt, ok := action.(Adopt); ok {
+					require.True(t, Rises(inForce, adopt.Snapshot.Version()), "seed %d", seed)
+					inForce = adopt.Snapshot.Version()
+				}
+			}
+			require.Equal(t, all[behind.InForce().Version()], behind.InForce(), "seed %d", seed)
+		}
+	}
+}
+
+// TestLowerOffer offers a lower version on purpose, as an index and as a
+// difference. The adoption must refuse it and the version in force must stay.
+func TestLowerOffer(t *testing.T) {
+	all, documents := versions(t, rand.New(rand.NewPCG(1, 1)), 10)
+	adoption, old := NewAdoption(), NewAdoption()
+	for _, document := range documents {
+		adoption.documents[Address(document)] = document
+		old.documents[Address(document)] = document
+	}
+	require.IsType(t, Adopt{}, old.OfferIndex(all[4].Index())[0])
+	require.IsType(t, Adopt{}, adoption.OfferIndex(all[9].Index())[0])
+	require.IsType(t, Refuse{}, adoption.OfferIndex(all[8].Index())[0])
+	require.IsType(t, Refuse{}, adoption.OfferDifference(old.Difference(0))[0])
+	require.Equal(t, uint64(9), adoption.InForce().Version())
+	require.False(t, Rises(9, 8) || Rises(9, 9))
+}
+
+// TestWrongBase guards against a difference applied to a state that it was not
+// made for, and against documents that do not match their address.
+func TestWrongBase(t *testing.T) {
+	all, documents := versions(t, rand.New(rand.NewPCG(2, 1)), 10)
+	adoption := NewAdoption()
+	adoption.documents = documents
+	adoption.OfferIndex(all[5].Index())
+	difference := History{}.WithIndex(all[7].Index()).WithIndex(all[9].Index()).Difference(7)
+	actions := adoption.OfferDifference(difference)
+	require.IsType(t, Refuse{}, actions[0])
+	require.Equal(t, FetchIndex{9}, actions[1])
+	difference = History{}.WithIndex(all[5].Index()).WithIndex(all[9].Index()).Difference(5)
+	difference.Changed = map[string]string{"s0": Address(nil)}
+	require.IsType(t, Refuse{}, adoption.OfferDifference(difference)[0])
+	difference = History{}.WithIndex(all[9].Index()).Difference(0)
+	fresh := NewAdoption()
+	for address := range documents {
+		difference.Documents = map[string]string{address: "{}"}
+		require.IsType(t, FetchDocuments{}, fresh.OfferDifference(difference)[0])
+	}
+}
+
+// TestHistoryBound guards against a history that grows without bound, and
+// against a whole index sent to a host that lacks one version.
+func TestHistoryBound(t *testing.T) {
+	all, _ := versions(t, rand.New(rand.NewPCG(3, 1)), 3*maxSteps)
+	history := History{}
+	for _, snapshot := range all[1:] {
+		history = history.WithIndex(snapshot.Index())
+	}
+	require.Len(t, history.steps, maxSteps)
+	require.True(t, history.Difference(2*maxSteps-1).Whole)
+	last := history.Difference(3*maxSteps - 1)
+	require.False(t, last.Whole)
+	require.Equal(t, 1, len(last.Changed)+len(last.Removed))
+}
+
+// TestFreshness guards against reads that are served older than declared.
+func TestFreshness(t *testing.T) {
+	service := sample("s", 5000)
+	service.Priorities.Read = 5
+	service.Reads = []ReadRule{
+		{Pattern: Pattern{Tables: []string{"catalogue", "prices"}}, MaxAge: 30000, Priority: 7},
+		{Pattern: Pattern{Tables: []string{"prices"}}, MaxAge: 10000, Priority: -1},
+		{Pattern: Pattern{Tables: []string{"stock"}}, Strong: true, Priority: 2},
+		{Pattern: Pattern{Statement: "select state from shipments"}, MaxAge: 1000, Priority: -1},
+		{Pattern: Pattern{Fingerprint: "ab12"}, MaxAge: 2000, Priority: -1},
+	}
+	service.NoRepeat = []Pattern{{Statement: "insert into bookings"}}
+	cases := []struct {
+		query Query
+		want  Freshness
+	}{
+		{Query{Tables: []string{"catalogue"}}, Freshness{30000, false, 7}},
+		{Query{Tables: []string{"public.Catalogue"}}, Freshness{30000, false, 7}},
+		{Query{Tables: []string{"catalogue", "prices"}}, Freshness{30000, false, 7}},
+		{Query{Tables: []string{"prices"}}, Freshness{10000, false, 7}},
+		{Query{Tables: []string{"catalogue", "orders"}}, Freshness{5000, false, 5}},
+		{Query{Tables: []string{"catalogue", "stock"}}, Freshness{5000, true, 2}},
+		{Query{Text: "/* x */ -- y\nSELECT  state\nFROM shipments WHERE id = 1"}, Freshness{1000, false, 5}},
+		{Query{Text: "SELECT state FROM shipments_old"}, Freshness{5000, false, 5}},
+		{Query{Fingerprint: "AB12"}, Freshness{2000, false, 5}},
+		{Query{}, Freshness{5000, false, 5}},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, service.Freshness(c.query), "%+v", c.query)
+	}
+	require.False(t, service.Repeats(Query{Text: "Insert into bookings values (1)"}))
+	require.True(t, service.Repeats(Query{Text: "insert into bookings2 values (1)"}))
+}
+
+// TestSnapshot guards against snapshots that change under their readers.
+func TestSnapshot(t *testing.T) {
+	before, err := Snapshot{}.WithService(sample("a", 1))
+	require.NoError(t, err)
+	after, err := before.WithService(sample("b", 2))
+	require.NoError(t, err)
+	require.Equal(t, []string{"a"}, before.Services())
+	require.Len(t, after.WithoutService("a").Groups(), 1)
+	require.Equal(t, []string{"a", "b"}, after.Services())
+	database, ok := after.Database("b/main")
+	require.True(t, ok)
+	require.Equal(t, 1, database.Share())
+	for _, absent := range []dfgroup.ID{"b", "b/none", "c/main"} {
+		_, ok = after.Database(absent)
+		require.False(t, ok, absent)
+	}
+}
