--- a/dfconfig/fault.go
+++ b/dfconfig/fault.go
@@ -30,8 +30,8 @@
 // Faults are all faults of all files, by file and line.
 type Faults []Fault
 
-// Error joins the faults, one a line.
-func (f Faults) Error() string {
+// String joins the faults, one a line.
+func (f Faults) String() string {
 	lines := make([]string, len(f))
 	for i, fault := range f {
 		lines[i] = fault.String()
--- a/dfconfig/parse.go
+++ b/dfconfig/parse.go
@@ -59,7 +59,7 @@
 
 func (n *names) service(t *table) Service {
 	var service Service
-	service.Name, _ = t.name("Service", "rod-orders")
+	service.Name = t.name("Service", "rod-orders")
 	unique(n.services, t, "Service", service.Name, "give each service its own name")
 	service.Owner, _ = t.required("Owner", "workshop desk")
 	service.SessionMaxAge = t.span("SessionMaxAge", maxSpan, DefaultSessionMaxAge, "5s")
@@ -91,7 +91,7 @@
 	}
 	for _, entry := range entries {
 		var database Database
-		database.Name, _ = entry.name("Name", "orders")
+		database.Name = entry.name("Name", "orders")
 		unique(used, entry, "Name", database.Name, "give each database of the service its own name")
 		if !entry.has("Slots") {
 			entry.fault("Slots", "is missing", "write Slots = 3, the number of hosts that may hold connections at once")
@@ -122,10 +122,10 @@
 	var upstreams []Upstream
 	for _, entry := range entries {
 		var upstream Upstream
-		id, _ := entry.name("ID", "orders-1")
+		id := entry.name("ID", "orders-1")
 		unique(n.identities, entry, "ID", id, "give each upstream its own identity")
 		upstream.ID = dfgroup.UpstreamID(id)
-		upstream.DataCentre, _ = entry.name("DataCentre", "Catania")
+		upstream.DataCentre = entry.name("DataCentre", "Catania")
 		address, ok := entry.required("Address", "10.0.0.1:5432")
 		if ok && !isAddress(address) {
 			entry.fault("Address", fmt.Sprintf("%q is not an IP address with a port", address),
@@ -149,7 +149,7 @@
 	}
 	for _, entry := range entries {
 		var caller Caller
-		caller.User, _ = entry.name("User", "shop")
+		caller.User = entry.name("User", "shop")
 		unique(used, entry, "User", caller.User, "list each user once")
 		caller.CredentialRef, _ = entry.required("CredentialRef", "env:SHOP_PASSWORD")
 		if caller.CredentialRef != "" && !isReference(caller.CredentialRef) {
--- a/dfconfig/parse_test.go
+++ b/dfconfig/parse_test.go
@@ -28,7 +28,7 @@
 func TestExamples(t *testing.T) {
 	for _, user := range []string{"consortium", "kovacik"} {
 		services, faults := Parse(readFiles(t, "../examples/"+user+"/*.toml"))
-		require.Empty(t, faults.Error())
+		require.Empty(t, faults.String())
 		require.Len(t, services, 3)
 	}
 }
@@ -46,7 +46,7 @@
 			require.NoError(t, err)
 			services, faults := Parse(readFiles(t, filepath.Join(dir, "*.toml")))
 			require.Nil(t, services)
-			require.Equal(t, strings.TrimSpace(string(want)), faults.Error())
+			require.Equal(t, strings.TrimSpace(string(want)), faults.String())
 		})
 	}
 }
--- a/dfconfig/table.go
+++ b/dfconfig/table.go
@@ -61,15 +61,15 @@
 	return text, ok
 }
 
-// name is a required text that is usable as an identifier.
-func (t *table) name(key, example string) (string, bool) {
+// name is a required text that is usable as an identifier, or empty.
+func (t *table) name(key, example string) string {
 	text, ok := t.required(key, example)
-	if ok && !isName(text) {
-		t.fault(key, fmt.Sprintf("%q is not a name", text),
-			fmt.Sprintf("use at most %d letters, digits, '-' and '_', such as %q", maxName, example))
-		return "", false
+	if !ok || isName(text) {
+		return text
 	}
-	return text, ok
+	t.fault(key, fmt.Sprintf("%q is not a name", text),
+		fmt.Sprintf("use at most %d letters, digits, '-' and '_', such as %q", maxName, example))
+	return ""
 }
 
 // integer returns a whole number within bounds, or the default if absent.
--- a/dfpublish/publish.go
+++ b/dfpublish/publish.go
@@ -80,8 +80,8 @@
 	if len(faults) == 0 {
 		return services, nil
 	}
-	err := dfresult.NewError(dfresult.ConfigurationInvalid, "%d faults\n%s", len(faults), faults.Error())
-	shown := fmt.Sprintf("%d faults: %s", len(faults), faults[:min(len(faults), maxShown)].Error())
+	err := dfresult.NewError(dfresult.ConfigurationInvalid, "%d faults\n%s", len(faults), faults.String())
+	shown := fmt.Sprintf("%d faults: %s", len(faults), faults[:min(len(faults), maxShown)].String())
 	_ = p.record(ctx, nil, shown, "refused: "+dfresult.ConfigurationInvalid.Text())
 	return nil, err
 }
