--- a/dflease/keeper_test.go
+++ b/dflease/keeper_test.go
@@ -523,3 +523,28 @@
 	require.Equal(t, []string{ApplicationName("g", 1, 5), ApplicationName("g", 1, 4)},
 		earlierNames("g", 1, SlotRow{Epoch: 5, Cleared: 3}))
 }
+
+// TestProof guards against a holder without a valid lease that keeps its right
+// alive by connections opened after a taker's first termination.
+func TestProof(t *testing.T) {
+	w := newWorld(7, 3, 1, 3)
+	w.settle(t, 7)
+	m := w.machines[0]
+	held, _ := m.keeper.Slot("s/0")
+	end := m.keeper.validUntil
+	now := end.Add(10 * dfclock.Second)
+	prove := func(openedAt, askedAt dfclock.Millis, upstreams ...dfgroup.UpstreamID) bool {
+		for id := range m.keeper.slots["s/0"].proofs {
+			delete(m.keeper.slots["s/0"].proofs, id)
+		}
+		for _, id := range upstreams {
+			m.keeper.Step(now, Proven{"s/0", held.Epoch, id, openedAt, askedAt})
+		}
+		return m.keeper.MayOpen("s/0", "a", now)
+	}
+	require.True(t, prove(end-1, now, "a", "b"))
+	require.True(t, prove(end-1, now.Add(1-proofSpan), "b", "c"))
+	require.False(t, prove(end, now, "a", "b"))
+	require.False(t, prove(end-1, now.Add(-proofSpan), "a", "b"))
+	require.False(t, prove(end-1, now, "a"))
+}
