--- a/dfconfig/difference.go
+++ b/dfconfig/difference.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"sort"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -85,16 +86,21 @@
 	return kept
 }
 
+// writers are reused, because each holds about 1 MB of tables.
+var writers = sync.Pool{New: func() any {
+	writer, _ := flate.NewWriter(io.Discard, flate.DefaultCompression)
+	return writer
+}}
+
 func deflated(d Difference) ([]byte, error) {
 	data, err := json.Marshal(d)
 	if err != nil {
 		return nil, eris.Wrap(err, "config: encode difference")
 	}
 	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
-	if err != nil {
-		return nil, eris.Wrap(err, "config: compress difference")
-	}
+	writer := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&buffer)
 	if _, err := writer.Write(data); err != nil {
 		return nil, eris.Wrap(err, "config: compress difference")
 	}
