Close gaps that a review of leases, audit and spreading found

A row deleted and written again may repeat its version, so sightings compare the value too. A doubt or a new group that comes while a read is under way is read at once instead of after the idle interval. Segments are stored once when a flush runs beside the writer. An answer to an announcement counts once.

--- a/dfaudit/trail_test.go
+++ b/dfaudit/trail_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"sort"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
@@ -141,6 +143,23 @@
 	require.Equal(t, uint64(3+1+maxBuffered+100), uint64(len(chain.Records))-2+gaps[0].Dropped)
 }
 
+// TestFlushes guards against segments that are counted twice when a flush runs
+// beside the writer.
+func TestFlushes(t *testing.T) {
+	store, writer := stored(t, 3)
+	var flushes sync.WaitGroup
+	for range 8 {
+		flushes.Go(func() {
+			assert.NoError(t, writer.Add(Entry{Who: "ada", Kind: KindSlot, Outcome: "taken"}))
+			assert.NoError(t, writer.Flush(context.Background()))
+		})
+	}
+	flushes.Wait()
+	chain := read(t, store)
+	require.NoError(t, chain.Fault)
+	require.Len(t, chain.Records, 11)
+}
+
 // TestFilter guards against records that a search misses.
 func TestFilter(t *testing.T) {
 	record := Record{When: 50, Entry: Entry{Who: "ada", Kind: KindSlot, Service: "rod"}}
--- a/dfaudit/writer.go
+++ b/dfaudit/writer.go
@@ -16,14 +16,16 @@
 const writeInterval = 200 * dfclock.Millisecond
 
 // Writer stores the segments of a trail. Its methods may be called by several
-// goroutines, but Run by one only.
+// goroutines.
 type Writer struct {
 	store dfplatform.ObjectStore
 	now   func() dfclock.Millis
 	sleep dfplatform.Sleep
 
-	mu    sync.Mutex
-	trail *Trail
+	// writing is held while a segment is stored, so that each is stored once.
+	writing sync.Mutex
+	mu      sync.Mutex
+	trail   *Trail
 }
 
 // NewWriter returns a writer of a trail. The clock counts milliseconds since 1970.
@@ -86,6 +88,8 @@
 
 // write stores one segment if one is due.
 func (w *Writer) write(ctx context.Context, flush bool) (bool, error) {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	w.mu.Lock()
 	segment, due, err := w.trail.Due(w.now(), flush)
 	w.mu.Unlock()
--- a/dflease/claim.go
+++ b/dflease/claim.go
@@ -1,6 +1,8 @@
 package dflease
 
 import (
+	"bytes"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfplatform"
@@ -31,10 +33,12 @@
 func (s sighting) with(row dfplatform.Row, askedAt, now dfclock.Millis) sighting {
 	next := s
 	next.row, next.askedAt, next.readAt = row, askedAt, now
-	if s.readAt == 0 || row.Version != s.row.Version || askedAt.Since(s.readAt) > maxReadGap {
+	// A row that was deleted and written again may have the same version.
+	same := row.Version == s.row.Version && bytes.Equal(row.Value, s.row.Value)
+	if s.readAt == 0 || !same || askedAt.Since(s.readAt) > maxReadGap {
 		next.since = now
 	}
-	if s.readAt == 0 || row.Version != s.row.Version {
+	if !same {
 		next.slot, next.host = decoded(row)
 	}
 	return next
@@ -219,12 +223,18 @@
 }
 
 // readInterval returns the span to the next read. Rows are watched closely
-// while this host may have to claim a slot, and at once if the read showed a
-// holder whose host row was not read yet.
+// while this host may have to claim a slot, and at once if something came up
+// that the last read was asked too early for.
 func (k *Keeper) readInterval() dfclock.Millis {
 	interval := idleRead
 	for _, group := range k.order {
-		if _, holding := k.slots[group]; holding {
+		if !k.asked[SlotKey(group, 0)] {
+			return 0
+		}
+		if held, holding := k.slots[group]; holding {
+			if held.doubted {
+				return 0
+			}
 			continue
 		}
 		if _, ok := k.rank(group, nil); !ok {
--- a/dflease/keeper_test.go
+++ b/dflease/keeper_test.go
@@ -168,7 +168,7 @@
 			delete(w.rows, write.Key)
 			continue
 		}
-		w.rows[write.Key] = dfplatform.Row{Key: write.Key, Value: write.Value, Version: 1 + uint64(w.now) + write.IfVersion}
+		w.rows[write.Key] = dfplatform.Row{Key: write.Key, Value: write.Value, Version: write.IfVersion + 1}
 	}
 	return Done
 }
@@ -516,6 +516,28 @@
 	require.True(t, m.keeper.MayOpen("s/0", "a", w.now+m.offset))
 }
 
+// TestReadUnderWay guards against a doubt or a new group that waits for a whole
+// read interval because a read was under way when it came.
+func TestReadUnderWay(t *testing.T) {
+	w := newWorld(8, 3, 1, 3)
+	w.settle(t, 8)
+	keeper := w.machines[0].keeper
+	held, _ := keeper.Slot("s/0")
+	now := w.now + w.machines[0].offset
+	keeper.busy, keeper.sentAt = true, now
+	var rows []dfplatform.Row
+	for _, row := range w.rows {
+		rows = append(rows, row)
+	}
+	keeper.Step(now+10, Cut{"s/0", held.Epoch})
+	require.Contains(t, keeper.Step(now+20, RowsRead{now, rows}), keeper.ask(now+20))
+	keeper.Step(now+30, RowsRead{now + 20, rows})
+	require.True(t, keeper.MayOpen("s/0", "a", now+30))
+	keeper.busy = true
+	keeper.Step(now+40, Configured{[]Want{keeper.wants["s/0"], {"s/1", 1, w.upstreams, []string{"h0"}}}})
+	require.Contains(t, keeper.Step(now+50, RowsRead{now + 40, rows}), keeper.ask(now+50))
+}
+
 // TestNames guards against application names that PostgreSQL would cut.
 func TestNames(t *testing.T) {
 	long := dfgroup.ID(strings.Repeat("x", 63) + "/" + strings.Repeat("y", 63))
--- a/dfpublish/publish.go
+++ b/dfpublish/publish.go
@@ -22,6 +22,12 @@
 	Flush(ctx context.Context) error
 }
 
+// NewTrail returns the audit trail of one run of an operator's tool. The run
+// must differ between runs, such as an identity made by dfplatform.Attempts.
+func NewTrail(author, run string) *dfaudit.Trail {
+	return dfaudit.NewTrail("publish-"+author, run)
+}
+
 // Options are the settings of a publisher.
 type Options struct {
 	// Author is the operator, a name without slashes.
--- a/dfpublish/publish_test.go
+++ b/dfpublish/publish_test.go
@@ -22,7 +22,7 @@
 	random := rand.New(rand.NewPCG(uint64(len(author)), uint64(author[0])))
 	platform := &access{store: store, random: random}
 	now := func() dfclock.Millis { return 1000 }
-	audit := dfaudit.NewWriter(dfaudit.NewTrail("publish-"+author, "1"), platform, now, sleep)
+	audit := dfaudit.NewWriter(NewTrail(author, "1"), platform, now, sleep)
 	made, err := New(platform, Options{Author: author, Why: "spring sale", Random: random, Sleep: sleep, Audit: audit})
 	require.NoError(t, err)
 	return made, platform
--- a/dfspread/spreader.go
+++ b/dfspread/spreader.go
@@ -380,7 +380,7 @@
 // announced takes the answer of a peer that was told.
 func (s *Spreader) announced(now dfclock.Millis, event AnnounceAnswered) {
 	telling, ok := s.told[event.To]
-	if !ok {
+	if !ok || !telling.busy {
 		return
 	}
 	if event.OK {
--- a/dfspread/spreader_test.go
+++ b/dfspread/spreader_test.go
@@ -357,3 +357,64 @@
 		float64(calls)/float64(len(n.nodes))/(float64(n.now.Since(started))/1000))
 	require.Less(t, perHost, 2048.0)
 }
+
+// targets returns the hosts that actions ask and those that they tell.
+func targets(actions []Action) (asked, told []string) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Ask:
+			asked = append(asked, action.To.ID)
+		case Announce:
+			told = append(told, action.To.ID)
+		}
+	}
+	return asked, told
+}
+
+// TestSteps guards against a host that does not ask after a pause, a poller
+// that asks its own cut-off data centre, and an announcement that is given up
+// after one loss or repeated without end.
+func TestSteps(t *testing.T) {
+	var hosts []dfmember.Host
+	for i := range 8 {
+		hosts = append(hosts, dfmember.Host{ID: fmt.Sprintf("h%d", i), DataCentre: fmt.Sprintf("dc%d", i/7)})
+	}
+	s := NewSpreader("h0", rand.New(rand.NewPCG(1, 1)))
+	now := dfclock.Millis(1000)
+	asked, _ := targets(s.Step(now, Hosts{hosts}))
+	require.Len(t, asked, 1)
+	for range steadyAnswers {
+		s.Step(now, AskAnswered{OK: true})
+	}
+	asked, _ = targets(s.Step(now+100, Tick{}))
+	require.Empty(t, asked)
+	asked, _ = targets(s.Step(now+100+pollInterval+1, Tick{}))
+	require.Len(t, asked, 1)
+	s.Step(now+700, HeadFailed{})
+	for range 20 {
+		now += 5000
+		s.Step(now, AskAnswered{OK: true})
+		asked, _ = targets(s.Step(now+5000, Tick{}))
+		require.Equal(t, []string{"h7"}, asked)
+		now += 5000
+	}
+	total := 0
+	for _, id := range []string{"h0", "h1", "h2", "h3", "h4", "h5", "h6"} {
+		s = NewSpreader(id, rand.New(rand.NewPCG(1, 1)))
+		s.Step(now, Hosts{hosts})
+		_, told := targets(s.Step(now, Adopted{9}))
+		require.LessOrEqual(t, len(told), fanOut)
+		total += len(told)
+		if len(told) == 0 {
+			continue
+		}
+		repeats := 0
+		for i := range 100 * retryInterval / 50 {
+			_, again := targets(s.Step(now+i*50, AnnounceAnswered{To: told[0]}))
+			repeats += len(again)
+		}
+		require.GreaterOrEqual(t, repeats, announceTries-1)
+		require.LessOrEqual(t, repeats, announceTries*len(told))
+	}
+	require.Equal(t, 7-pollers, total)
+}
