--- a/dfconfig/adoption_test.go
+++ b/dfconfig/adoption_test.go
@@ -200,3 +200,42 @@
 		require.False(t, ok, absent)
 	}
 }
+
+// BenchmarkAdopt measures one version with one changed service out of 1,200,
+// from the payload to the snapshot in force, and reports the payload's size.
+func BenchmarkAdopt(b *testing.B) {
+	ahead := NewAdoption()
+	head := Snapshot{}
+	for i := range 1200 {
+		head, _ = head.WithService(sample(fmt.Sprintf("service-%d", i), 1))
+	}
+	offer := func(snapshot Snapshot) {
+		ahead.OfferIndex(snapshot.Index())
+		for _, name := range snapshot.Services() {
+			service, _ := snapshot.Service(name)
+			document, err := Encode(service)
+			require.NoError(b, err)
+			ahead.Deliver(document)
+		}
+	}
+	head = head.Next("ada", "attempt1")
+	offer(head)
+	whole, err := ahead.Difference(0).Encode()
+	require.NoError(b, err)
+	base, _ := DecodeDifference(whole)
+	changed, _ := head.WithService(sample("service-7", 2))
+	offer(changed.Next("ada", "attempt2"))
+	payload, err := ahead.Difference(1).Encode()
+	require.NoError(b, err)
+	behind := NewAdoption()
+	behind.OfferDifference(base)
+	for b.Loop() {
+		host := *behind
+		difference, _ := DecodeDifference(payload)
+		require.Equal(b, uint64(2), difference.To)
+		host.OfferDifference(difference)
+		require.Equal(b, uint64(2), host.InForce().Version())
+	}
+	b.ReportMetric(float64(len(payload)), "payload-bytes")
+	b.ReportMetric(float64(len(whole)), "whole-bytes")
+}
