Test the pool runner and cut allocations of a pass-through

Change: claims, action lists and socket probes are reused. A connection that the upstream closed while idle is found before it is given, and one that did not answer in time makes older ones suspect. The fake upstream is shorter; the login is tested against the caller side.

--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -379,7 +379,7 @@
 		p.unrest(c)
 		c.state, c.given = held, p.waiters[0]
 		p.act(Give{Waiter: p.waiters[0].id, Conn: c.id})
-		p.waiters = p.waiters[1:]
+		p.waiters = p.waiters[:copy(p.waiters, p.waiters[1:])]
 	}
 }
 
--- a/dfupstream/caller_test.go
+++ b/dfupstream/caller_test.go
@@ -39,6 +39,18 @@
 
 func now() dfclock.Millis { return dfclock.Millis(time.Since(origin).Milliseconds()) }
 
+func storedFor(t testing.TB, password string) scram.StoredCredentials {
+	client, err := scram.SHA256.NewClient("user", password, "")
+	require.NoError(t, err)
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	require.NoError(t, err)
+	return stored
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 // proxy joins a wire server and a pool by a trivial session, which keeps a
 // connection for one transaction.
 type proxy struct {
@@ -107,12 +119,12 @@
 }
 
 func startProxy(t testing.TB, limit int) (*proxy, *fakeUpstream) {
-	fake := newFake(t, "upstream secret")
+	fake := newFake(t)
 	p := &proxy{stored: storedFor(t, "secret")}
 	p.pool = dfupstream.NewPool(dfupstream.PoolConfig{
 		Now:  now,
 		Pool: dfpool.Config{Limit: limit},
-		Conn: dfupstream.Config{Dial: dial, Address: fake.listener.Addr().String(), User: "user", Password: "upstream secret"},
+		Conn: dfupstream.Config{Dial: dial, Address: fake.listener.Addr().String(), User: "user"},
 	})
 	server, err := dfwire.NewServer(dfwire.Config{Credentials: p, Handler: p, Host: 7, LoginDelay: 1})
 	require.NoError(t, err)
@@ -216,7 +228,7 @@
 		})
 	}
 	group.Wait()
-	require.LessOrEqual(t, fake.peak.Load(), int32(3))
+	require.LessOrEqual(t, fake.opened.Load(), int32(3))
 }
 
 // TestPsql guards against a startup that libpq does not accept.
@@ -232,6 +244,21 @@
 	require.Equal(t, "select psql\nCOPY 3\nselect again\n", string(output))
 }
 
+// TestUpstreamLogin guards against an upstream login that fails or that accepts
+// a wrong password. The proxy's own caller side is the upstream.
+func TestUpstreamLogin(t *testing.T) {
+	p, _ := startProxy(t, 1)
+	config := dfupstream.Config{Dial: dial, Address: p.address, User: "user", Password: "secret", Database: "orders"}
+	conn, err := dfupstream.Open(context.Background(), config)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.Probe(context.Background()))
+	config.Password = "wrong"
+	_, err = dfupstream.Open(context.Background(), config)
+	requireCode(t, dfresult.UpstreamRefused, err)
+	require.ErrorContains(t, err, "28P01")
+}
+
 // TestCancel guards against cancels that are lost or that hit a later query.
 func TestCancel(t *testing.T) {
 	p, _ := startProxy(t, 1)
@@ -325,7 +352,7 @@
 // BenchmarkSimpleQuery measures what the pass-through adds to one query.
 func BenchmarkSimpleQuery(b *testing.B) {
 	p, fake := startProxy(b, 1)
-	direct, err := pgx.Connect(context.Background(), fmt.Sprintf("postgres://user:upstream%%20secret@%s/orders?sslmode=disable", fake.listener.Addr()))
+	direct, err := pgx.Connect(context.Background(), fmt.Sprintf("postgres://user@%s/orders?sslmode=disable", fake.listener.Addr()))
 	require.NoError(b, err)
 	defer direct.Close(context.Background())
 	through := connect(b, p)
--- a/dfupstream/conn.go
+++ b/dfupstream/conn.go
@@ -60,6 +60,11 @@
 	broken     atomic.Bool
 	closing    sync.Once
 	terminated atomic.Bool
+	// silent is set if the upstream did not answer in time.
+	silent atomic.Bool
+	probe  *socketProbe
+	// giveUp makes reads and writes fail; it is kept to avoid an allocation.
+	giveUp func()
 
 	// status is the transaction status of the last ReadyForQuery.
 	status byte
@@ -105,8 +110,10 @@
 		stream:     stream,
 		reader:     dfframe.NewReader(stream, MaxReplyBytes),
 		statements: newStatements(),
+		probe:      newSocketProbe(stream),
+		giveUp:     func() { _ = stream.SetDeadline(time.Unix(1, 0)) },
 	}
-	stop := watch(ctx, stream)
+	stop := watch(ctx, c.giveUp)
 	err = c.startup()
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -124,7 +131,7 @@
 	if err != nil || c.TLS == nil {
 		return stream, err
 	}
-	stop := watch(ctx, stream)
+	stop := watch(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	secured, err := c.secure(ctx, stream)
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -155,18 +162,17 @@
 	return secured, eris.Wrap(secured.HandshakeContext(ctx), "TLS handshake")
 }
 
-// watch makes reads and writes fail once the context ends. The returned
-// function ends the watch and reports whether the context had not ended.
-func watch(ctx context.Context, stream net.Conn) func() bool {
+// watch calls giveUp once the context ends. The returned function ends the
+// watch and reports whether the context had not ended.
+func watch(ctx context.Context, giveUp func()) func() bool {
 	if ctx.Done() == nil {
-		return func() bool { return true }
+		return notEnded
 	}
-	stop := context.AfterFunc(ctx, func() {
-		_ = stream.SetDeadline(time.Unix(1, 0))
-	})
-	return stop
+	return context.AfterFunc(ctx, giveUp)
 }
 
+func notEnded() bool { return true }
+
 func (c *Conn) startup() error {
 	parameters := map[string]string{}
 	for name, value := range c.config.Parameters {
@@ -336,6 +342,11 @@
 	return c.terminated.Load()
 }
 
+// Silent reports whether the upstream did not answer in time.
+func (c *Conn) Silent() bool {
+	return c.silent.Load()
+}
+
 // Idle reports whether the connection has no open transaction, reply or COPY.
 func (c *Conn) Idle() bool {
 	return !c.Broken() && c.status == 'I' && !c.unfinished && !c.copyIn && !c.skipping &&
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -114,7 +115,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.stream.SetDeadline(deadline)
 	}
-	return watch(ctx, c.stream)
+	return watch(ctx, c.giveUp)
 }
 
 // finishRunning waits for a cancel that is being sent, so that it cannot hit a
@@ -167,7 +168,7 @@
 	if len(c.out) <= inlineWriteBytes {
 		n, err := c.stream.Write(c.out)
 		c.batch.sent = c.batch.sent || n > 0
-		return eris.Wrap(err, "write")
+		return err
 	}
 	c.batch.sent = true
 	done := make(chan error, 1)
@@ -190,7 +191,7 @@
 	}
 	err := <-c.batch.writing
 	c.batch.writing = nil
-	return eris.Wrap(err, "write")
+	return err
 }
 
 // receive reads replies until none is due or the upstream waits for COPY data.
@@ -475,6 +476,9 @@
 
 // lost closes the connection and tells what is known about the batch.
 func (c *Conn) lost(ctx context.Context, cause error, wasUnfinished bool) error {
+	if errors.Is(cause, os.ErrDeadlineExceeded) && !errors.Is(ctx.Err(), context.Canceled) {
+		c.silent.Store(true)
+	}
 	c.Close()
 	_ = c.settleWrite()
 	if ctx.Err() != nil {
--- a/dfupstream/liveness.go
+++ b/dfupstream/liveness.go
@@ -17,7 +17,7 @@
 // sends nothing, so it does not notice a path that went silent.
 func (c *Conn) fresh() bool {
 	for range staleMessages {
-		waiting, open := peek(c.stream)
+		waiting, open := c.probe.peek()
 		if !open {
 			return false
 		}
@@ -49,32 +49,49 @@
 	return oneOf(messageType, "NSA")
 }
 
-// peek reports whether bytes wait in the socket and whether it is open. A stream
-// that is no socket counts as open and empty.
-func peek(stream net.Conn) (waiting, open bool) {
+// socketProbe looks into the receive buffer of a socket without reading.
+type socketProbe struct {
+	raw    syscall.RawConn
+	look   func(descriptor uintptr) bool
+	buffer [1]byte
+	count  int
+	err    error
+}
+
+// newSocketProbe returns nil for a stream that is no socket.
+func newSocketProbe(stream net.Conn) *socketProbe {
 	if wrapper, ok := stream.(interface{ NetConn() net.Conn }); ok {
 		stream = wrapper.NetConn()
 	}
 	socket, ok := stream.(syscall.Conn)
 	if !ok {
-		return false, true
+		return nil
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false, false
+		return nil
 	}
-	var buffer [1]byte
-	n, failure := 0, error(nil)
-	err = raw.Read(func(descriptor uintptr) bool {
-		n, _, failure = syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	p := &socketProbe{raw: raw}
+	p.look = func(descriptor uintptr) bool {
+		p.count, _, p.err = syscall.Recvfrom(int(descriptor), p.buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
-	})
-	switch {
-	case err != nil:
+	}
+	return p
+}
+
+// peek reports whether bytes wait in the socket and whether it is open. A stream
+// that is no socket counts as open and empty.
+func (p *socketProbe) peek() (waiting, open bool) {
+	if p == nil {
+		return false, true
+	}
+	if err := p.raw.Read(p.look); err != nil {
 		return false, false
-	case failure == syscall.EAGAIN || failure == syscall.EINTR: //nolint:errorlint // bare error numbers
+	}
+	switch {
+	case p.err == syscall.EAGAIN || p.err == syscall.EINTR: //nolint:errorlint // bare error numbers
 		return false, true
-	case failure != nil || n == 0:
+	case p.err != nil || p.count == 0:
 		return false, false
 	}
 	return true, true
--- a/dfupstream/pool.go
+++ b/dfupstream/pool.go
@@ -62,6 +62,10 @@
 	abandoned atomic.Bool
 }
 
+// unusedClaims has claims that were answered. A claim that its caller gave up
+// is not reused, because the pool's goroutine may still hold it.
+var unusedClaims = sync.Pool{New: func() any { return &claim{answer: make(chan grant, 1)} }}
+
 // request is an event for the pool's goroutine with what belongs to it.
 type request struct {
 	event dfpool.Event
@@ -85,13 +89,14 @@
 	stop    context.CancelFunc
 	ctx     context.Context
 	workers sync.WaitGroup
-	waiting sync.Mutex
-	lastID  dfpool.WaiterID
+	lastID  atomic.Uint64
 
 	// The following fields belong to the pool's goroutine.
 	decision *dfpool.Pool
-	conns    map[dfpool.ConnID]*Conn
-	claims   map[dfpool.WaiterID]*claim
+	// pending has the actions that are carried out now.
+	pending []dfpool.Action
+	conns   map[dfpool.ConnID]*Conn
+	claims  map[dfpool.WaiterID]*claim
 }
 
 // NewPool starts a pool. Close ends it.
@@ -117,12 +122,9 @@
 // pool's clock. Lower priorities go first. An error is a *dfresult.Error with
 // the outcome not run.
 func (p *Pool) Get(ctx context.Context, deadline dfclock.Millis, priority int) (*Conn, error) {
-	p.waiting.Lock()
-	p.lastID++
-	waiter := p.lastID
-	p.waiting.Unlock()
+	waiter := dfpool.WaiterID(p.lastID.Add(1))
 	want := dfpool.Want{Waiter: waiter, Priority: priority, Deadline: deadline}
-	mine := &claim{answer: make(chan grant, 1)}
+	mine := unusedClaims.Get().(*claim)
 	select {
 	case p.requests <- request{event: want, claim: mine}:
 	case <-p.done:
@@ -132,6 +134,7 @@
 	}
 	select {
 	case granted := <-mine.answer:
+		unusedClaims.Put(mine)
 		return granted.conn, granted.err
 	case <-p.done:
 		return nil, errPoolClosed()
@@ -147,7 +150,8 @@
 }
 
 // Put gives a connection back. A connection with session state is reset first,
-// and one that is not idle is closed.
+// and one that is not idle is closed. If the upstream did not answer in time,
+// idle connections of that age or older are probed before reuse.
 func (p *Pool) Put(conn *Conn) {
 	if !conn.Idle() || conn.State() == None {
 		p.returned(conn, conn.Idle())
@@ -162,6 +166,10 @@
 }
 
 func (p *Pool) returned(conn *Conn, idle bool) {
+	if conn.Silent() {
+		p.post(request{event: dfpool.Silent{Conn: dfpool.ConnID(conn.poolID)}})
+		return
+	}
 	p.post(request{event: dfpool.Returned{Conn: dfpool.ConnID(conn.poolID), Idle: idle}})
 }
 
@@ -173,14 +181,6 @@
 	return dfpool.DefaultReopenCap
 }
 
-// Silent reports that a connection did not answer in time. It is closed, and
-// idle connections of its age or older are probed before reuse. The holder must
-// not put it back.
-func (p *Pool) Silent(conn *Conn) {
-	conn.Close()
-	p.post(request{event: dfpool.Silent{Conn: dfpool.ConnID(conn.poolID)}})
-}
-
 // Suspend stops the opening of connections for a span.
 func (p *Pool) Suspend(span dfclock.Millis) {
 	p.post(request{event: dfpool.Suspended{For: span}})
@@ -312,12 +312,10 @@
 }
 
 func (p *Pool) handle(event dfpool.Event) {
-	pending := append([]dfpool.Action(nil), p.decision.Handle(p.config.Now(), event)...)
-	for len(pending) > 0 {
-		action := pending[0]
-		pending = pending[1:]
-		if next := p.execute(action); next != nil {
-			pending = append(pending, p.decision.Handle(p.config.Now(), next)...)
+	p.pending = append(p.pending[:0], p.decision.Handle(p.config.Now(), event)...)
+	for i := 0; i < len(p.pending); i++ {
+		if next := p.execute(p.pending[i]); next != nil {
+			p.pending = append(p.pending, p.decision.Handle(p.config.Now(), next)...)
 		}
 	}
 }
