Bound writes to callers and show that the checks fire

Cause: a caller that stops reading would hold a scarce upstream connection, and a batch that cannot be encoded could lose track of closed statements.

--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -62,6 +62,8 @@
 		return dfunit.Result{}, c.lost(ctx, errClosed, wasUnfinished)
 	}
 	if err := c.encode(batch); err != nil {
+		// Closing messages for old statements may be among those not sent.
+		c.Close()
 		return dfunit.Result{}, dfresult.NewError(dfresult.ProtocolViolation, "%v", err)
 	}
 	c.planEnd(batch)
@@ -453,6 +455,9 @@
 		rest = rest[size:]
 	}
 	c.batch.held = c.batch.held[:0]
+	if cap(c.batch.held) > keepBufferBytes {
+		c.batch.held = nil
+	}
 	return nil
 }
 
--- a/dfupstream/pool_test.go
+++ b/dfupstream/pool_test.go
@@ -127,6 +127,24 @@
 	requireCode(t, dfresult.NoConnection, err)
 }
 
+// TestFullRing guards against requests that queue without bound while the
+// pool's goroutine is busy.
+func TestFullRing(t *testing.T) {
+	blocked := make(chan struct{})
+	blocking := func() dfclock.Millis { <-blocked; return now() }
+	pool, _ := startPool(t, func(c *dfupstream.PoolConfig) { c.Ring = 1; c.Now = blocking })
+	done := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := pool.Get(context.Background(), now().Add(5*dfclock.Second), 0)
+			done <- err
+		}()
+	}
+	requireCode(t, dfresult.QueueFull, <-done)
+	close(blocked)
+	require.NoError(t, <-done)
+}
+
 // TestDeadlineOfWaiter guards against waiters kept beyond their deadline.
 func TestDeadlineOfWaiter(t *testing.T) {
 	pool, _ := startPool(t, func(c *dfupstream.PoolConfig) { c.Pool.Limit = 1 })
--- a/dfwire/caller.go
+++ b/dfwire/caller.go
@@ -82,7 +82,21 @@
 func (c *caller) attach(stream net.Conn) {
 	c.stream = stream
 	c.reader = dfframe.NewReader(stream, c.server.config.MaxMessageBytes)
-	c.writer = dfframe.NewWriter(stream)
+	c.writer = dfframe.NewWriter(timedWriter{stream: stream, bound: span(c.server.config.WriteTimeout)})
+}
+
+// timedWriter bounds each write.
+type timedWriter struct {
+	stream net.Conn
+	bound  time.Duration
+}
+
+// Write writes within the bound.
+func (w timedWriter) Write(bytes []byte) (int, error) {
+	if err := w.stream.SetWriteDeadline(time.Now().Add(w.bound)); err != nil {
+		return 0, err
+	}
+	return w.stream.Write(bytes)
 }
 
 func span(millis dfclock.Millis) time.Duration {
--- a/dfwire/limit.go
+++ b/dfwire/limit.go
@@ -17,6 +17,8 @@
 	DefaultMaxBatchBytes = 1 << 20
 	// DefaultStartupTimeout covers TLS and SCRAM over a slow link.
 	DefaultStartupTimeout = 10 * dfclock.Second
+	// DefaultWriteTimeout is longer than any pause of a caller that still reads.
+	DefaultWriteTimeout = 30 * dfclock.Second
 	// DefaultLoginDelay slows the guessing of passwords.
 	DefaultLoginDelay = 500 * dfclock.Millisecond
 
--- a/dfwire/server.go
+++ b/dfwire/server.go
@@ -51,6 +51,9 @@
 	MaxBatchBytes   int
 	StartupTimeout  dfclock.Millis
 	LoginDelay      dfclock.Millis
+	// WriteTimeout ends callers that stop reading; they would hold a scarce
+	// upstream connection.
+	WriteTimeout dfclock.Millis
 	// IdleTimeout and TransactionIdleTimeout close idle callers; zero means never.
 	IdleTimeout            dfclock.Millis
 	TransactionIdleTimeout dfclock.Millis
@@ -75,6 +78,9 @@
 	if c.LoginDelay == 0 {
 		c.LoginDelay = DefaultLoginDelay
 	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = DefaultWriteTimeout
+	}
 	return c
 }
 
