Read stray messages of idle connections before they are given

Cause: TestTerminatedUnderLoad saw the check 'a given connection is idle' fail when the upstream's administrator ended a connection right after its startup: the FATAL message was already in the read buffer.

Change: a buffered message that belongs to no request is read when the connection is about to be given. Notices and parameters pass; anything else closes the connection and its waiter keeps its place.

--- a/dfupstream/caller_test.go
+++ b/dfupstream/caller_test.go
@@ -123,7 +123,7 @@
 	p := &proxy{stored: storedFor(t, "secret")}
 	p.pool = dfupstream.NewPool(dfupstream.PoolConfig{
 		Now:  now,
-		Pool: dfpool.Config{Limit: limit},
+		Pool: dfpool.Config{Limit: limit, ReopenFirst: 5, ReopenCap: 20},
 		Conn: dfupstream.Config{Dial: dial, Address: fake.listener.Addr().String(), User: "user"},
 	})
 	server, err := dfwire.NewServer(dfwire.Config{Credentials: p, Handler: p, Host: 7, LoginDelay: 1})
@@ -320,6 +320,47 @@
 	require.NoError(t, err)
 }
 
+// TestTerminatedUnderLoad guards against answers that reach the wrong caller, and
+// against invariants that fail, while connections break at any moment.
+func TestTerminatedUnderLoad(t *testing.T) {
+	p, fake := startProxy(t, 3)
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	for worker := range 8 {
+		conn := connect(t, p)
+		group.Go(func() {
+			for i := range 150 {
+				want := fmt.Sprintf("%d-%d", worker, i)
+				var got string
+				batch := &pgx.Batch{}
+				batch.Queue("select $1", want)
+				batch.Queue("select $1, $2", want, "second")
+				results := conn.SendBatch(context.Background(), batch)
+				for range 2 {
+					if results.QueryRow().Scan(&got) == nil {
+						require.Equal(t, want, got)
+					}
+				}
+				results.Close()
+				require.False(t, conn.IsClosed(), "a broken upstream connection ends no caller")
+			}
+		})
+	}
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				fake.closeAll()
+			}
+		}
+	}()
+	group.Wait()
+	close(stop)
+	require.Zero(t, p.pool.Stats().Held)
+}
+
 // TestShutdown guards against requests that a planned stop cuts.
 func TestShutdown(t *testing.T) {
 	p, _ := startProxy(t, 2)
--- a/dfupstream/check_test.go
+++ b/dfupstream/check_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfframe"
 	"dragonflygrade/dfpool"
 )
 
@@ -46,3 +47,21 @@
 	SetStrict(true)
 	require.Panics(t, func() { p.give(dfpool.Give{Waiter: 1, Conn: 1}) })
 }
+
+// TestUnreadReplyIsNotFresh puts in the fault of a reply beyond ReadyForQuery,
+// which the next caller would get; messages that belong to no request may come.
+func TestUnreadReplyIsNotFresh(t *testing.T) {
+	conn, upstream := pipe(t)
+	defer upstream.Close()
+	require.True(t, conn.fresh())
+	for _, sent := range []struct {
+		messageType byte
+		fresh       bool
+	}{{'N', true}, {'S', true}, {'D', false}} {
+		_, err := upstream.Write(dfframe.Append(nil, sent.messageType, []byte("x")))
+		require.NoError(t, err)
+		require.NoError(t, conn.reader.Wait())
+		require.True(t, conn.Idle())
+		require.Equal(t, sent.fresh, conn.fresh(), string(sent.messageType))
+	}
+}
--- a/dfupstream/conn.go
+++ b/dfupstream/conn.go
@@ -348,9 +348,9 @@
 }
 
 // Idle reports whether the connection has no open transaction, reply or COPY.
+// Messages that belong to no request may still wait to be read.
 func (c *Conn) Idle() bool {
-	return !c.Broken() && c.status == 'I' && !c.unfinished && !c.copyIn && !c.skipping &&
-		c.queue.empty() && c.reader.Buffered() == 0
+	return !c.Broken() && c.status == 'I' && !c.unfinished && !c.copyIn && !c.skipping && c.queue.empty()
 }
 
 // Close ends the connection. It may be called more than once, from any goroutine.
--- a/dfupstream/liveness.go
+++ b/dfupstream/liveness.go
@@ -13,15 +13,16 @@
 	staleMessages = 16
 )
 
-// fresh reports whether the upstream has not ended the idle connection. It
-// sends nothing, so it does not notice a path that went silent.
+// fresh reports whether the upstream has not ended the idle connection and left
+// no reply unread. It sends nothing, so it does not notice a path that went
+// silent.
 func (c *Conn) fresh() bool {
 	for range staleMessages {
 		waiting, open := c.probe.peek()
-		if !open {
+		if !open && c.reader.Buffered() == 0 {
 			return false
 		}
-		if !waiting {
+		if !waiting && c.reader.Buffered() == 0 {
 			return true
 		}
 		if !c.readAsynchronous() {
