--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -61,6 +62,8 @@
 		return dfunit.Result{}, c.lost(ctx, errClosed, wasUnfinished)
 	}
 	if err := c.encode(batch); err != nil {
+		// Closing messages for old statements may be among those not sent.
+		c.Close()
 		return dfunit.Result{}, dfresult.NewError(dfresult.ProtocolViolation, "%v", err)
 	}
 	c.planEnd(batch)
@@ -114,7 +117,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.stream.SetDeadline(deadline)
 	}
-	return watch(ctx, c.stream)
+	return watch(ctx, c.giveUp)
 }
 
 // finishRunning waits for a cancel that is being sent, so that it cannot hit a
@@ -167,7 +170,7 @@
 	if len(c.out) <= inlineWriteBytes {
 		n, err := c.stream.Write(c.out)
 		c.batch.sent = c.batch.sent || n > 0
-		return eris.Wrap(err, "write")
+		return err
 	}
 	c.batch.sent = true
 	done := make(chan error, 1)
@@ -190,7 +193,7 @@
 	}
 	err := <-c.batch.writing
 	c.batch.writing = nil
-	return eris.Wrap(err, "write")
+	return err
 }
 
 // receive reads replies until none is due or the upstream waits for COPY data.
@@ -452,6 +455,9 @@
 		rest = rest[size:]
 	}
 	c.batch.held = c.batch.held[:0]
+	if cap(c.batch.held) > keepBufferBytes {
+		c.batch.held = nil
+	}
 	return nil
 }
 
@@ -475,6 +481,9 @@
 
 // lost closes the connection and tells what is known about the batch.
 func (c *Conn) lost(ctx context.Context, cause error, wasUnfinished bool) error {
+	if errors.Is(cause, os.ErrDeadlineExceeded) && !errors.Is(ctx.Err(), context.Canceled) {
+		c.silent.Store(true)
+	}
 	c.Close()
 	_ = c.settleWrite()
 	if ctx.Err() != nil {
