--- a/dfdemo/demo.go
+++ b/dfdemo/demo.go
@@ -75,12 +75,14 @@
 	}
 	say(progress, "starting %d hosts, %d services of %d upstreams (%s)", options.Hosts, deployment.Databases, deployment.UpstreamsPerGroup, deployment.Name)
 	stack, err := NewStack(ctx, deployment, options)
-	defer stack.Close()
 	if err != nil {
+		stack.Close()
 		return dfload.Report{}, err
 	}
+	defer stack.Close()
 	if options.Hold {
-		return dfload.Report{}, stack.hold(ctx, progress)
+		stack.hold(ctx, progress)
+		return dfload.Report{}, nil
 	}
 	return stack.drive(ctx, progress)
 }
@@ -90,7 +92,7 @@
 }
 
 // hold prints how to connect and waits.
-func (s *Stack) hold(ctx context.Context, progress io.Writer) error {
+func (s *Stack) hold(ctx context.Context, progress io.Writer) {
 	for _, target := range s.Targets() {
 		for _, address := range target.Hosts {
 			say(progress, "postgres://%s:%s@%s/%s?sslmode=disable", target.User, target.Password, address, target.Service)
@@ -100,7 +102,6 @@
 		say(progress, "status of %s: http://%s/status", host.Status().Host, host.AdminAddress())
 	}
 	<-ctx.Done()
-	return nil
 }
 
 func (s *Stack) drive(ctx context.Context, progress io.Writer) (dfload.Report, error) {
--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -31,9 +31,9 @@
 const (
 	demoUser       = "clerk"
 	demoPassword   = "clerk-password"
-	demoCredential = "env:DEMO_CLERK"
+	demoCredential = "env:DEMO_CLERK" //nolint:gosec // a reference, not a secret
 	upstreamUser   = "dragonflygrade"
-	demoTokenKey   = "demo-token-key-0123456789"
+	demoTokenKey   = "demo-token-key-0123456789" //nolint:gosec // nothing outside of the process accepts it
 )
 
 // Deployment is one of the users' deployments.
@@ -221,7 +221,7 @@
 		}
 		services, faults := dfconfig.Parse([]dfconfig.File{{Name: group.Service + ".toml", Data: text}})
 		if len(faults) > 0 {
-			return faults
+			return eris.Errorf("demo: %s", faults)
 		}
 		document, err := dfconfig.Encode(services[0])
 		if err != nil {
--- a/dfholder/router.go
+++ b/dfholder/router.go
@@ -58,7 +58,7 @@
 		case dfroute.Refuse:
 			return choice{}, a.Error
 		}
-		event := r.carryOut(ctx, request, caller, action)
+		event := r.carryOut(ctx, caller, action)
 		if ctx.Err() != nil {
 			return choice{}, dfresult.NewError(dfresult.DeadlinePassed, "the read was being routed")
 		}
@@ -90,7 +90,7 @@
 	r.state.Finished(r.holder.now(), chosen.upstream.ID, latency, ok)
 }
 
-func (r *router) carryOut(ctx context.Context, request dfunit.Request, caller dfsession.Caller, action dfroute.Action) dfroute.Event {
+func (r *router) carryOut(ctx context.Context, caller dfsession.Caller, action dfroute.Action) dfroute.Event {
 	switch a := action.(type) {
 	case dfroute.AskPeers:
 		return r.askPeers(ctx, caller, a)
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -35,8 +35,6 @@
 	// slowest and failed describe the unit for the choice of later reads.
 	slowest dfclock.Millis
 	failed  bool
-	// gone is true once the pool has taken the connection back as silent.
-	gone bool
 	// aborted is true after an error that the caller has seen.
 	aborted bool
 	// term is the term of the primary to which a write was routed.
@@ -144,8 +142,6 @@
 func (u *unit) report(ctx context.Context, started dfclock.Millis) {
 	if ctx.Err() != nil {
 		u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Silent{Upstream: u.upstream.ID})
-		u.pool.Silent(u.conn)
-		u.gone = true
 		return
 	}
 	u.holder.log.Debug().Str("Upstream", string(u.upstream.ID)).Int64("Started", int64(started)).Msg("holder: connection lost")
@@ -173,9 +169,7 @@
 	}
 	u.closed = true
 	u.holder.forget(u)
-	if !u.gone {
-		u.pool.Put(u.conn)
-	}
+	u.pool.Put(u.conn)
 	u.holder.router.ended(choice{upstream: u.upstream, replica: u.replica, rung: u.rung}, u.slowest, !u.failed)
 	u.release()
 }
--- a/dfhost/adoption.go
+++ b/dfhost/adoption.go
@@ -30,12 +30,10 @@
 	mu      sync.Mutex
 	state   *dfconfig.Adoption
 	current atomic.Pointer[dfconfig.Snapshot]
-	// changed is closed and replaced when a version comes into force.
-	changed chan struct{}
 }
 
 func newAdoption(h *Host) *adoption {
-	a := &adoption{host: h, state: dfconfig.NewAdoption(), changed: make(chan struct{})}
+	a := &adoption{host: h, state: dfconfig.NewAdoption()}
 	a.current.Store(&dfconfig.Snapshot{})
 	return a
 }
@@ -44,13 +42,6 @@
 	return *a.current.Load()
 }
 
-// next returns a channel that is closed when another version is in force.
-func (a *adoption) next() <-chan struct{} {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.changed
-}
-
 func (a *adoption) run(ctx context.Context) {
 	for {
 		a.poll(ctx)
@@ -123,8 +114,6 @@
 func (a *adoption) adopt(snapshot dfconfig.Snapshot) {
 	previous := a.inForce().Version()
 	a.current.Store(&snapshot)
-	close(a.changed)
-	a.changed = make(chan struct{})
 	a.host.counters.version.Store(snapshot.Version())
 	a.host.log.Info().Uint64("Version", snapshot.Version()).Msg("configuration: version in force")
 	a.host.record(dfaudit.Entry{
--- a/dfhost/opener.go
+++ b/dfhost/opener.go
@@ -111,7 +111,7 @@
 	if !found {
 		return "", false
 	}
-	data, err := os.ReadFile(path)
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file in a service file
 	if err != nil {
 		return "", false
 	}
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -159,17 +159,6 @@
 	}
 }
 
-// drop ends one held slot.
-func (s *slots) drop(group dfgroup.ID) {
-	s.mu.Lock()
-	holder := s.holders[group]
-	delete(s.holders, group)
-	s.mu.Unlock()
-	if holder != nil {
-		holder.Close()
-	}
-}
-
 func (s *slots) put(group dfgroup.ID, holder *dfholder.Holder) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
