Keep the bound of the slot within the session knowledge

Whether the host still holds its slot decided, outside of the value, whether a grant or an answer was sound. The value now takes the end of the host's lease and checks it itself. The simulation no longer checks it for the value.

--- a/dfmeasure/host.go
+++ b/dfmeasure/host.go
@@ -47,6 +47,7 @@
 			roster.Peers = append(roster.Peers, other.peer)
 		}
 	}
+	h.know.SetHeld(h.m.time.now, dfclock.Never)
 	h.know.SetRoster(h.m.time.now, roster)
 	h.m.time.every(reportEvery, h.poll)
 	h.m.time.every(dfsession.RenewEvery, h.renew)
--- a/dfroute/host_test.go
+++ b/dfroute/host_test.go
@@ -165,6 +165,7 @@
 	}
 	h.heldUntil = max(h.heldUntil, readAt+simHostLease)
 	if h.know != nil && h.slot >= 0 {
+		h.know.SetHeld(h.s.now, readAt+simHostLease)
 		h.know.SetRoster(h.s.now, roster)
 	}
 }
@@ -203,7 +204,7 @@
 		other, theirs, mine, know := row.host, row.peer, h.peer, h.know
 		sentAt := h.s.now
 		h.s.send(other, func() {
-			if !other.holds() || other.peer != theirs || !other.know.Grant(h.s.now, mine) {
+			if other.peer != theirs || !other.know.Grant(h.s.now, mine) {
 				return
 			}
 			h.s.send(h, func() { know.Leased(h.s.now, theirs, sentAt, dfsession.LeaseSpan) })
@@ -306,7 +307,7 @@
 }
 
 func (h *simHost) read(caller, seen int, request *dfunit.Request) {
-	if !h.holds() {
+	if h.know == nil {
 		return
 	}
 	request.ArrivedAt, request.Deadline = h.s.now, h.s.now+1500
@@ -348,7 +349,7 @@
 		for _, peer := range action.Peers {
 			other := h.byPeer(peer)
 			h.s.send(other, func() {
-				if !other.holds() || other.peer != peer {
+				if other.peer != peer {
 					return
 				}
 				if position, known := other.know.Tell(h.s.now, dfsession.CallerOf("s", fmt.Sprint(caller))); known {
--- a/dfsession/session.go
+++ b/dfsession/session.go
@@ -85,6 +85,9 @@
 	// gapAt is when a peer was removed whose writes may be unknown here; only a
 	// later floor covers them.
 	gapAt dfclock.Millis
+	// heldUntil ends the time in which no other host can take the slot. Without
+	// it nothing is granted, told or complete; writes go on.
+	heldUntil dfclock.Millis
 	// released is true once the slot is being given up.
 	released bool
 	// muted is true if that happened before peers counted this host as holder.
@@ -130,6 +133,14 @@
 	return next
 }
 
+// SetHeld tells that this host's lease as a host, confirmed together with the
+// slot row, lasts until an instant counted from before the request. Afterwards
+// another host may have taken the slot and acknowledge writes unknown here.
+func (k *Knowledge) SetHeld(now, until dfclock.Millis) {
+	k.observe(now)
+	k.heldUntil = max(k.heldUntil, until)
+}
+
 // Release begins to give the slot up; the slot row is changed only afterwards.
 // From then on no lease is granted and no write recorded, because peers that no
 // longer count this host as a holder would not miss the notification.
@@ -194,13 +205,10 @@
 }
 
 // Grant answers a peer's request for a lease and reports whether it is granted.
-// The caller checks first that this host still holds its slot under a host
-// lease that has not lapsed, and that the connections of the slot's earlier
-// epoch are terminated.
 func (k *Knowledge) Grant(now dfclock.Millis, peer Peer) bool {
 	k.observe(now)
 	state := k.find(peer)
-	if k.released || state == nil || !state.current {
+	if !k.held() || state == nil || !state.current {
 		return false
 	}
 	if k.writes.overdue(k.now, peer) {
@@ -285,10 +293,10 @@
 
 // Tell answers a peer that asks for a caller's position. It covers every write
 // that this holder and earlier holders of its slot acknowledged. known is false
-// before the first floor. The caller checks first that this host holds its slot.
+// before the first floor and while the slot may belong to another host.
 func (k *Knowledge) Tell(now dfclock.Millis, caller Caller) (position dfposition.Position, known bool) {
 	k.observe(now)
-	if !k.hasFloor {
+	if !k.hasFloor || !k.held() {
 		return dfposition.Position{}, false
 	}
 	return k.memory.find(caller).Max(k.floor.Position), true
@@ -302,6 +310,11 @@
 	}
 }
 
+// held reports whether the slot is this host's for certain.
+func (k *Knowledge) held() bool {
+	return !k.released && k.now < k.heldUntil
+}
+
 // floorHolds reports whether the floor covers the writes of all former holders.
 func (k *Knowledge) floorHolds() bool {
 	return k.hasFloor && k.floor.StartedAt > k.gapAt
@@ -309,7 +322,7 @@
 
 // rosterHolds reports whether no unknown host can have acknowledged a write.
 func (k *Knowledge) rosterHolds() bool {
-	return k.roster.ReadAt > 0 && (k.roster.Vacant == 0 || k.now < k.roster.ReadAt.Add(RosterSpan))
+	return k.held() && k.roster.ReadAt > 0 && (k.roster.Vacant == 0 || k.now < k.roster.ReadAt.Add(RosterSpan))
 }
 
 func (k *Knowledge) leased(state *peerState) bool {
--- a/dfsession/session_test.go
+++ b/dfsession/session_test.go
@@ -26,6 +26,7 @@
 // ready returns a holder with leases from two peers until 3000 and a floor of 100.
 func ready() *Knowledge {
 	k := New(0, false, 0, 0)
+	k.SetHeld(1, 20000)
 	k.SetRoster(10, Roster{ReadAt: 5, Peers: []Peer{peerB, peerC}})
 	for _, peer := range []Peer{peerB, peerC} {
 		k.Leased(2010, peer, 2000, LeaseSpan)
@@ -37,6 +38,7 @@
 // TestKnowledgeNeedsLeasesAndFloor guards against trusting knowledge with a gap in it.
 func TestKnowledgeNeedsLeasesAndFloor(t *testing.T) {
 	k := New(0, false, 0, 0)
+	k.SetHeld(1, 20000)
 	require.False(t, k.Complete(1), "no roster")
 	k.SetRoster(10, Roster{ReadAt: 5, Peers: []Peer{peerB}})
 	k.SetFloor(30, Floor{StartedAt: 20, Position: at(1)})
@@ -67,6 +69,7 @@
 // TestVacantSlotNeedsRecentRows guards against a new holder that nobody has noticed.
 func TestVacantSlotNeedsRecentRows(t *testing.T) {
 	k := New(0, false, 0, 0)
+	k.SetHeld(1, 20000)
 	k.SetRoster(10, Roster{ReadAt: 5, Vacant: 2})
 	k.SetFloor(30, Floor{StartedAt: 20})
 	require.True(t, k.Complete(5+RosterSpan-1))
@@ -99,6 +102,22 @@
 	require.True(t, k.Grant(due, peerC))
 }
 
+// TestLapsedHolderIsSilent guards against answers and grants of a paused host
+// whose slot another host may have taken, while its leases still last.
+func TestLapsedHolderIsSilent(t *testing.T) {
+	k := ready()
+	k.heldUntil = 2500
+	require.True(t, k.Complete(2499))
+	require.True(t, k.Grant(2499, peerB))
+	require.False(t, k.Complete(2500))
+	require.False(t, k.Grant(2500, peerB))
+	_, known := k.Tell(2500, 7)
+	require.False(t, known)
+	id, _, ok := k.Record(2600, 7, at(150))
+	require.True(t, ok, "writes go on while the table is down")
+	require.True(t, k.Acknowledge(2499+LeaseSpan+ClockMargin, id))
+}
+
 // TestFormerHolderIsAwaited guards against stale reads at a host that lost its
 // slot but still has a lease.
 func TestFormerHolderIsAwaited(t *testing.T) {
