--- a/dfupstream/check_test.go
+++ b/dfupstream/check_test.go
@@ -1,14 +1,20 @@
 package dfupstream
 
 import (
+	"context"
+	"io"
 	"math/rand/v2"
+	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfframe"
 	"dragonflygrade/dfpool"
+	"dragonflygrade/dfunit"
 )
 
 // stillPool is a pool whose goroutine does not run.
@@ -65,3 +71,63 @@
 		require.Equal(t, sent.fresh, conn.fresh(), string(sent.messageType))
 	}
 }
+
+// TestBatchWaitsForCancel guards against a cancel that is still under way when
+// the connection goes to the next caller.
+func TestBatchWaitsForCancel(t *testing.T) {
+	conn, upstream := pipe(t)
+	defer upstream.Close()
+	conn.cancelling.Lock()
+	done := make(chan error, 1)
+	go func() { done <- conn.Probe(context.Background()) }()
+	require.Eventually(t, func() bool { return conn.Running() != 0 }, 5*time.Second, time.Millisecond)
+	_, err := upstream.Write(dfframe.Append(dfframe.Append(nil, 'I', nil), 'Z', []byte("I")))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return conn.Running() == 0 }, 5*time.Second, time.Millisecond)
+	select {
+	case <-done:
+		require.Fail(t, "the batch ended before the cancel")
+	case <-time.After(20 * time.Millisecond):
+	}
+	conn.cancelling.Unlock()
+	require.NoError(t, <-done)
+}
+
+// TestLateCancelIsDropped guards against a cancel whose batch ended while the
+// cancel connection was being opened.
+func TestLateCancelIsDropped(t *testing.T) {
+	conn, upstream := pipe(t)
+	defer upstream.Close()
+	conn.secret = []byte{1, 2, 3, 4}
+	near, far := net.Pipe()
+	conn.config.Dial = func(context.Context, string, string) (net.Conn, error) {
+		conn.running.Store(8)
+		return near, nil
+	}
+	conn.running.Store(7)
+	go conn.Cancel(context.Background(), 7)
+	sent, err := io.ReadAll(far)
+	require.NoError(t, err)
+	require.Empty(t, sent)
+}
+
+// TestLargeBatchBesideReplies guards against both sides writing and none reading.
+func TestLargeBatchBesideReplies(t *testing.T) {
+	conn, upstream := pipe(t)
+	defer upstream.Close()
+	const size = 24 << 20
+	batch := dfunit.Batch{Messages: []dfunit.Message{{Type: 'Q', Body: []byte(strings.Repeat("x", size) + "\x00")}}}
+	go func() {
+		notice := dfframe.Append(nil, 'N', make([]byte, 1<<20))
+		for range size >> 20 {
+			upstream.Write(notice)
+		}
+		io.CopyN(io.Discard, upstream, size+6)
+		upstream.Write(dfframe.Append(dfframe.Append(nil, 'I', nil), 'Z', []byte("I")))
+	}()
+	ctx, stop := context.WithTimeout(context.Background(), 30*time.Second)
+	defer stop()
+	result, err := conn.Exchange(ctx, batch, &errorSink{}, Options{})
+	require.NoError(t, err)
+	require.Equal(t, byte('I'), result.Status)
+}
--- a/dfwire/server_test.go
+++ b/dfwire/server_test.go
@@ -291,6 +291,18 @@
 	require.ErrorContains(t, err, "57P01")
 }
 
+// TestBytesBeforeTLS guards against plain bytes that someone else injects ahead
+// of the handshake.
+func TestBytesBeforeTLS(t *testing.T) {
+	h := startHost(t, func(c *Config) { c.TLS = certificate(t) })
+	stream, err := net.Dial("tcp", h.address)
+	require.NoError(t, err)
+	_, err = stream.Write([]byte(startupBytes("\x04\xd2\x16\x2f") + "Q"))
+	require.NoError(t, err)
+	replies, _ := io.ReadAll(stream)
+	require.Empty(t, replies)
+}
+
 func certificate(t testing.TB) *tls.Config {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
