Look for goroutines left behind by the wire tests

Cause: a goroutine that outlives its connection grows with the callers.

Change: the tests of dfwire and dfupstream fail on goroutines left at the end.

--- a/dfupstream/caller_test.go
+++ b/dfupstream/caller_test.go
@@ -19,6 +19,7 @@
 	_ "github.com/jackc/pgx/v5/stdlib"
 	"github.com/stretchr/testify/require"
 	"github.com/xdg-go/scram"
+	"go.uber.org/goleak"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfpool"
@@ -28,9 +29,11 @@
 	"dragonflygrade/dfwire"
 )
 
+// TestMain makes failed checks panic, and guards against goroutines that outlive
+// their pool. A statement of the fake upstream that is never cancelled may stay.
 func TestMain(m *testing.M) {
 	dfupstream.SetStrict(true)
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("dragonflygrade/dfupstream_test.(*fakeSession).rows"))
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/dfwire/server_test.go
+++ b/dfwire/server_test.go
@@ -21,11 +21,15 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	"github.com/xdg-go/scram"
+	"go.uber.org/goleak"
 
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfunit"
 )
 
+// TestMain guards against goroutines that outlive their server.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // host is a handler whose sessions answer every batch without an upstream.
 type host struct {
 	stored  scram.StoredCredentials
