Prepare statements again after their table changed

Cause: a prepared statement is shared by the callers of a connection, so after a change of its table (SQLSTATE 0A000) every caller would get the error until the connection closes.

Change: such an error, or one about a missing statement (26000), makes the connection close its prepared statements before the next batch outside of a transaction. A test shows that the end of connections by an administrator is reported.

--- a/dfupstream/encode.go
+++ b/dfupstream/encode.go
@@ -30,10 +30,11 @@
 	if c.status != 'I' || c.unfinished {
 		return
 	}
-	for len(c.statements.named) > MaxPrepared {
+	for range c.statements.surplus() {
 		c.out = appendNamed(c.out, 'C', c.statements.evict())
 		c.queue.push(expected{kind: replyClose, injected: true})
 	}
+	c.statements.outdated = false
 }
 
 func (c *Conn) encodeMessage(message *dfunit.Message) error {
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -360,6 +360,7 @@
 		return nil
 	}
 	c.statements.forgetPending()
+	c.statements.outdated = c.statements.outdated || due.kind != replyParse && refusesPrepared(code)
 	if !c.queue.skipToSync() {
 		c.skipping = true
 	}
--- a/dfupstream/pool_test.go
+++ b/dfupstream/pool_test.go
@@ -127,6 +127,21 @@
 	requireCode(t, dfresult.NoConnection, err)
 }
 
+// TestTerminationIsReported guards against a host that keeps its slot after the
+// taker's administrator ended its connections.
+func TestTerminationIsReported(t *testing.T) {
+	reported := make(chan bool, 8)
+	pool, fake := startPool(t, func(c *dfupstream.PoolConfig) {
+		c.OnTerminated = func() { reported <- true }
+		c.Pool.ReopenCap = 20
+	})
+	pool.Put(get(t, pool))
+	fake.closeAll()
+	require.Eventually(t, func() bool { return fake.open.Load() == 0 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, query(get(t, pool), context.Background(), "select after"))
+	require.True(t, <-reported)
+}
+
 // TestFullRing guards against requests that queue without bound while the
 // pool's goroutine is busy.
 func TestFullRing(t *testing.T) {
--- a/dfupstream/reply_test.go
+++ b/dfupstream/reply_test.go
@@ -167,7 +167,10 @@
 		require.NoError(s.t, err)
 		body = encoded[5:]
 	case "E":
-		body = []byte("VERROR\x00C22012\x00Mfailed\x00\x00")
+		if text == "" {
+			text = "22012"
+		}
+		body = []byte("VERROR\x00C" + text + "\x00Mfailed\x00\x00")
 	}
 	_, err := s.upstream.Write(dfframe.Append(nil, messageType[0], body))
 	require.NoError(s.t, err, s.name)
--- a/dfupstream/statement.go
+++ b/dfupstream/statement.go
@@ -34,6 +34,9 @@
 	hasUnnamed bool
 	clock      uint64
 	scratch    []byte
+	// outdated is true if the upstream refused to run a prepared statement; all
+	// are then closed before the next batch outside of a transaction.
+	outdated bool
 }
 
 func newStatements() statements {
@@ -44,6 +47,22 @@
 func (s *statements) forget() {
 	clear(s.named)
 	s.hasUnnamed = false
+	s.outdated = false
+}
+
+// refusesPrepared reports whether the SQLSTATE means that a prepared statement
+// is gone (26000), or that its result type changed with a table (0A000). Without
+// the proxy, the caller's own Parse would have made a new one.
+func refusesPrepared(code string) bool {
+	return code == "26000" || code == "0A000"
+}
+
+// surplus is the number of statements to close before the next batch.
+func (s *statements) surplus() int {
+	if s.outdated {
+		return len(s.named)
+	}
+	return max(0, len(s.named)-MaxPrepared)
 }
 
 // forgetPending drops statements whose Parse was skipped after an error.
