Fuzz the replies of an upstream

Cause: a reply that does not match must neither crash the host nor leave a connection that is reused.

Change: FuzzReplies exchanges a batch with an upstream that sends arbitrary bytes.

--- a/dfupstream/reply_test.go
+++ b/dfupstream/reply_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
@@ -269,3 +270,40 @@
 		require.False(t, mayEnd(sql), sql)
 	}
 }
+
+// stream is an upstream that sends fixed bytes.
+type stream struct {
+	net.Conn
+	input *strings.Reader
+}
+
+func (s stream) Read(bytes []byte) (int, error) { return s.input.Read(bytes) }
+func (stream) Write(bytes []byte) (int, error)  { return len(bytes), nil }
+func (stream) Close() error                     { return nil }
+func (stream) SetDeadline(time.Time) error      { return nil }
+func (stream) SetReadDeadline(time.Time) error  { return nil }
+func (stream) SetWriteDeadline(time.Time) error { return nil }
+
+// FuzzReplies guards against replies that crash the host, and against a
+// connection that is reused after replies that do not match.
+func FuzzReplies(f *testing.F) {
+	f.Add("P:s1:a B:s1:a E S", "1\x00\x00\x00\x042\x00\x00\x00\x04C\x00\x00\x00\x06A\x00Z\x00\x00\x00\x05I")
+	f.Add("Q:insert", "E\x00\x00\x00\x09VERR\x00Z\x00\x00\x00\x05E")
+	f.Add("Q:copy_from_stdin", "G\x00\x00\x00\x04")
+	f.Add("Q:commit", "C\x00\x00\x00\x0bCOMMIT\x00D\x00\x00\x00\x0c\x00\x01\x00\x00\x00\x013")
+	f.Fuzz(func(t *testing.T, batch, replies string) {
+		var messages []dfunit.Message
+		for _, token := range strings.Fields(batch) {
+			messages = append(messages, message(token))
+		}
+		if len(messages) == 0 || len(messages) > 100 {
+			return
+		}
+		upstream := stream{input: strings.NewReader(replies)}
+		conn := &Conn{stream: upstream, reader: dfframe.NewReader(upstream, 1<<16), statements: newStatements(),
+			status: 'I', config: Config{HoldBytes: 1 << 16}}
+		options := Options{Position: true, Write: true, Gate: func(context.Context, dfposition.Position) error { return nil }}
+		_, err := conn.Exchange(context.Background(), dfunit.Batch{Messages: messages}, &errorSink{}, options)
+		require.Equal(t, err != nil, conn.Broken())
+	})
+}
