Never call a committed batch not run

Cause: an error of the gate was passed on with its own outcome, also when that was not run, although the batch had committed at its upstream.

Change: such an error becomes an unknown commit.

--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -436,9 +436,11 @@
 	return nil
 }
 
+// asResult keeps a result code of the gate unless it states not run: the batch
+// has committed at its upstream.
 func asResult(err error) error {
 	var known *dfresult.Error
-	if errors.As(err, &known) {
+	if errors.As(err, &known) && known.Code.Outcome() != dfresult.NotRun {
 		return known
 	}
 	return dfresult.NewError(dfresult.CommitUnknown, "%v", err)
--- a/dfupstream/reply_test.go
+++ b/dfupstream/reply_test.go
@@ -114,6 +114,9 @@
 	if s.options["gate"] {
 		options.Gate = func(context.Context, dfposition.Position) error {
 			s.got = append(s.got, "gate")
+			if s.options["deny"] {
+				return dfresult.NewError(dfresult.HostDraining, "denied")
+			}
 			if s.options["refuse"] {
 				return dfresult.NewError(dfresult.NotMajority, "refused")
 			}
