--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -360,6 +360,7 @@
 		return nil
 	}
 	c.statements.forgetPending()
+	c.statements.outdated = c.statements.outdated || due.kind != replyParse && refusesPrepared(code)
 	if !c.queue.skipToSync() {
 		c.skipping = true
 	}
@@ -435,9 +436,11 @@
 	return nil
 }
 
+// asResult keeps a result code of the gate unless it states not run: the batch
+// has committed at its upstream.
 func asResult(err error) error {
 	var known *dfresult.Error
-	if errors.As(err, &known) {
+	if errors.As(err, &known) && known.Code.Outcome() != dfresult.NotRun {
 		return known
 	}
 	return dfresult.NewError(dfresult.CommitUnknown, "%v", err)
--- a/dfwire/server_test.go
+++ b/dfwire/server_test.go
@@ -21,11 +21,15 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	"github.com/xdg-go/scram"
+	"go.uber.org/goleak"
 
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfunit"
 )
 
+// TestMain guards against goroutines that outlive their server.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // host is a handler whose sessions answer every batch without an upstream.
 type host struct {
 	stored  scram.StoredCredentials
@@ -291,6 +295,18 @@
 	require.ErrorContains(t, err, "57P01")
 }
 
+// TestBytesBeforeTLS guards against plain bytes that someone else injects ahead
+// of the handshake.
+func TestBytesBeforeTLS(t *testing.T) {
+	h := startHost(t, func(c *Config) { c.TLS = certificate(t) })
+	stream, err := net.Dial("tcp", h.address)
+	require.NoError(t, err)
+	_, err = stream.Write([]byte(startupBytes("\x04\xd2\x16\x2f") + "Q"))
+	require.NoError(t, err)
+	replies, _ := io.ReadAll(stream)
+	require.Empty(t, replies)
+}
+
 func certificate(t testing.TB) *tls.Config {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
