Refuse confirmations from an upstream that changed its term

Cause: 3,000 seeds of the model found two cases. Seed 767: a read routed under term 3 ran at an upstream that had become a replica of term 4, and its position raised the term under which it was released, so it missed acknowledged writes. Seed 2566: the check for late acknowledgements looked only at the primary, and there was none for 7 ms; the trace shows the entry in all three logs.

--- a/dfack/ack.go
+++ b/dfack/ack.go
@@ -110,9 +110,13 @@
 // an update that matched no row. It was sent to the primary of the term, and the
 // position was read behind it. Unlike a commit it is never released under a
 // later term: a replaced primary gives the same old position, although writes
-// that the request did not see were acknowledged since.
+// that the request did not see were acknowledged since. A position of a later
+// term came from an upstream that is no longer the primary it was asked as.
 func (g *Gate) Confirm(now dfclock.Millis, id uint64, position dfposition.Position, term dfposition.Term) []Action {
-	return g.add(now, &commit{id: id, position: position, only: max(term, position.Term)})
+	if position.Term > term {
+		return []Action{Answer{ID: id, Position: position, Code: dfresult.PrimaryChanged}}
+	}
+	return g.add(now, &commit{id: id, position: position, only: term})
 }
 
 func (g *Gate) add(now dfclock.Millis, c *commit) []Action {
--- a/dffailover/failover_test.go
+++ b/dffailover/failover_test.go
@@ -188,6 +188,15 @@
 	}
 }
 
+// TestFoundSeeds guards against faults that longer runs found: a read answered
+// by an upstream that had become a replica (767), and a check that took the
+// moment between two primaries for a lost position (2566).
+func TestFoundSeeds(t *testing.T) {
+	for _, seed := range []uint64{767, 2566} {
+		require.Empty(t, run(seed, faults{}).violations, "seed %d", seed)
+	}
+}
+
 // TestChecksFire guards against checks that pass whatever happens: each fault
 // put in on purpose must be found.
 func TestChecksFire(t *testing.T) {
