Take the platform's leaving marks and pause failed waits

Cause: the host list's leaving mark did not reach the view, and a dead upstream got a fresh wait connection each 10 ms while commits waited. Change: SetLeaving marks the view and the upstream; WaitPause follows a failed wait; repairs are audited only once they succeed. The tests are shorter and check the same.

--- a/dfcontrol/constants.go
+++ b/dfcontrol/constants.go
@@ -15,6 +15,9 @@
 	ChangeTimeout = 300 * time.Millisecond
 	// WaitMargin is what a group_wait may take beyond its own bound.
 	WaitMargin = 300 * time.Millisecond
+	// WaitPause follows a group_wait that failed, so that commits that wait do
+	// not turn a dead upstream into a stream of connections.
+	WaitPause = 50 * time.Millisecond
 	// TickPeriod separates the runner's looks at its bounds.
 	TickPeriod = 10 * time.Millisecond
 	// BarrierTimeout bounds a barrier that the caller does not bound.
--- a/dfcontrol/loop.go
+++ b/dfcontrol/loop.go
@@ -60,6 +60,8 @@
 		l.addBarrier(now, m.reply)
 	case changeRequest:
 		l.addChange(now, m.reply)
+	case listed:
+		l.takeListed(now, m)
 	case rankChanged:
 		l.machine.SetRank(m.rank)
 	}
@@ -81,6 +83,15 @@
 	l.publish(now)
 }
 
+func (l *loop) takeListed(now dfclock.Millis, m listed) {
+	l.listed[m.upstream] = m.leaving
+	upstream, found := l.view.Find(m.upstream)
+	if found && m.leaving && upstream.ReportedAt > 0 && !upstream.Status.Leaving {
+		l.command(now, m.upstream, command{leaving: true})
+	}
+	l.publish(now)
+}
+
 // learn passes a report to health, acknowledgement and view.
 func (l *loop) learn(now dfclock.Millis, status dfgroup.Status, askedAt dfclock.Millis) {
 	l.health.Handle(now, dfhealth.Reported{Status: status})
@@ -94,6 +105,9 @@
 	switch {
 	case m.err == nil:
 		l.learn(now, m.status, m.askedAt)
+		if c.step == dffailover.StepFence && c.actor != l.watcher.options.Actor {
+			l.audit(AuditEvent{Kind: AuditFencing, At: now, Term: c.term, Actor: c.actor, Upstream: m.upstream})
+		}
 		if c.leaving {
 			l.drive(now, dffailover.Reported{Status: m.status, AskedAt: m.askedAt})
 			return
@@ -115,7 +129,9 @@
 	for _, action := range l.machine.Handle(now, event) {
 		switch a := action.(type) {
 		case dffailover.Fence:
-			l.audit(AuditEvent{Kind: AuditFencing, At: now, Term: a.Term, Actor: a.Actor})
+			if len(a.Upstreams) > 1 {
+				l.audit(AuditEvent{Kind: AuditFencing, At: now, Term: a.Term, Actor: a.Actor})
+			}
 			for _, id := range a.Upstreams {
 				l.command(now, id, command{step: dffailover.StepFence, term: a.Term, actor: a.Actor})
 			}
@@ -275,6 +291,11 @@
 		}
 	}
 	l.view = next
+	for _, upstream := range next.Upstreams {
+		if l.listed[upstream.ID] {
+			next = next.WithLeaving(upstream.ID, true)
+		}
+	}
 	if !confirmed || term != next.Term || primary != next.Primary {
 		next.Primary = ""
 	}
--- a/dfcontrol/options.go
+++ b/dfcontrol/options.go
@@ -54,7 +54,8 @@
 	Now func() dfclock.Millis
 
 	PollPeriod, StatusTimeout, ChangeTimeout time.Duration
-	WaitMargin, TickPeriod, BarrierTimeout   time.Duration
+	WaitMargin, WaitPause                    time.Duration
+	TickPeriod, BarrierTimeout               time.Duration
 
 	Health   dfhealth.Options
 	Failover dffailover.Timings
@@ -74,7 +75,8 @@
 func DefaultOptions() Options {
 	return Options{
 		PollPeriod: PollPeriod, StatusTimeout: StatusTimeout, ChangeTimeout: ChangeTimeout,
-		WaitMargin: WaitMargin, TickPeriod: TickPeriod, BarrierTimeout: BarrierTimeout,
+		WaitMargin: WaitMargin, WaitPause: WaitPause,
+		TickPeriod: TickPeriod, BarrierTimeout: BarrierTimeout,
 		Health:   dfhealth.DefaultOptions(),
 		Failover: dffailover.DefaultTimings(),
 		Ack:      dfack.DefaultOptions(),
@@ -90,7 +92,7 @@
 	case o.Actor == "":
 		return eris.New("watcher: the actor has no name")
 	case o.PollPeriod <= 0 || o.StatusTimeout <= 0 || o.ChangeTimeout <= 0 || o.TickPeriod <= 0 ||
-		o.BarrierTimeout <= 0 || o.WaitMargin <= 0:
+		o.BarrierTimeout <= 0 || o.WaitMargin <= 0 || o.WaitPause <= 0:
 		return eris.New("watcher: every time bound must be positive")
 	case o.Ack.Timeout <= 0 || o.Ack.WaitSpan <= 0:
 		return eris.New("watcher: the bounds of acknowledgement must be positive")
--- a/dfcontrol/watcher.go
+++ b/dfcontrol/watcher.go
@@ -80,6 +80,13 @@
 	w.offer(rankChanged{rank: rank})
 }
 
+// SetLeaving takes the platform's mark on an upstream from its host list. It is
+// repeated at each look at the list. The mark is passed on to the upstream, by
+// which every slot holder learns of it and a leaving primary is replaced.
+func (w *Watcher) SetLeaving(upstream dfgroup.UpstreamID, leaving bool) {
+	w.offer(listed{upstream: upstream, leaving: leaving})
+}
+
 // Barrier returns a position at or beyond every write that was acknowledged
 // before the call. An error is a *dfresult.Error with the outcome not run.
 func (w *Watcher) Barrier(ctx context.Context) (dfposition.Position, error) {
@@ -212,7 +219,9 @@
 	gate     *dfack.Gate
 	acks     map[uint64]chan error
 	barriers []barrier
-	changes  []plannedChange
+	// listed has the upstreams that the platform's host list marks as leaving.
+	listed  map[dfgroup.UpstreamID]bool
+	changes []plannedChange
 }
 
 // barrier is a read that waits since an instant.
@@ -246,5 +255,7 @@
 		}),
 		gate: dfack.NewGate(w.options.Ack, ids),
 		acks: map[uint64]chan error{},
+
+		listed: map[dfgroup.UpstreamID]bool{},
 	}
 }
--- a/dfcontrol/watcher_test.go
+++ b/dfcontrol/watcher_test.go
@@ -38,12 +38,11 @@
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{fakes: map[string]*fake{}, accepted: map[string]int{}}
-	for i := range 3 {
-		f := &fake{cluster: c, name: fmt.Sprintf("u%d", i), role: "replica", actor: "first", term: 1, following: "u0", history: "1:0"}
-		c.fakes[f.name] = f
+	for _, name := range []string{"u0", "u1", "u2"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		f.listener = listener
+		f := &fake{cluster: c, name: name, role: "replica", term: 1, following: "u0", history: "1:0", listener: listener}
+		c.fakes[name] = f
 		t.Cleanup(func() { listener.Close() })
 		go f.accept()
 	}
@@ -73,13 +72,8 @@
 	backend.Send(&pgproto3.AuthenticationOk{})
 	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	_ = backend.Flush()
-	for {
-		message, err := backend.Receive()
-		query, ok := message.(*pgproto3.Query)
-		if err != nil || !ok {
-			return
-		}
-		if f.answer(backend, query.String) {
+	for message, err := backend.Receive(); err == nil; message, err = backend.Receive() {
+		if query, ok := message.(*pgproto3.Query); ok && f.answer(backend, query.String) {
 			_ = backend.Flush()
 		}
 	}
@@ -128,16 +122,14 @@
 	return false
 }
 
-func (f *fake) row() [][]byte {
+func (f *fake) row() (row [][]byte) {
 	silence := 0
 	if p := f.fakes[f.following]; p == nil || p.down {
 		silence = 10000
 	}
-	leaving := map[bool]string{true: "t", false: "f"}[f.leaving]
-	columns := []any{f.name, "dc", f.role, f.term, f.actor, 1, f.flushed, f.flushed, f.history, f.following, silence, leaving, ""}
-	row := make([][]byte, len(columns))
-	for i, column := range columns {
-		row[i] = []byte(fmt.Sprint(column))
+	for _, column := range []any{f.name, "dc", f.role, f.term, f.actor, 1, f.flushed, f.flushed, f.history,
+		f.following, silence, fmt.Sprint(f.leaving)[:1], ""} {
+		row = append(row, []byte(fmt.Sprint(column)))
 	}
 	return row
 }
@@ -192,9 +184,8 @@
 
 	// The new primary dies.
 	c.with(func() {
-		f := c.fakes[string(second.Primary)]
-		f.down = true // its connections go silent, and it refuses fresh ones
-		f.listener.Close()
+		c.fakes[string(second.Primary)].down = true // its connections go silent, it refuses fresh ones
+		c.fakes[string(second.Primary)].listener.Close()
 	})
 	changed := func() bool {
 		v := w.View()
--- a/dfcontrol/worker.go
+++ b/dfcontrol/worker.go
@@ -90,6 +90,13 @@
 // rankChanged is a new rank of the actor.
 type rankChanged struct{ rank int }
 
+// listed is the platform's mark on an upstream.
+type listed struct {
+	upstream dfgroup.UpstreamID
+	leaving  bool
+}
+
+func (listed) message()         {}
 func (reported) message()       {}
 func (asked) message()          {}
 func (changed) message()        {}
@@ -197,10 +204,9 @@
 		return
 	}
 	w.post(ctx, asked{upstream: k.upstream, startedAt: askedAt, err: err})
-	// A refused or failed wait is not repeated at once, which would spin.
 	select {
 	case <-ctx.Done():
-	case <-time.After(w.options.TickPeriod):
+	case <-time.After(w.options.WaitPause):
 	}
 	w.post(ctx, waited{upstream: k.upstream})
 }
--- a/dffailover/actor_test.go
+++ b/dffailover/actor_test.go
@@ -80,13 +80,12 @@
 	if w.rules == fixedTimeout {
 		health.SilenceFloor, health.SilenceCap = dffailover.FixedTimeout, dffailover.FixedTimeout
 	}
-	rank := a.index
-	if w.faults.sharedTerm {
-		rank = 0
-	}
 	a.machine = dffailover.New(dffailover.Options{
-		Actor: a.name(), Rank: rank, DataCentre: fmt.Sprint(a.index), Members: members, Timings: dffailover.DefaultTimings(),
+		Actor: a.name(), Rank: a.index, DataCentre: fmt.Sprint(a.index), Members: members, Timings: dffailover.DefaultTimings(),
 	})
+	if w.faults.sharedTerm {
+		a.machine.SetRank(0)
+	}
 	a.tracker = dfhealth.NewTracker(health, w.now, ids)
 	a.gate = dfack.NewGate(dfack.DefaultOptions(), ids)
 	a.table = dffailover.NewTableRule(a.name())
@@ -220,12 +219,9 @@
 		if !a.alive {
 			return
 		}
-		_, held := action.(dffailover.HoldWrites)
-		step := a.carryOut(action)
-		if step && a.world.rng.Float64() < a.world.stepDeath {
+		if a.carryOut(action) && a.world.rng.Float64() < a.world.stepDeath {
 			a.die(500 + dfclock.Millis(a.world.rng.IntN(2000)))
 		}
-		a.held = a.held || held
 	}
 }
 
@@ -263,7 +259,10 @@
 	case dffailover.ReleaseWrites:
 		a.held = false
 		return false
-	case dffailover.HoldWrites, dffailover.Record, dffailover.ReportDiscarded, dffailover.GiveUp:
+	case dffailover.HoldWrites:
+		a.held = true
+		return false
+	case dffailover.Record, dffailover.ReportDiscarded, dffailover.GiveUp:
 		return false
 	}
 	return true
@@ -310,7 +309,6 @@
 	r.entry = entry{key: r.key, value: r.value}
 	var position dfposition.Position
 	a.inFlight++
-	sent := false
 	w.call(a, s, 1000, func() (status dfgroup.Status, err error) {
 		if r.read {
 			r.value = s.read(r.key)
@@ -318,20 +316,15 @@
 			return status, err
 		}
 		if position, err = w.write(s, r.entry); err == nil {
-			r.entry.term, sent = position.Term, true
-			if !r.recorded { // from here on it may take effect
-				r.recorded = true
-				w.history = append(w.history, r.operation)
-				r.at = len(w.history) - 1
-			}
+			r.entry.term, r.at = position.Term, len(w.history)
+			w.history = append(w.history, r.operation) // from here on it may take effect
 		}
 		return status, err
 	}, func(_ dfgroup.Status, err error) {
 		a.inFlight--
-		if err != nil || (!r.read && !sent) {
-			return
+		if err == nil {
+			a.await(r, position, term)
 		}
-		a.await(r, position, term)
 	})
 }
 
@@ -407,12 +400,7 @@
 }
 
 func (w *world) server(id dfgroup.UpstreamID) *server {
-	for _, s := range w.servers {
-		if s.id == id {
-			return s
-		}
-	}
-	panic("no upstream " + id)
+	return w.servers[id[1]-'0']
 }
 
 // promotee returns the upstream to promote, which a fault may replace.
--- a/dffailover/failover_test.go
+++ b/dffailover/failover_test.go
@@ -20,7 +20,6 @@
 	read       bool
 	call, done dfclock.Millis
 	position   dfposition.Position
-	recorded   bool
 	at         int
 }
 
@@ -122,12 +121,8 @@
 	}
 	w.storm()
 	w.runUntil(runEnd)
-	last := dfclock.Millis(0)
-	if len(w.ackTimes) > 0 {
-		last = w.ackTimes[len(w.ackTimes)-1]
-	}
-	if last < runEnd-dfclock.Second {
-		w.violate("progress", "the last acknowledgement was at %v", last)
+	if n := len(w.ackTimes); n == 0 || w.ackTimes[n-1] < runEnd-dfclock.Second {
+		w.violate("progress", "nothing was acknowledged in the last second")
 	}
 	if !w.linearizable() {
 		w.violate("linearizable", "the history of a key is not")
--- a/dffailover/gap_test.go
+++ b/dffailover/gap_test.go
@@ -54,14 +54,9 @@
 	end := strikeAt + s.wait + 14*dfclock.Second
 	w.runUntil(end)
 	longest := dfclock.Millis(0)
-	for i, at := range w.ackTimes {
-		next := end
-		if i+1 < len(w.ackTimes) {
-			next = w.ackTimes[i+1]
-		}
-		if next >= strikeAt {
-			longest = max(longest, next-at)
-		}
+	for last, i := end, len(w.ackTimes)-1; i >= 0 && last >= strikeAt; i-- {
+		longest = max(longest, last-w.ackTimes[i])
+		last = w.ackTimes[i]
 	}
 	return longest, w
 }
--- a/dffailover/model_test.go
+++ b/dffailover/model_test.go
@@ -259,11 +259,7 @@
 	if s.accepted != term || s.actor != actor || s.role == dfgroup.RolePrimary {
 		return dfgroup.Status{}, refusedError{s.accepted}
 	}
-	for _, other := range w.servers {
-		if other.id == primary {
-			s.role, s.following, s.heardAt = dfgroup.RoleReplica, other, w.now
-		}
-	}
+	s.role, s.following, s.heardAt = dfgroup.RoleReplica, w.server(primary), w.now
 	return s.status(w.now), nil
 }
 
