--- a/dfack/constants.go
+++ b/dfack/constants.go
@@ -10,6 +10,7 @@
 	// DefaultWaitSpan bounds one group_wait. A shorter span notices a change of
 	// term earlier, a longer one sends fewer statements to a lagging replica.
 	DefaultWaitSpan = 500 * dfclock.Millisecond
-	// MaxWaiting bounds the commits that wait in one gate.
-	MaxWaiting = 65536
+	// MaxWaiting bounds the commits that wait in one gate. Every report is judged
+	// against all of them, so the bound also keeps that work short.
+	MaxWaiting = 8192
 )
