Run leases, slots and spreading at the host

Hosts claimed slots without leases or takeover, and each polled the head. dflease.Keeper now owns slots: renewal, grouped placement, takeover with termination of earlier connections, checks before connections open and once they are established, loss and release on drain. dfspread.Spreader polls per data centre, announces and asks peers. Changed limits and upstreams of a newer version come into force at the held slots.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfcontrol"
 	"dragonflygrade/dfgroup"
+	"dragonflygrade/dflease"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfproto"
 	"dragonflygrade/dfresult"
@@ -32,8 +32,12 @@
 	watcher   *dfcontrol.Watcher
 	control   *dfcontrol.Client
 	pools     map[dfgroup.UpstreamID]*dfupstream.Pool
+	// opened has when the connections of each pool were established.
+	opened    map[dfgroup.UpstreamID]*openings
 	knowledge *knowledge
 	router    *router
+	// share is the limit of each pool.
+	share atomic.Int64
 
 	// writing counts the open units at the primary.
 	writing atomic.Int64
@@ -75,13 +79,16 @@
 		pools:     make(map[dfgroup.UpstreamID]*dfupstream.Pool, len(upstreams)),
 		units:     make(map[*unit]struct{}),
 		marks:     make(map[dfgroup.UpstreamID]bool),
-		knowledge: newKnowledge(dfsession.New(options.ClaimedAt, options.FromVacant, 0, 0), options.Now),
+		opened:    make(map[dfgroup.UpstreamID]*openings, len(upstreams)),
+		knowledge: newKnowledge(initialKnowledge(options), options.Now),
 	}
+	h.share.Store(int64(options.Database.Share()))
 	h.watcher, err = dfcontrol.NewWatcher(h.watcherOptions(upstreams))
 	if err != nil {
 		return nil, eris.Wrapf(err, "holder %s", options.Group)
 	}
 	for _, upstream := range upstreams {
+		h.opened[upstream.ID] = newOpenings()
 		h.pools[upstream.ID] = h.newPool(upstream)
 	}
 	h.router = newRouter(h)
@@ -119,7 +126,8 @@
 func (h *Holder) newPool(upstream dfgroup.Upstream) *dfupstream.Pool {
 	config := dfupstream.PoolConfig{
 		Conn: dfupstream.Config{
-			Dial:               h.options.Dial,
+			Dial:               h.dialWhenAllowed(upstream.ID),
+			Admit:              func(conn *dfupstream.Conn) error { return h.admit(upstream.ID, conn) },
 			Address:            upstream.Address,
 			User:               h.options.User,
 			Password:           h.options.Password,
@@ -128,8 +136,9 @@
 			IdleSessionTimeout: h.options.IdleTimeout,
 			Classify:           h.options.Classify,
 		},
-		Now:  h.options.Now,
-		Seed: h.options.Seed,
+		Now:          h.options.Now,
+		Seed:         h.options.Seed,
+		OnTerminated: h.options.OnCut,
 	}
 	config.Pool.Limit = h.options.Database.Share()
 	return dfupstream.NewPool(config)
@@ -138,12 +147,7 @@
 // ApplicationName marks the connections of this holder's epoch, so that a later
 // holder of the slot can end them.
 func (h *Holder) ApplicationName() string {
-	return ApplicationName(h.options.Group, h.options.Slot, h.options.Epoch)
-}
-
-// ApplicationName names the connections of a slot under an epoch.
-func ApplicationName(group dfgroup.ID, slot int, epoch uint64) string {
-	return "dragonflygrade " + string(group) + " " + strconv.Itoa(slot) + " " + strconv.FormatUint(epoch, 10)
+	return dflease.ApplicationName(h.options.Group, h.options.Slot, h.options.Epoch)
 }
 
 // Open admits and routes a request.
@@ -377,7 +381,7 @@
 		Complete:    h.knowledge.complete(),
 		Working:     int(h.working.Load()),
 		Connections: make(map[dfgroup.UpstreamID]int, len(h.pools)),
-		Limit:       h.options.Database.Share(),
+		Limit:       int(h.share.Load()),
 	}
 	for id, pool := range h.pools {
 		state.Connections[id] = pool.Stats().Total()
--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -46,6 +46,16 @@
 	// OnAudit takes events for the audit trail; it may be nil.
 	OnAudit func(dfcontrol.AuditEvent)
 
+	// LeaseNow is the clock of leases; MayOpen tells whether connections to an
+	// upstream may be opened, and again whether a new one may be used. OnCut is
+	// called when an upstream's administrator ended a connection. All may be nil.
+	LeaseNow func() dfclock.Millis
+	MayOpen  func(upstream dfgroup.UpstreamID) bool
+	OnCut    func()
+	// Former is the last holder of a slot of the group in this process; it is
+	// closed or about to be, and nil if there was none.
+	Former *Holder
+
 	// ClaimedAt is when the slot was taken, after the connections of its earlier
 	// holder had ended. FromVacant is true if there was none.
 	ClaimedAt  dfclock.Millis
@@ -64,6 +74,10 @@
 	floorPeriod = 100 * dfclock.Millisecond
 	// markTimeout bounds one statement that sets a leaving mark.
 	markTimeout = time.Second
+	// probeTimeout bounds a probe that proves the right to open connections.
+	probeTimeout = 500 * dfclock.Millisecond
+	// probePriority lets probes go before requests.
+	probePriority = 0
 	// retryHint is when a caller that was refused may come back.
 	retryHint = 200 * dfclock.Millisecond
 	// routePause separates looks at the replicas while a read waits for one.
--- a/dfhost/attempt.go
+++ b/dfhost/attempt.go
@@ -108,8 +108,15 @@
 		return
 	}
 	var failure *dfresult.Error
-	if errors.As(err, &failure) && (failure.Code == dfresult.PeerUnreachable || failure.Code == dfresult.ConnectionLost) {
+	if !errors.As(err, &failure) {
+		return
+	}
+	switch failure.Code {
+	case dfresult.PeerUnreachable, dfresult.ConnectionLost:
 		a.host.peerFailed(target.host)
+		a.host.slots.doubt(a.request.Group)
+	case dfresult.SlotLost, dfresult.HostDraining:
+		a.host.slots.doubt(a.request.Group)
 	}
 }
 
--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -54,7 +54,10 @@
 	random   *mathrand.Rand
 
 	draining atomic.Bool
-	stop     context.CancelFunc
+	// ctx ends with the host's duties.
+	ctx    context.Context
+	stop   context.CancelFunc
+	killed sync.Once
 	duties   sync.WaitGroup
 }
 
@@ -63,6 +66,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
+	settings = settings.withDefaults()
 	incarnation, err := newIncarnation()
 	if err != nil {
 		return nil, err
@@ -171,7 +175,8 @@
 		return err
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	h.stop = cancel
+	h.ctx, h.stop = runCtx, cancel
+	h.slots.keeper.begin()
 	h.duties.Go(func() { _ = h.peerServer.Serve(listeners.peer) })
 	h.duties.Go(func() { _ = h.wire.Serve(listeners.caller) })
 	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: adminTimeout}
@@ -179,7 +184,8 @@
 	h.duties.Go(func() { _ = h.audit.Run(runCtx) })
 	h.duties.Go(func() { h.adoption.run(runCtx) })
 	h.duties.Go(func() { h.members.run(runCtx) })
-	h.duties.Go(func() { h.slots.run(runCtx) })
+	h.duties.Go(func() { h.slots.keeper.run(runCtx) })
+	h.duties.Go(func() { h.slots.runRows(runCtx) })
 	h.duties.Go(func() { h.peers.run(runCtx) })
 	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, To: h.incarnation, Outcome: "started"})
 	h.log.Info().Str("Callers", h.CallerAddress()).Str("Peers", h.PeerAddress()).Msg("host: started")
@@ -236,6 +242,8 @@
 // the number of requests that were cut.
 func (h *Host) Shutdown(ctx context.Context) int {
 	h.draining.Store(true)
+	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, From: h.incarnation, Outcome: "draining"})
+	h.slots.plan()
 	h.log.Info().Msg("host: draining")
 	drainCtx, cancel := context.WithTimeout(ctx, h.settings.DrainTimeout)
 	defer cancel()
@@ -259,6 +267,10 @@
 // Kill ends the host at once, as a crash would: callers are cut and nothing is
 // released.
 func (h *Host) Kill() {
+	h.killed.Do(h.kill)
+}
+
+func (h *Host) kill() {
 	h.stop()
 	h.peerServer.Stop()
 	_ = h.admin.Close()
@@ -298,6 +310,13 @@
 	return h.requests.Add(1)
 }
 
+// choose returns a random number below the count.
+func (h *Host) choose(count int) int {
+	h.randomMu.Lock()
+	defer h.randomMu.Unlock()
+	return h.random.IntN(count)
+}
+
 // jitter spreads a pause over half to one and a half of its length.
 func (h *Host) jitter(span dfclock.Millis) dfclock.Millis {
 	h.randomMu.Lock()
--- a/dfhost/opener.go
+++ b/dfhost/opener.go
@@ -24,7 +24,7 @@
 	h := o.host
 	snapshot := h.configuration()
 	if snapshot.Version() == 0 {
-		return nil, dfresult.NewError(dfresult.ConfigurationAbsent, "the host has just started").WithRetryAfter(headPeriod)
+		return nil, dfresult.NewError(dfresult.ConfigurationAbsent, "the host has just started").WithRetryAfter(startHint)
 	}
 	service, found := snapshot.Service(opening.Service)
 	if !found {
--- a/dfhost/peers.go
+++ b/dfhost/peers.go
@@ -56,8 +56,9 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(dfsession.RenewEvery)*time.Millisecond)
 	defer cancel()
 	sentAt := p.host.now()
-	request := &dfproto.LeaseRequest{Host: p.host.settings.ID, Incarnation: p.host.incarnation, Groups: groups}
+	request := &dfproto.LeaseRequest{Host: p.host.settings.ID, Incarnation: p.host.slots.keeper.incarnation(), Groups: groups}
 	reply, err := peer.Client().Lease(ctx, request)
+	p.host.members.contacted(p.host.slots.hostAt(address), err == nil)
 	if err != nil {
 		return
 	}
@@ -88,14 +89,17 @@
 	if holder == nil || holder.Epoch() != epoch {
 		return nil, dfresult.NewError(dfresult.SlotLost, "host %s, database %s", h.settings.ID, request.Group)
 	}
+	// The unit is counted before the check, so that a drain waits for it.
+	h.peers.relayed.Add(1)
 	if h.draining.Load() {
+		h.peers.relayed.Add(-1)
 		return nil, dfresult.NewError(dfresult.HostDraining, "host %s", h.settings.ID)
 	}
 	unit, err := holder.Open(ctx, request)
 	if err != nil {
+		h.peers.relayed.Add(-1)
 		return nil, err
 	}
-	h.peers.relayed.Add(1)
 	return &relayedUnit{Unit: unit, peers: h.peers}, nil
 }
 
@@ -114,7 +118,7 @@
 
 // Lease grants position leases for the databases of which this host holds a slot.
 func (s *handler) Lease(request *dfproto.LeaseRequest) *dfproto.LeaseReply {
-	reply := &dfproto.LeaseReply{TTLMillis: int64(dfsession.LeaseSpan), Incarnation: s.host.incarnation}
+	reply := &dfproto.LeaseReply{TTLMillis: int64(dfsession.LeaseSpan), Incarnation: s.host.slots.keeper.incarnation()}
 	for _, group := range request.Groups {
 		if s.host.slots.grant(dfgroup.ID(group), request.Host, request.Incarnation) {
 			reply.Granted = append(reply.Granted, group)
@@ -136,7 +140,7 @@
 // Positions tells the known position of a caller.
 func (s *handler) Positions(request *dfproto.PositionsRequest) *dfproto.PositionsReply {
 	holder := s.host.slots.holder(dfgroup.ID(request.Group))
-	if holder == nil || !s.host.slots.leaseHeld() {
+	if holder == nil || !s.host.slots.keeper.valid() {
 		return &dfproto.PositionsReply{}
 	}
 	position, known := holder.Tell(request.Caller)
--- a/dfhost/settings.go
+++ b/dfhost/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"dragonflygrade/dfclock"
 	"dragonflygrade/dfpeer"
 	"dragonflygrade/dfplatform"
 )
@@ -49,10 +50,31 @@
 	DrainTimeout time.Duration
 	MaxCallers   int
 
+	// Seeds are "ip:port" of other hosts' peer addresses, asked while the
+	// platform's host list can't be read; they may be empty.
+	Seeds []string
+	// OperatorKey lets operators change state at the admin address; empty
+	// allows no changes.
+	OperatorKey string
+	// AdminTLS is nil when the admin address is not encrypted.
+	AdminTLS *tls.Config
+
 	// DialUpstream and DialPeer replace the network dialer.
 	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	DialPeer     dfpeer.DialFunc
 	Platform     dfplatform.Platform
+	// LeaseClock replaces the clock of leases and slots; nil takes the host's.
+	LeaseClock func() dfclock.Millis
+}
+
+// dialTimeout bounds a connection to an upstream.
+const dialTimeout = 2 * time.Second
+
+func (s Settings) withDefaults() Settings {
+	if s.DialUpstream == nil {
+		s.DialUpstream = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return s
 }
 
 // Defaults and limits of settings.
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -4,14 +4,17 @@
 	"context"
 	"sync"
 
+	"dragonflygrade/dfaudit"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfholder"
+	"dragonflygrade/dflease"
+	"dragonflygrade/dfposition"
 	"dragonflygrade/dfproto"
 	"dragonflygrade/dfsession"
 )
 
-// slotRow is what this host knows of one slot.
+// slotRow is what this host knows of one held slot.
 type slotRow struct {
 	Group       dfgroup.ID
 	Index       int
@@ -25,20 +28,32 @@
 // slots keeps the slots that this host holds and what it knows of the others.
 type slots struct {
 	host     *Host
+	keeper   *keeper
 	failures failures
 
 	mu sync.RWMutex
 	// holders is keyed by group; a host holds at most one slot of a group.
 	holders map[dfgroup.ID]*dfholder.Holder
-	// known has the rows of each group by index.
-	known map[dfgroup.ID][]slotRow
+	// former has the last holder of each group that was closed; its knowledge
+	// is carried over when this process takes a slot of the group again.
+	former map[dfgroup.ID]*dfholder.Holder
+	known  map[dfgroup.ID]groupRows
+	// closing counts holders that are being closed.
+	closing sync.WaitGroup
+	// caps has the databases whose limits were raised lately.
+	caps map[dfgroup.ID]limitCap
+	// wants is what the keeper was last told.
+	wants wants
 }
 
 func newSlots(h *Host) *slots {
 	return &slots{
 		host:    h,
+		keeper:  newKeeper(h),
 		holders: make(map[dfgroup.ID]*dfholder.Holder),
-		known:   make(map[dfgroup.ID][]slotRow),
+		former:  make(map[dfgroup.ID]*dfholder.Holder),
+		known:   make(map[dfgroup.ID]groupRows),
+		caps:    make(map[dfgroup.ID]limitCap),
 	}
 }
 
@@ -52,8 +67,12 @@
 // rows returns the known slots of the group. The slice is never modified.
 func (s *slots) rows(group dfgroup.ID) []slotRow {
 	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.known[group]
+	known := s.known[group]
+	s.mu.RUnlock()
+	if !known.used {
+		s.doubt(group)
+	}
+	return known.rows
 }
 
 // peersByAddress lists, for each other slot holder, the databases in common.
@@ -62,7 +81,7 @@
 	defer s.mu.RUnlock()
 	peers := make(map[string][]string)
 	for group := range s.holders {
-		for _, row := range s.known[group] {
+		for _, row := range s.known[group].rows {
 			if row.Host != s.host.settings.ID {
 				peers[row.Address] = append(peers[row.Address], string(group))
 			}
@@ -71,6 +90,20 @@
 	return peers
 }
 
+// hostAt returns the host whose slot rows have the address.
+func (s *slots) hostAt(address string) string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, known := range s.known {
+		for _, row := range known.rows {
+			if row.Address == address {
+				return row.Host
+			}
+		}
+	}
+	return ""
+}
+
 // leased records a position lease that the peer at the address granted.
 func (s *slots) leased(group dfgroup.ID, address, incarnation string, sentAt, span dfclock.Millis) {
 	holder := s.holder(group)
@@ -88,10 +121,11 @@
 	return dfsession.Peer{Host: row.Host, Incarnation: row.Incarnation, Epoch: row.Epoch}
 }
 
-// grant grants a position lease to another slot holder.
+// grant grants a position lease to another slot holder while the host lease is
+// valid and no earlier owner's connections are left at the primary.
 func (s *slots) grant(group dfgroup.ID, host, incarnation string) bool {
 	holder := s.holder(group)
-	if holder == nil || !s.leaseHeld() {
+	if holder == nil || !s.keeper.mayGrant(group, holder.Primary()) {
 		return false
 	}
 	for _, row := range s.rows(group) {
@@ -99,6 +133,7 @@
 			return holder.Grant(peerOf(row))
 		}
 	}
+	s.doubt(group)
 	return false
 }
 
@@ -107,8 +142,8 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	reply := &dfproto.SlotsReply{}
-	for _, rows := range s.known {
-		for _, row := range rows {
+	for _, known := range s.known {
+		for _, row := range known.rows {
 			reply.Rows = append(reply.Rows, &dfproto.SlotRow{
 				Group: string(row.Group), Index: uint32(row.Index), Host: row.Host,
 				Incarnation: row.Incarnation, Epoch: row.Epoch, Address: row.Address,
@@ -155,69 +190,132 @@
 	s.holders = make(map[dfgroup.ID]*dfholder.Holder)
 	s.mu.Unlock()
 	for _, holder := range holders {
-		holder.Close()
+		holder.Release()
+		s.closing.Go(holder.Close)
 	}
+	s.closing.Wait()
 }
 
-func (s *slots) put(group dfgroup.ID, holder *dfholder.Holder) {
+// start opens the holder of a slot that the table gives to this host.
+func (s *slots) start(held dflease.Held) {
+	holder, err := s.open(held)
+	if err != nil {
+		s.host.log.Error().Err(err).Msg("slots: not opened")
+		return
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.holders[group] = holder
+	s.holders[held.Group] = holder
+	known := s.known[held.Group]
+	s.mu.Unlock()
+	database, _ := s.host.configuration().Database(held.Group)
+	if known.readAt > 0 {
+		s.introduce(holder, known.rows, database.Slots, known.readAt)
+	}
+	s.limit(held.Group, holder)
+	holder.MarkLeaving(*s.host.members.leaving.Load())
+	s.host.log.Info().Str("Group", string(held.Group)).Int("Slot", held.Index).Msg("slots: open")
 }
 
-// learn takes newer rows of a group and tells the own slot of its peers.
-func (s *slots) learn(group dfgroup.ID, rows []slotRow, slotCount int, readAt dfclock.Millis) {
+// stop closes the holder of a slot that is lost.
+func (s *slots) stop(group dfgroup.ID) {
 	s.mu.Lock()
-	s.known[group] = rows
 	holder := s.holders[group]
+	delete(s.holders, group)
+	if holder != nil {
+		s.former[group] = holder
+	}
 	s.mu.Unlock()
-	if holder == nil {
-		return
+	if holder != nil {
+		s.closing.Go(holder.Close)
 	}
-	roster := dfsession.Roster{ReadAt: readAt, Vacant: slotCount - len(rows)}
+}
+
+// introduce tells the own slot of the other holders.
+func (s *slots) introduce(holder *dfholder.Holder, rows []slotRow, slotCount int, readAt dfclock.Millis) {
+	roster := dfsession.Roster{ReadAt: readAt, Vacant: max(slotCount-len(rows), 0)}
+	rank := 0
 	for _, row := range rows {
-		if row.Host != s.host.settings.ID {
-			roster.Peers = append(roster.Peers, peerOf(row))
+		if row.Host == s.host.settings.ID {
+			continue
+		}
+		roster.Peers = append(roster.Peers, peerOf(row))
+		if row.Index < holder.Slot() {
+			rank++
 		}
 	}
 	holder.SetRoster(roster)
+	holder.SetRank(rank)
 }
 
-// open starts the holder of a slot that this host has taken.
-func (s *slots) open(row slotRow, claimedAt dfclock.Millis, fromVacant bool) (*dfholder.Holder, error) {
+// open makes the holder of a slot.
+func (s *slots) open(held dflease.Held) (*dfholder.Holder, error) {
 	h := s.host
-	database, _ := h.configuration().Database(row.Group)
+	database, _ := h.configuration().Database(held.Group)
+	s.mu.RLock()
+	former := s.former[held.Group]
+	s.mu.RUnlock()
 	return dfholder.New(dfholder.Options{
-		Group:           row.Group,
+		Group:           held.Group,
 		Database:        database,
 		Host:            h.settings.ID,
-		Incarnation:     h.incarnation,
-		Slot:            row.Index,
-		Epoch:           row.Epoch,
+		Incarnation:     s.keeper.incarnation(),
+		Slot:            held.Index,
+		Epoch:           held.Epoch,
 		DataCentre:      h.settings.DataCentre,
-		Rank:            row.Index,
+		Rank:            held.Index,
 		Dial:            h.settings.DialUpstream,
 		User:            h.settings.UpstreamUser,
 		Password:        h.settings.UpstreamPassword,
 		ControlPassword: h.settings.ControlPassword,
 		Classify:        h.leavesBehind,
 		Now:             h.now,
-		Seed:            hostSeed(h.settings.ID + string(row.Group)),
+		LeaseNow:        s.keeper.now,
+		Seed:            hostSeed(h.settings.ID + string(held.Group)),
 		IdleTimeout:     dfholder.DefaultIdleTimeout,
 		Notify: func(peer dfsession.Peer, position *dfproto.CallerPosition, answered func()) {
-			if address, found := s.addressOf(row.Group, peer); found {
+			if address, found := s.addressOf(held.Group, peer); found {
 				h.notifier.Notify(address, position, answered)
 			}
 		},
-		Ask:        s.ask(row.Group),
-		OnAudit:    h.recordControl,
-		ClaimedAt:  claimedAt,
-		FromVacant: fromVacant,
+		Ask:     s.ask(held.Group),
+		OnAudit: h.recordControl,
+		MayOpen: func(upstream dfgroup.UpstreamID) bool { return s.keeper.mayOpen(held.Group, upstream) },
+		OnCut: func() {
+			s.keeper.post(dflease.Cut{Group: held.Group, Epoch: held.Epoch})
+		},
+		ClaimedAt:  h.now(),
+		FromVacant: held.Epoch == 1,
+		Former:     former,
 	}, h.log)
 }
 
+// ask returns the function by which a slot asks other holders for positions.
+func (s *slots) ask(group dfgroup.ID) func(context.Context, dfsession.Peer, *dfproto.PositionsRequest) (dfposition.Position, bool) {
+	return func(ctx context.Context, peer dfsession.Peer, request *dfproto.PositionsRequest) (dfposition.Position, bool) {
+		address, found := s.addressOf(group, peer)
+		if !found {
+			return dfposition.Position{}, false
+		}
+		remote, err := s.host.directory.Peer(address)
+		if err != nil {
+			return dfposition.Position{}, false
+		}
+		reply, err := remote.Client().Positions(ctx, request)
+		if err != nil || !reply.Holder {
+			return dfposition.Position{}, false
+		}
+		return dfposition.Position{
+			Term: dfposition.Term(reply.Position.GetTerm()), Offset: dfposition.Offset(reply.Position.GetOffset()),
+		}, true
+	}
+}
+
 // release gives the slots back on a graceful shutdown.
 func (s *slots) release(ctx context.Context) {
 	s.closeAll()
-	s.releaseRows(ctx)
+	outcome := "released"
+	if !s.keeper.release(ctx) {
+		outcome = "not released, the table did not answer"
+	}
+	s.host.record(dfaudit.Entry{Who: s.host.settings.ID, Kind: dfaudit.KindSlot, Service: "", Why: "drain", Outcome: outcome})
 }
--- a/dfupstream/conn.go
+++ b/dfupstream/conn.go
@@ -41,6 +41,9 @@
 	IdleSessionTimeout dfclock.Millis
 	// Parameters are further startup parameters.
 	Parameters map[string]string
+	// Admit decides whether an established connection may be used; nil admits
+	// every one.
+	Admit func(conn *Conn) error
 	// Classify is nil if no statement leaves session state behind.
 	Classify Classify
 	// HoldBytes bounds an answer held for a gate; zero means DefaultHoldBytes.
@@ -115,6 +118,9 @@
 	}
 	stop := watch(ctx, c.giveUp)
 	err = c.startup()
+	if err == nil && config.Admit != nil {
+		err = config.Admit(c)
+	}
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
