--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -27,6 +28,13 @@
 	exitUnknown = 3
 	// exitViolation means that a figure that must be zero is not.
 	exitViolation = 4
+	// exitConflict means that another publication changed the same service.
+	exitConflict = 5
+	// exitUnavailable means that the platform does not answer; nothing changed.
+	exitUnavailable = 6
+	// exitWaiting means that a version was accepted but is not in force
+	// everywhere yet.
+	exitWaiting = 7
 )
 
 // CLI is the whole command line.
@@ -35,13 +43,23 @@
 
 	Host    HostCommand    `cmd:"" help:"Run a host."`
 	Demo    DemoCommand    `cmd:"" help:"Run hosts and stand-ins in one process, under load and faults."`
+	Publish PublishCommand `cmd:"" help:"Put service files in force."`
+	Status  StatusCommand  `cmd:"" help:"Show hosts, services, upstreams, slots and versions."`
+	Audit   AuditCommand   `cmd:"" help:"Print and verify the audit trail."`
+	Change  ChangeCommand  `cmd:"" help:"Move the lead of a database away from its present primary."`
 	Load    LoadCommand    `cmd:"" help:"Drive hosts or upstreams with load and check the answers."`
 	Standin StandinCommand `cmd:"" help:"Run a stand-in of an outside system."`
+
+	Completion CompletionCommand `cmd:"" help:"Print a script that completes commands in bash."`
 }
 
 // environment is what commands get besides their flags.
 type environment struct {
 	ctx context.Context
+	in  io.Reader
+	out io.Writer
+	// model describes the command line.
+	model *kong.Application
 }
 
 // Run parses the arguments, runs the command and returns the exit code.
@@ -67,7 +85,7 @@
 	log.DefaultLogger.Writer = &log.IOWriter{Writer: os.Stderr}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := parsed.Run(&environment{ctx: ctx}); err != nil {
+	if err := parsed.Run(&environment{ctx: ctx, in: os.Stdin, out: os.Stdout, model: parser.Model}); err != nil {
 		fmt.Fprintln(os.Stderr, "dragonflygrade:", err)
 		return exitCode(err)
 	}
@@ -77,19 +95,39 @@
 // usageError is a fault of flags or files.
 type usageError struct{ error }
 
+// waitError is a version that is not in force everywhere.
+type waitError struct{ error }
+
 // violationError names figures that must be zero and are not.
 type violationError struct{ error }
 
 func exitCode(err error) int {
 	var usage usageError
 	var violation violationError
+	var waiting waitError
 	var failure *dfresult.Error
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &violation):
 		return exitViolation
-	case errors.As(err, &failure) && failure.Code.Outcome() == dfresult.Unknown:
+	case errors.As(err, &waiting):
+		return exitWaiting
+	case errors.As(err, &failure):
+		return resultCode(failure.Code)
+	}
+	return exitFailed
+}
+
+func resultCode(code dfresult.Code) int {
+	switch {
+	case code == dfresult.ConfigurationInvalid:
+		return exitUsage
+	case code == dfresult.ConfigurationConflict:
+		return exitConflict
+	case code == dfresult.PlatformUnavailable:
+		return exitUnavailable
+	case code.Outcome() == dfresult.Unknown:
 		return exitUnknown
 	}
 	return exitFailed
--- a/dfcli/host.go
+++ b/dfcli/host.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,6 +38,12 @@
 	PeerKey           string `help:"PEM file with its key." type:"path"`
 	PeerAuthority     string `help:"PEM file with the authority of this system's hosts." type:"path"`
 
+	SystemName   string `help:"DNS name in the certificates of this system's hosts." default:"hosts.dragonflygrade"`
+	OperatorName string `help:"DNS name in the certificates of this system's operators." default:"operators.dragonflygrade"`
+	OperatorKey  string `help:"Key that operators without a certificate give at the admin address."`
+
+	Seeds []string `help:"ip:port of other hosts' peer addresses, asked while the platform's host list can't be read."`
+
 	DrainTimeout time.Duration `help:"Bound of a graceful shutdown." default:"20s"`
 	MaxCallers   int           `help:"Limit of caller connections." default:"10000"`
 }
@@ -61,11 +65,14 @@
 		RequireTLS:            c.RequireTLS,
 		DrainTimeout:          c.DrainTimeout,
 		MaxCallers:            c.MaxCallers,
+		Seeds:                 c.Seeds,
+		OperatorKey:           c.OperatorKey,
 	}
-	if err := c.loadCertificates(&settings); err != nil {
+	platformTLS, err := c.loadCertificates(&settings)
+	if err != nil {
 		return usageError{err}
 	}
-	platform, err := dialPlatform(c.PlatformAddress, settings.PeerClientTLS)
+	platform, err := dialPlatform(c.PlatformAddress, platformTLS)
 	if err != nil {
 		return usageError{err}
 	}
@@ -108,35 +115,30 @@
 	return dfremote.Dial(options)
 }
 
-func (c *HostCommand) loadCertificates(settings *dfhost.Settings) error {
+// loadCertificates reads the certificates and returns the settings of the
+// connection to the platform, or nil.
+func (c *HostCommand) loadCertificates(settings *dfhost.Settings) (*tls.Config, error) {
 	if c.CallerCertificate != "" {
-		certificate, err := tls.LoadX509KeyPair(c.CallerCertificate, c.CallerKey)
+		files := dfhost.CertificateFiles{Certificate: c.CallerCertificate, Key: c.CallerKey}
+		certificates, err := dfhost.LoadCertificates(files)
 		if err != nil {
-			return eris.Wrap(err, "certificate for callers")
+			return nil, eris.Wrap(err, "callers")
 		}
-		settings.CallerTLS = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+		settings.CallerTLS = certificates.Server()
 	}
 	if c.PeerCertificate == "" {
-		return nil
+		return nil, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(c.PeerCertificate, c.PeerKey)
-	if err != nil {
-		return eris.Wrap(err, "certificate for other hosts")
+	if c.PeerAuthority == "" {
+		return nil, eris.New("other hosts: a certificate needs the authority of this system's hosts beside it")
 	}
-	authority, err := os.ReadFile(c.PeerAuthority)
+	files := dfhost.CertificateFiles{Certificate: c.PeerCertificate, Key: c.PeerKey, Authority: c.PeerAuthority}
+	certificates, err := dfhost.LoadCertificates(files)
 	if err != nil {
-		return eris.Wrap(err, "authority of other hosts")
+		return nil, eris.Wrap(err, "other hosts")
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return eris.Errorf("authority of other hosts: %s has no certificate", c.PeerAuthority)
-	}
-	settings.PeerServerTLS = &tls.Config{
-		Certificates: []tls.Certificate{certificate}, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}
-	settings.PeerClientTLS = &tls.Config{
-		Certificates: []tls.Certificate{certificate}, RootCAs: pool, MinVersion: tls.VersionTLS13,
-	}
-	return nil
+	settings.PeerServerTLS = certificates.MutualServer(c.SystemName)
+	settings.PeerClientTLS = certificates.Client(c.SystemName)
+	settings.AdminTLS = certificates.OptionalServer(c.OperatorName)
+	return certificates.AddressClient(), nil
 }
--- a/dfdemo/demo.go
+++ b/dfdemo/demo.go
@@ -35,6 +35,9 @@
 	Lag dfclock.Millis
 	// MemberLag is the age of the platform's host list.
 	MemberLag dfclock.Millis
+	// LeaseRate makes the clock of leases and slots run faster than time, so
+	// that takeovers come sooner; 0 and 1 leave it as it is.
+	LeaseRate int
 }
 
 // Limits of the demo's options.
@@ -127,6 +130,11 @@
 	for _, lost := range schedule.primaryFaults {
 		report.AddGap(ledger.LongestPause(lost.service, lost.at, lost.at.Add(gapWindow)))
 	}
+	records, err := s.verifyAudit(ctx)
+	if err != nil {
+		return report, err
+	}
+	say(progress, "%d audit records in the object store, no chain is broken", records)
 	return report, nil
 }
 
--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -6,13 +6,16 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
 	"text/template"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"dragonflygrade/dfaudit"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconfig"
 	"dragonflygrade/dfgroup"
@@ -20,6 +23,7 @@
 	"dragonflygrade/dflink"
 	"dragonflygrade/dfload"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfpublish"
 	"dragonflygrade/dfstandin"
 	"dragonflygrade/dfstandinplatform"
 )
@@ -75,6 +79,10 @@
 	settings   []dfhost.Settings
 	// retired has the figures of hosts that were replaced.
 	retired []dfhost.Figures
+	// publications counts the publications of the demo itself.
+	publications int
+	// origin is when the stack was started.
+	origin time.Time
 }
 
 // NewStack starts platform, upstreams and hosts and puts the services in force.
@@ -82,6 +90,7 @@
 	s := &Stack{
 		deployment: deployment,
 		options:    options,
+		origin:     time.Now(),
 		network:    dflink.New(options.Seed),
 		store:      dfstandinplatform.NewStore(dfstandinplatform.Options{MemberLag: options.MemberLag, Seed: options.Seed}),
 	}
@@ -213,39 +222,51 @@
 
 // publish puts the services in force as version 1.
 func (s *Stack) publish(ctx context.Context) error {
-	var index dfconfig.Index
+	var files []dfconfig.File
 	for _, group := range s.groups {
 		text, err := s.serviceText(group)
 		if err != nil {
 			return err
 		}
-		services, faults := dfconfig.Parse([]dfconfig.File{{Name: group.Service + ".toml", Data: text}})
-		if len(faults) > 0 {
-			return eris.Errorf("demo: %s", faults)
-		}
-		document, err := dfconfig.Encode(services[0])
-		if err != nil {
-			return err
-		}
-		address := dfconfig.Address(document)
-		if err := s.store.Put(ctx, dfconfig.ServiceObject(address), document); err != nil {
-			return eris.Wrap(err, "demo: publish")
-		}
-		index = index.WithService(group.Service, address)
+		files = append(files, dfconfig.File{Name: group.Service + ".toml", Data: text})
 	}
-	index = index.Next("demo", "demo-1")
-	encoded, err := index.Encode()
+	_, err := s.publishFiles(ctx, files)
+	return err
+}
+
+// publishFiles puts service files in force as the next version.
+func (s *Stack) publishFiles(ctx context.Context, files []dfconfig.File) (dfpublish.Published, error) {
+	s.publications++
+	trail := dfpublish.NewTrail("demo", strconv.Itoa(s.publications))
+	publisher, err := dfpublish.New(s.store, dfpublish.Options{
+		Author: "demo",
+		Random: rand.New(rand.NewPCG(s.options.Seed, uint64(s.publications))),
+		Sleep:  sleepSpan,
+		Audit:  dfaudit.NewWriter(trail, s.store, unixMillis, sleepSpan),
+	})
 	if err != nil {
-		return err
+		return dfpublish.Published{}, err
 	}
-	if err := s.store.Put(ctx, index.Head().Index, encoded); err != nil {
-		return eris.Wrap(err, "demo: publish")
+	services, err := publisher.Check(ctx, files)
+	if err != nil {
+		return dfpublish.Published{}, err
 	}
-	head, err := index.Head().Encode()
+	plan, err := publisher.Plan(ctx, services, nil)
 	if err != nil {
-		return err
+		return dfpublish.Published{}, err
+	}
+	return publisher.Publish(ctx, plan)
+}
+
+func unixMillis() dfclock.Millis {
+	return dfclock.Millis(time.Now().UnixMilli())
+}
+
+func sleepSpan(ctx context.Context, span dfclock.Millis) error {
+	if !wait(ctx, time.Duration(span)*time.Millisecond) {
+		return ctx.Err()
 	}
-	return s.store.Commit(ctx, index.Attempt, dfplatform.Write{Key: dfconfig.HeadKey, Value: head})
+	return nil
 }
 
 func (s *Stack) startHost(ctx context.Context, index int) error {
@@ -264,6 +285,7 @@
 		MaxCallers:    dfhost.DefaultMaxCallers,
 		Platform:      s.store,
 		DialUpstream:  dialer.Dial,
+		LeaseClock:    s.leaseClock(),
 		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.Dial(ctx, "tcp", address)
 		},
@@ -275,12 +297,52 @@
 	if err := host.Start(ctx); err != nil {
 		return err
 	}
+	settings.CallerAddress, settings.PeerAddress, settings.AdminAddress = host.CallerAddress(), host.PeerAddress(), host.AdminAddress()
 	s.hosts = append(s.hosts, host)
 	s.settings = append(s.settings, settings)
 	s.admit(host, settings)
 	return nil
 }
 
+// leaseClock returns a faster clock of leases, or nil.
+func (s *Stack) leaseClock() func() dfclock.Millis {
+	if s.options.LeaseRate <= 1 {
+		return nil
+	}
+	return func() dfclock.Millis {
+		return dfclock.Second + dfclock.Millis(time.Since(s.origin).Milliseconds()*int64(s.options.LeaseRate))
+	}
+}
+
+// stopHost stops a host gracefully, as the platform would before it replaces
+// the machine, and returns the number of requests that were cut.
+func (s *Stack) stopHost(ctx context.Context, index int) int {
+	member := dfplatform.Member{
+		ID: s.settings[index].ID, Kind: dfplatform.KindHost,
+		DataCentre: s.settings[index].DataCentre, Address: s.hosts[index].PeerAddress(), Leaving: true,
+	}
+	s.store.SetMember(member, false)
+	cut := s.hosts[index].Shutdown(ctx)
+	s.store.SetMember(member, true)
+	s.retired = append(s.retired, s.hosts[index].Figures())
+	return cut
+}
+
+// restartHost starts a new process of a host that was stopped or killed, at the
+// same addresses.
+func (s *Stack) restartHost(ctx context.Context, index int) error {
+	host, err := dfhost.New(s.settings[index])
+	if err != nil {
+		return err
+	}
+	if err := host.Start(ctx); err != nil {
+		return err
+	}
+	s.hosts[index] = host
+	s.admit(host, s.settings[index])
+	return nil
+}
+
 // admit makes a host known to links and platform.
 func (s *Stack) admit(host *dfhost.Host, settings dfhost.Settings) {
 	s.network.Register(settings.DataCentre, host.CallerAddress())
@@ -297,10 +359,7 @@
 func (s *Stack) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for {
-		held := 0
-		for _, host := range s.hosts {
-			held += len(host.Status().Groups)
-		}
+		held := s.heldSlots()
 		if held >= s.deployment.Databases*min(s.deployment.Slots, len(s.hosts)) {
 			return nil
 		}
@@ -315,6 +374,15 @@
 	}
 }
 
+// heldSlots counts the slots that hosts serve.
+func (s *Stack) heldSlots() int {
+	held := 0
+	for _, host := range s.hosts {
+		held += len(host.Status().Groups)
+	}
+	return held
+}
+
 // Targets lists the services for the load tool.
 func (s *Stack) Targets() []dfload.Target {
 	var targets []dfload.Target
--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -27,11 +27,11 @@
 
 // Holder is one held slot.
 type Holder struct {
-	options   Options
-	log       *log.Logger
-	watcher   *dfcontrol.Watcher
-	control   *dfcontrol.Client
-	pools     map[dfgroup.UpstreamID]*dfupstream.Pool
+	options Options
+	log     *log.Logger
+	watcher *dfcontrol.Watcher
+	control *dfcontrol.Client
+	pools   map[dfgroup.UpstreamID]*dfupstream.Pool
 	// opened has when the connections of each pool were established.
 	opened    map[dfgroup.UpstreamID]*openings
 	knowledge *knowledge
--- a/dfhost/admin.go
+++ b/dfhost/admin.go
@@ -11,6 +11,7 @@
 	"dragonflygrade/dfclassify"
 	"dragonflygrade/dfcontrol"
 	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfholder"
 	"dragonflygrade/dfupstream"
 )
 
@@ -25,7 +26,32 @@
 	Version     uint64
 	Draining    bool
 	Callers     int
-	Groups      []GroupStatus
+	// LeaseValid is false while the host lease could not be renewed in time.
+	LeaseValid bool
+	// AuditBuffered counts records that wait for the object store.
+	AuditBuffered int
+	Services      []string
+	// Hosts are the live hosts as this one sees them.
+	Hosts []HostStatus
+	// Slots are the held slots that this host knows, of all databases.
+	Slots  []SlotStatus
+	Groups []GroupStatus
+}
+
+// HostStatus is one host in the list of another.
+type HostStatus struct {
+	Host       string
+	DataCentre string
+	Address    string
+	Leaving    bool
+}
+
+// SlotStatus is one held slot.
+type SlotStatus struct {
+	Group dfgroup.ID
+	Index int
+	Epoch uint64
+	Host  string
 }
 
 // GroupStatus is one database of which the host holds a slot.
@@ -36,8 +62,11 @@
 	Complete bool
 	Working  int
 	// Limit is the connections that the slot may hold to each upstream.
-	Limit     int
-	Upstreams []UpstreamStatus
+	Limit int
+	// Slots and ConnectionLimit are those of the database.
+	Slots           int
+	ConnectionLimit int
+	Upstreams       []UpstreamStatus
 }
 
 // UpstreamStatus is one upstream as the host sees it.
@@ -62,7 +91,8 @@
 	})
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /ready", h.serveReady)
-	mux.HandleFunc("GET /status", h.serveStatus)
+	mux.HandleFunc("GET /status", h.forReaders(h.serveStatus))
+	mux.HandleFunc("POST /change", h.serveChange)
 	return mux
 }
 
@@ -96,22 +126,36 @@
 		Version:     h.configuration().Version(),
 		Draining:    h.draining.Load(),
 		Callers:     h.wire.Callers(),
+
+		LeaseValid:    h.slots.keeper.valid(),
+		AuditBuffered: h.audit.Buffered(),
+		Services:      h.configuration().Services(),
+	}
+	for _, host := range h.members.live() {
+		status.Hosts = append(status.Hosts, HostStatus{
+			Host: host.ID, DataCentre: host.DataCentre, Address: host.Address, Leaving: host.Leaving,
+		})
 	}
+	status.Slots = h.slots.statuses()
 	states := h.slots.states()
 	for _, group := range h.configuration().Groups() {
 		state, held := states[group]
 		if !held {
 			continue
 		}
-		status.Groups = append(status.Groups, groupStatus(h, state.View, state.Complete, state.Working, state.Limit, state.Connections))
+		described := groupStatus(h, state)
+		database, _ := h.configuration().Database(group)
+		described.Slots, described.ConnectionLimit = database.Slots, database.ConnectionLimit
+		status.Groups = append(status.Groups, described)
 	}
 	return status
 }
 
-func groupStatus(h *Host, view dfgroup.View, complete bool, working, limit int, connections map[dfgroup.UpstreamID]int) GroupStatus {
+func groupStatus(h *Host, state dfholder.State) GroupStatus {
+	view := state.View
 	status := GroupStatus{
 		Group: view.ID, Term: uint64(view.Term), Primary: view.Primary,
-		Complete: complete, Working: working, Limit: limit,
+		Complete: state.Complete, Working: state.Working, Limit: state.Limit,
 	}
 	for _, upstream := range view.Upstreams {
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
@@ -124,7 +168,7 @@
 			Leaving:     upstream.Leaving,
 			Ejected:     upstream.Ejected,
 			ReportAge:   int64(h.now().Since(upstream.ReportedAt)),
-			Connections: connections[upstream.ID],
+			Connections: state.Connections[upstream.ID],
 		})
 	}
 	return status
--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"hash/fnv"
 	mathrand "math/rand/v2"
@@ -58,7 +59,7 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	killed sync.Once
-	duties   sync.WaitGroup
+	duties sync.WaitGroup
 }
 
 // New returns a host that does not listen yet.
@@ -180,6 +181,9 @@
 	h.duties.Go(func() { _ = h.peerServer.Serve(listeners.peer) })
 	h.duties.Go(func() { _ = h.wire.Serve(listeners.caller) })
 	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: adminTimeout}
+	if h.settings.AdminTLS != nil {
+		listeners.admin = tls.NewListener(listeners.admin, h.settings.AdminTLS)
+	}
 	h.duties.Go(func() { _ = h.admin.Serve(listeners.admin) })
 	h.duties.Go(func() { _ = h.audit.Run(runCtx) })
 	h.duties.Go(func() { h.adoption.run(runCtx) })
@@ -324,6 +328,11 @@
 	return span/2 + dfclock.Millis(h.random.Int64N(int64(span)+1))
 }
 
+// FlushAudit stores the audit records that wait for others to fill a segment.
+func (h *Host) FlushAudit(ctx context.Context) error {
+	return h.audit.Flush(ctx)
+}
+
 func (h *Host) record(entry dfaudit.Entry) {
 	if err := h.audit.Add(entry); err != nil {
 		h.log.Warn().Err(err).Msg("audit: record refused")
--- a/dfhost/keeper.go
+++ b/dfhost/keeper.go
@@ -68,7 +68,7 @@
 	defer k.mu.Unlock()
 	k.state = dflease.NewKeeper(dflease.Settings{
 		Host: k.host.settings.ID, Incarnation: k.host.incarnation,
-		Address: k.host.PeerAddress(), DataCentre: k.host.settings.DataCentre,
+		Address: k.host.PeerAddress(), Admin: k.host.AdminAddress(), DataCentre: k.host.settings.DataCentre,
 	})
 }
 
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 
 	"dragonflygrade/dfaudit"
@@ -183,6 +184,25 @@
 	return states
 }
 
+// statuses lists the known slots by group and index.
+func (s *slots) statuses() []SlotStatus {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var statuses []SlotStatus
+	for _, known := range s.known {
+		for _, row := range known.rows {
+			statuses = append(statuses, SlotStatus{Group: row.Group, Index: row.Index, Epoch: row.Epoch, Host: row.Host})
+		}
+	}
+	sort.Slice(statuses, func(i, j int) bool {
+		if statuses[i].Group != statuses[j].Group {
+			return statuses[i].Group < statuses[j].Group
+		}
+		return statuses[i].Index < statuses[j].Index
+	})
+	return statuses
+}
+
 // closeAll ends the held slots without releasing them.
 func (s *slots) closeAll() {
 	s.mu.Lock()
--- a/dflease/keeper.go
+++ b/dflease/keeper.go
@@ -15,7 +15,9 @@
 	Host        string
 	Incarnation string
 	Address     string
-	DataCentre  string
+	// Admin is where operators reach the host.
+	Admin      string
+	DataCentre string
 }
 
 // Keeper keeps the host lease and the slots of one host. It is used by one
@@ -235,7 +237,7 @@
 	return dfplatform.Write{
 		Key: HostKey(k.settings.Host), IfVersion: k.rows[HostKey(k.settings.Host)].row.Version,
 		Value: encode(HostRow{
-			k.settings.Host, k.Incarnation(), k.settings.Address, k.settings.DataCentre, k.renewal,
+			k.settings.Host, k.Incarnation(), k.settings.Address, k.settings.Admin, k.settings.DataCentre, k.renewal,
 		}),
 	}
 }
--- a/dflease/row.go
+++ b/dflease/row.go
@@ -21,7 +21,9 @@
 	Host        string
 	Incarnation string
 	Address     string
-	DataCentre  string
+	// Admin is where operators reach the host.
+	Admin      string `json:",omitempty"`
+	DataCentre string
 	// Renewal counts the renewals, so that each changes the row.
 	Renewal uint64
 }
