--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -179,7 +179,7 @@
 	h.ctx, h.stop = runCtx, cancel
 	h.slots.keeper.begin()
 	h.duties.Go(func() { _ = h.peerServer.Serve(listeners.peer) })
-	h.duties.Go(func() { _ = h.wire.Serve(listeners.caller) })
+	h.duties.Go(func() { _ = h.wire.Serve(&startingListener{Listener: listeners.caller, host: h}) })
 	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: adminTimeout}
 	if h.settings.AdminTLS != nil {
 		listeners.admin = tls.NewListener(listeners.admin, h.settings.AdminTLS)
@@ -191,6 +191,7 @@
 	h.duties.Go(func() { h.slots.keeper.run(runCtx) })
 	h.duties.Go(func() { h.slots.runRows(runCtx) })
 	h.duties.Go(func() { h.peers.run(runCtx) })
+	h.duties.Go(func() { h.peers.watch(runCtx) })
 	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, To: h.incarnation, Outcome: "started"})
 	h.log.Info().Str("Callers", h.CallerAddress()).Str("Peers", h.PeerAddress()).Msg("host: started")
 	return nil
--- a/dfhost/peers.go
+++ b/dfhost/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,37 @@
 	}
 }
 
+// watch calls the holders of the slots that this host stands by for, so that a
+// dead one is noticed although nothing else is exchanged with it.
+func (p *peers) watch(ctx context.Context) {
+	for {
+		for _, row := range p.host.slots.watched() {
+			go p.ping(ctx, row)
+		}
+		if !sleep(ctx, p.host.jitter(watchPeriod)) {
+			return
+		}
+	}
+}
+
+func (p *peers) ping(ctx context.Context, row slotRow) {
+	peer, err := p.host.directory.Peer(row.Address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(watchPeriod)*time.Millisecond/2)
+	defer cancel()
+	request := &dfproto.AnnounceRequest{Host: p.host.settings.ID, Version: p.host.configuration().Version()}
+	_, err = peer.Client().Announce(ctx, request)
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.host.members.contacted(row.Host, err == nil)
+	}
+}
+
+// watchPeriod separates the calls to watched holders. With 16 hosts that stand
+// by for a cell they cost a holder about 1 KB/s.
+const watchPeriod = 2 * dfclock.Second
+
 func (p *peers) renewAt(ctx context.Context, address string, groups []string) {
 	peer, err := p.host.directory.Peer(address)
 	if err != nil {
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -91,6 +91,24 @@
 	return peers
 }
 
+// watched lists one slot of each host that holds a slot which this host may
+// have to take over.
+func (s *slots) watched() []slotRow {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var rows []slotRow
+	seen := map[string]bool{s.host.settings.ID: true}
+	for _, want := range s.wants.groups {
+		for _, row := range s.known[want.Group].rows {
+			if !seen[row.Host] {
+				seen[row.Host] = true
+				rows = append(rows, row)
+			}
+		}
+	}
+	return rows
+}
+
 // hostAt returns the host whose slot rows have the address.
 func (s *slots) hostAt(address string) string {
 	s.mu.RLock()
--- a/dflease/keeper.go
+++ b/dflease/keeper.go
@@ -150,6 +150,9 @@
 		for _, host := range event.Live {
 			k.live[host] = true
 		}
+		if k.readInterval() < idleRead {
+			k.readAt = min(k.readAt, now)
+		}
 	case RowsRead:
 		k.busy = false
 		actions = k.read(now, event)
