End relay streams with the last unit that ran

The stopping host now ends each stream between units and names the last unit, so the other side knows that later ones did not run, and it lets its position leases end before it closes.

--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -64,6 +64,12 @@
 
 // Run parses the arguments, runs the command and returns the exit code.
 func Run(arguments []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return run(&environment{ctx: ctx, in: os.Stdin, out: os.Stdout}, arguments)
+}
+
+func run(env *environment, arguments []string) int {
 	var cli CLI
 	parser, err := kong.New(&cli,
 		kong.Name("dragonflygrade"),
@@ -83,9 +89,8 @@
 	}
 	log.DefaultLogger.Level = log.ParseLevel(cli.LogLevel)
 	log.DefaultLogger.Writer = &log.IOWriter{Writer: os.Stderr}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := parsed.Run(&environment{ctx: ctx, in: os.Stdin, out: os.Stdout, model: parser.Model}); err != nil {
+	env.model = parser.Model
+	if err := parsed.Run(env); err != nil {
 		fmt.Fprintln(os.Stderr, "dragonflygrade:", err)
 		return exitCode(err)
 	}
--- a/dfdemo/operate_test.go
+++ b/dfdemo/operate_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"sort"
 	"strings"
 	"testing"
@@ -13,8 +15,11 @@
 
 	"dragonflygrade/dfaudit"
 	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfhost"
+	"dragonflygrade/dflease"
 	"dragonflygrade/dfload"
+	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfstandinplatform"
 )
 
@@ -266,3 +271,69 @@
 	_, err = stack.verifyAudit(context.Background())
 	require.ErrorContains(t, err, "was altered")
 }
+
+// TestPlatformOutage guards against slots that change hands, and writes that
+// stop, because the platform is down for longer than a lease.
+func TestPlatformOutage(t *testing.T) {
+	stack := newTestStack(t, 4, 7*time.Second)
+	before := stack.owners()
+	report := stack.underLoad(t, func() {
+		stack.store.SetFaults(dfstandinplatform.Faults{Outage: dfstandinplatform.OutageSilent})
+		time.Sleep(5 * time.Second)
+		stack.store.SetFaults(dfstandinplatform.Faults{})
+	})
+	require.Positive(t, report.AckedWrites)
+	require.Zero(t, report.UnknownWrites)
+	require.Eventually(t, func() bool {
+		for _, host := range stack.hosts {
+			if !host.Status().LeaseValid {
+				return false
+			}
+		}
+		return true
+	}, patience, 20*time.Millisecond)
+	require.Equal(t, before, stack.owners())
+	stack.requireLimits(t)
+}
+
+// owners lists the slots that hosts serve with their epochs.
+func (s *Stack) owners() []string {
+	var owners []string
+	for _, host := range s.hosts {
+		status := host.Status()
+		for _, slot := range status.Slots {
+			if slot.Host == status.Host {
+				owners = append(owners, fmt.Sprint(slot))
+			}
+		}
+	}
+	sort.Strings(owners)
+	return owners
+}
+
+// TestLostSlot guards against a holder that goes on although the table names
+// another owner, and against one that gives up although it does not.
+func TestLostSlot(t *testing.T) {
+	stack := newTestStack(t, 3, time.Second)
+	ctx := context.Background()
+	group := dfgroup.ID(stack.groups[0].Service + "/orders")
+	holder := stack.hosts[0]
+	require.Len(t, holder.Status().Groups, stack.deployment.Databases)
+	rows, err := stack.store.List(ctx, dflease.SlotPrefix(group))
+	require.NoError(t, err)
+	for _, row := range rows {
+		_, index, value, err := dflease.DecodeSlot(row)
+		require.NoError(t, err)
+		if value.Host != holder.Status().Host {
+			continue
+		}
+		value.Host, value.Incarnation, value.Epoch = "host-9", "1", value.Epoch+1
+		data, err := json.Marshal(value)
+		require.NoError(t, err)
+		write := dfplatform.Write{Key: dflease.SlotKey(group, index), IfVersion: row.Version, Value: data}
+		require.NoError(t, stack.store.Commit(ctx, "forged", write))
+	}
+	require.Eventually(t, func() bool { return len(holder.Status().Groups) == stack.deployment.Databases-1 }, patience, 10*time.Millisecond)
+	require.NoError(t, holder.FlushAudit(ctx))
+	requireRecorded(t, stack, dfaudit.KindSlot, "lost")
+}
--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -24,6 +24,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconfig"
 	"dragonflygrade/dfpeer"
+	"dragonflygrade/dfsession"
 	"dragonflygrade/dftoken"
 	"dragonflygrade/dfwire"
 )
@@ -247,6 +248,7 @@
 // the number of requests that were cut.
 func (h *Host) Shutdown(ctx context.Context) int {
 	h.draining.Store(true)
+	quietAt := h.now().Add(dfsession.LeaseSpan + dfsession.ClockMargin)
 	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, From: h.incarnation, Outcome: "draining"})
 	h.slots.plan()
 	h.log.Info().Msg("host: draining")
@@ -254,7 +256,10 @@
 	defer cancel()
 	cut := h.wire.Shutdown(drainCtx)
 	h.peers.drain(drainCtx)
-	h.slots.release(drainCtx)
+	h.slots.release(ctx)
+	// Peers wait for this host's answers until the leases that it holds end.
+	sleep(drainCtx, max(quietAt.Since(h.now()), 0))
+	h.drainPeers(ctx)
 	h.record(dfaudit.Entry{Who: h.settings.ID, Kind: dfaudit.KindHost, From: h.incarnation, Outcome: "stopped"})
 	h.Kill()
 	closeCtx, cancelClose := context.WithTimeout(ctx, auditCloseTimeout)
@@ -266,6 +271,16 @@
 	return cut
 }
 
+// drainPeers ends the streams of other hosts.
+func (h *Host) drainPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerDrainTimeout)
+	defer cancel()
+	h.peerServer.Drain(ctx)
+}
+
+// peerDrainTimeout bounds the wait for streams that have no open unit.
+const peerDrainTimeout = time.Second
+
 // auditCloseTimeout bounds the last write of the audit trail.
 const auditCloseTimeout = 2 * time.Second
 
--- a/dfhost/peers.go
+++ b/dfhost/peers.go
@@ -33,7 +33,10 @@
 	ticker := time.NewTicker(time.Duration(dfsession.RenewEvery) * time.Millisecond)
 	defer ticker.Stop()
 	for {
-		p.renew(ctx)
+		// A draining host lets its leases end, so that peers don't wait for it.
+		if !p.host.draining.Load() {
+			p.renew(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
@@ -93,12 +97,14 @@
 	u.busy.Store(true)
 	defer u.busy.Store(false)
 	if err := u.stream.send(request); err != nil {
-		return dfunit.Result{}, u.lost(ctx)
+		// The reason why the stream ended is read from it.
+		_, err = u.stream.stream.Recv()
+		return dfunit.Result{}, u.ended(ctx, err)
 	}
 	for {
 		reply, err := u.stream.stream.Recv()
 		if err != nil {
-			return dfunit.Result{}, u.lost(ctx)
+			return dfunit.Result{}, u.ended(ctx, err)
 		}
 		if reply.ID != u.id || reply.Sequence != u.sequence {
 			lateReplies.Inc()
@@ -120,6 +126,21 @@
 	}
 }
 
+// ended ends the unit after the end of its stream. If the holder drained and
+// handled nothing of this unit, the batch did not run.
+func (u *forwardedUnit) ended(ctx context.Context, err error) error {
+	end, ok := status.FromError(err)
+	if !ok || end.Code() != codes.Aborted || ctx.Err() != nil {
+		return u.lost(ctx)
+	}
+	last, found := strings.CutPrefix(end.Message(), drainedPrefix)
+	if !found || last == strconv.FormatUint(u.id, 10) {
+		return u.lost(ctx)
+	}
+	u.broken = true
+	return dfresult.NewError(dfresult.HostDraining, "host %s", u.peer.address)
+}
+
 // lost ends the unit after a failure of its stream. The batch may have reached
 // the holder, so its outcome is unknown.
 func (u *forwardedUnit) lost(ctx context.Context) error {
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
@@ -13,6 +16,10 @@
 	"dragonflygrade/dfunit"
 )
 
+// drainedPrefix begins the message that ends a stream between units; the number
+// of the last unit that was handled follows.
+const drainedPrefix = "drained after unit "
+
 // relaySession serves one stream at a slot holder.
 type relaySession struct {
 	handler Handler
@@ -24,6 +31,11 @@
 	// and handed to the reader through the ring cancels.
 	cancels chan uint64
 
+	// draining is closed when the stream has to end between units.
+	draining <-chan struct{}
+	// lastUnit is the last unit of which a message was handled.
+	lastUnit uint64
+
 	// unitID and unit belong to the open unit; unit is nil between units.
 	unitID uint64
 	unit   dfunit.Unit
@@ -34,9 +46,15 @@
 	go s.read()
 	defer s.closeUnit()
 	for {
+		var draining <-chan struct{}
+		if s.unit == nil {
+			draining = s.draining
+		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-draining:
+			return status.Error(codes.Aborted, drainedPrefix+strconv.FormatUint(s.lastUnit, 10))
 		case <-s.cancels:
 			// The batch to be cancelled has ended already.
 		case request, open := <-s.requests:
@@ -74,6 +92,7 @@
 }
 
 func (s *relaySession) handle(ctx context.Context, request *dfproto.RelayRequest) error {
+	s.lastUnit = request.ID
 	if request.Close {
 		s.closeUnit()
 		return nil
--- a/dfpeer/server.go
+++ b/dfpeer/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -36,6 +37,9 @@
 	handler Handler
 	now     func() dfclock.Millis
 	server  *grpc.Server
+	// draining is closed when relay streams have to end.
+	draining chan struct{}
+	drain    sync.Once
 }
 
 // NewServer returns a server. Without credentials connections are not encrypted.
@@ -43,7 +47,7 @@
 	if transport == nil {
 		transport = insecure.NewCredentials()
 	}
-	s := &Server{handler: handler, now: now}
+	s := &Server{handler: handler, now: now, draining: make(chan struct{})}
 	s.server = grpc.NewServer(
 		grpc.Creds(transport),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
@@ -60,6 +64,21 @@
 	return s.server.Serve(listener)
 }
 
+// Drain ends the relay streams once their units have ended, and tells the other
+// side of each which unit was the last, so that it knows what did not run.
+func (s *Server) Drain(ctx context.Context) {
+	s.drain.Do(func() { close(s.draining) })
+	done := make(chan struct{})
+	go func() {
+		s.server.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop() {
 	s.server.Stop()
@@ -73,6 +92,7 @@
 		now:      s.now,
 		requests: make(chan *dfproto.RelayRequest, requestRing),
 		cancels:  make(chan uint64, 1),
+		draining: s.draining,
 	}
 	return session.serve()
 }
