--- a/dfcli/completion.go
+++ b/dfcli/completion.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -33,7 +35,7 @@
 			names[node.Name] = true
 		}
 	})
-	fmt.Fprintf(&script, "      %s) path=\"$path $word\" ;;\n    esac\n  done\n  case \"$path\" in\n", strings.Join(sortedKeys(names), "|"))
+	fmt.Fprintf(&script, "      %s) path=\"$path $word\" ;;\n    esac\n  done\n  case \"$path\" in\n", strings.Join(slices.Sorted(maps.Keys(names)), "|"))
 	sort.Strings(paths)
 	for _, path := range paths {
 		fmt.Fprintf(&script, "    %q) COMPREPLY=($(compgen -f -W %q -- \"$current\")) ;;\n", path, strings.Join(words[path], " "))
--- a/dfcli/status.go
+++ b/dfcli/status.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -231,7 +234,7 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(table, format+"\n", args...) }
 	line("DATA CENTRE\tVERSION")
-	for _, centre := range sortedKeys(o.Versions) {
+	for _, centre := range slices.Sorted(maps.Keys(o.Versions)) {
 		line("%s\t%d", centre, o.Versions[centre])
 	}
 	line("\nHOST\tDATA CENTRE\tVERSION\tCALLERS\tLEASE\tSTATE\tSLOTS")
@@ -257,29 +260,18 @@
 				upstream.Connections, database.ConnectionLimit, marks(upstream))
 		}
 	}
-	for _, name := range sortedKeys(o.Unreachable) {
+	for _, name := range slices.Sorted(maps.Keys(o.Unreachable)) {
 		line("\nNOT REACHED: %s: %s", name, o.Unreachable[name])
 	}
 	return table.Flush()
 }
 
-func sortedKeys[V any](values map[string]V) []string {
-	keys := make([]string, 0, len(values))
-	for key := range values {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func holders(byIndex map[int]string) string {
-	text := ""
-	for index := range len(byIndex) + 64 {
-		if host, held := byIndex[index]; held {
-			text += fmt.Sprintf("%d:%s ", index, host)
-		}
+	var held []string
+	for _, index := range slices.Sorted(maps.Keys(byIndex)) {
+		held = append(held, fmt.Sprintf("%d:%s", index, byIndex[index]))
 	}
-	return text
+	return strings.Join(held, " ")
 }
 
 func marks(upstream UpstreamOverview) string {
--- a/dfdemo/operate_test.go
+++ b/dfdemo/operate_test.go
@@ -15,6 +15,7 @@
 
 	"dragonflygrade/dfaudit"
 	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfcontrol"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfhost"
 	"dragonflygrade/dflease"
@@ -337,3 +338,33 @@
 	require.NoError(t, holder.FlushAudit(ctx))
 	requireRecorded(t, stack, dfaudit.KindSlot, "lost")
 }
+
+// TestTerminatedConnections guards against a holder that stops serving because
+// an administrator ended its connections while the table still names it.
+func TestTerminatedConnections(t *testing.T) {
+	stack := newTestStack(t, 3, 5*time.Second)
+	before := stack.owners()
+	ended := 0
+	stack.underLoad(t, func() {
+		for _, upstream := range stack.groups[0].Upstreams {
+			ended += terminateAll(t, upstream.Address())
+		}
+	})
+	require.Positive(t, ended)
+	require.Equal(t, before, stack.owners())
+	require.Equal(t, stack.slots(), stack.heldSlots())
+	stack.requireLimits(t)
+}
+
+// terminateAll ends the shared connections at an upstream.
+func terminateAll(t *testing.T, address string) int {
+	t.Helper()
+	ctx := context.Background()
+	conn, err := pgx.Connect(ctx, "postgres://"+dfcontrol.User+"@"+address+"/orders?sslmode=disable")
+	require.NoError(t, err)
+	defer func() { _ = conn.Close(ctx) }()
+	results, err := conn.PgConn().Exec(ctx,
+		"SELECT pg_terminate_backend(pid) FROM pg_stat_activity WHERE usename = '"+upstreamUser+"'").ReadAll()
+	require.NoError(t, err)
+	return len(results[0].Rows)
+}
