Bound the silence of requests in flight

A connection that carried nothing any more held its caller until the deadline, and the pool went on giving out connections of the same age. After a bound derived from the upstream's answer times the holder now suspects idle connections of that age and asks the upstream over its control connection whether the statement still runs. A statement that is active is waited for; otherwise the connection is closed and its backend ended.

Writes that wait for a connection to a replaced primary stop waiting, and pools of an upstream that does not answer refuse waiters and open rarely. Failed openings are logged once and then summed up every 5 s.

--- a/dfcontrol/client.go
+++ b/dfcontrol/client.go
@@ -122,20 +122,29 @@
 	return c.ask(ctx, upstream, l.control, sql)
 }
 
-// ask runs one statement. A connection whose statement failed other than by an
-// upstream's error is closed, so that the next statement uses a fresh one.
 func (c *Client) ask(ctx context.Context, upstream dfgroup.UpstreamID, l *link, sql string) (dfgroup.Status, error) {
+	row, err := c.row(ctx, upstream, l, sql)
+	if err != nil {
+		return dfgroup.Status{}, err
+	}
+	return parseStatus(row)
+}
+
+// row runs one statement and returns its last row. A connection whose statement
+// failed other than by an upstream's error is closed, so that the next statement
+// uses a fresh one.
+func (c *Client) row(ctx context.Context, upstream dfgroup.UpstreamID, l *link, sql string) ([][]byte, error) {
 	select {
 	case <-l.token:
 	case <-ctx.Done():
-		return dfgroup.Status{}, eris.Wrapf(ctx.Err(), "control: %s is busy", upstream)
+		return nil, eris.Wrapf(ctx.Err(), "control: %s is busy", upstream)
 	}
 	defer func() { l.token <- struct{}{} }()
 	if l.conn == nil {
 		startedAt := time.Now()
 		conn, err := c.connect(ctx, upstream)
 		if err != nil {
-			return dfgroup.Status{}, &ConnectError{StartedAt: startedAt, Cause: err}
+			return nil, &ConnectError{StartedAt: startedAt, Cause: err}
 		}
 		l.conn = conn
 	}
@@ -146,9 +155,9 @@
 		l.drop()
 	}
 	if err != nil {
-		return dfgroup.Status{}, eris.Wrapf(err, "control: %s: %s", upstream, sql)
+		return nil, eris.Wrapf(err, "control: %s: %s", upstream, sql)
 	}
-	return parseStatus(row)
+	return row, nil
 }
 
 func (c *Client) connect(ctx context.Context, upstream dfgroup.UpstreamID) (*pgconn.HijackedConn, error) {
--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -43,6 +43,13 @@
 	unitsMu sync.Mutex
 	// units has the open units at a primary.
 	units map[*unit]struct{}
+	// waits has the writes that wait for a connection to a primary.
+	waits map[*wait]struct{}
+	// down has the upstreams whose pools were told that they do not answer; it
+	// belongs to the watcher's goroutine.
+	down map[dfgroup.UpstreamID]bool
+	// meters observe the answer times of each upstream.
+	meters map[dfgroup.UpstreamID]*dfupstream.SilenceMeter
 
 	marksMu sync.Mutex
 	// marks has the leaving marks that this holder passed on.
@@ -74,16 +81,21 @@
 		control:   control,
 		pools:     make(map[dfgroup.UpstreamID]*dfupstream.Pool, len(upstreams)),
 		units:     make(map[*unit]struct{}),
+		waits:     make(map[*wait]struct{}),
+		down:      make(map[dfgroup.UpstreamID]bool, len(upstreams)),
+		meters:    make(map[dfgroup.UpstreamID]*dfupstream.SilenceMeter, len(upstreams)),
 		marks:     make(map[dfgroup.UpstreamID]bool),
 		knowledge: newKnowledge(dfsession.New(options.ClaimedAt, options.FromVacant, 0, 0), options.Now),
 	}
+	for _, upstream := range upstreams {
+		h.pools[upstream.ID] = h.newPool(upstream)
+		h.meters[upstream.ID] = &dfupstream.SilenceMeter{}
+	}
 	h.watcher, err = dfcontrol.NewWatcher(h.watcherOptions(upstreams))
 	if err != nil {
+		h.closePools()
 		return nil, eris.Wrapf(err, "holder %s", options.Group)
 	}
-	for _, upstream := range upstreams {
-		h.pools[upstream.ID] = h.newPool(upstream)
-	}
 	h.router = newRouter(h)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
@@ -130,6 +142,9 @@
 		},
 		Now:  h.options.Now,
 		Seed: h.options.Seed,
+		OnSilent: func(pid uint32) {
+			h.terminate(upstream.ID, pid)
+		},
 	}
 	config.Pool.Limit = h.options.Database.Share()
 	return dfupstream.NewPool(config)
@@ -202,7 +217,7 @@
 	if write {
 		h.writing.Add(1)
 	}
-	conn, err := pool.Get(ctx, request.Deadline, request.Priority)
+	conn, err := h.connection(ctx, request, chosen)
 	if err != nil {
 		if write {
 			h.writing.Add(-1)
@@ -247,6 +262,7 @@
 // acknowledged any more, and a paused primary would hold its callers until
 // their deadlines.
 func (h *Holder) viewChanged(view dfgroup.View) {
+	h.tellPools(view)
 	if view.Primary == "" {
 		return
 	}
@@ -257,6 +273,51 @@
 			u.conn.Close()
 		}
 	}
+	for w := range h.waits {
+		if w.term < view.Term {
+			w.cancel()
+		}
+	}
+}
+
+// tellPools passes on which upstreams are seen not to answer.
+func (h *Holder) tellPools(view dfgroup.View) {
+	for _, upstream := range view.Upstreams {
+		pool := h.pools[upstream.ID]
+		if pool != nil && upstream.Ejected != h.down[upstream.ID] {
+			h.down[upstream.ID] = upstream.Ejected
+			pool.SetReachable(!upstream.Ejected)
+		}
+	}
+}
+
+// wait is a write that waits for a connection to the primary of a term.
+type wait struct {
+	term   dfposition.Term
+	cancel context.CancelFunc
+}
+
+// connection waits for a connection. A write stops waiting when its primary was
+// replaced, because it can only run at the next one.
+func (h *Holder) connection(ctx context.Context, request dfunit.Request, chosen choice) (*dfupstream.Conn, error) {
+	pool := h.pools[chosen.upstream.ID]
+	if request.Class != dfunit.ClassWrite {
+		return pool.Get(ctx, request.Deadline, request.Priority)
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &wait{term: chosen.term, cancel: cancel}
+	h.unitsMu.Lock()
+	h.waits[w] = struct{}{}
+	h.unitsMu.Unlock()
+	conn, err := pool.Get(bounded, request.Deadline, request.Priority)
+	h.unitsMu.Lock()
+	delete(h.waits, w)
+	h.unitsMu.Unlock()
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		return nil, dfresult.NewError(dfresult.TermSuperseded, "the primary was replaced")
+	}
+	return conn, err
 }
 
 // confirmLeadership starts a barrier and returns the channel of its outcome.
@@ -399,11 +460,15 @@
 func (h *Holder) Close() {
 	h.stop()
 	h.duties.Wait()
+	h.closePools()
+	h.watcher.Stop()
+	h.control.Close()
+}
+
+func (h *Holder) closePools() {
 	for _, pool := range h.pools {
 		pool.Close()
 	}
-	h.watcher.Stop()
-	h.control.Close()
 }
 
 func (h *Holder) now() dfclock.Millis {
--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -66,6 +66,14 @@
 	markTimeout = time.Second
 	// retryHint is when a caller that was refused may come back.
 	retryHint = 200 * dfclock.Millisecond
+	// doubtTimeout bounds one question about a backend. It is several round trips
+	// between data centres.
+	doubtTimeout = 300 * time.Millisecond
+	// doubtPause separates the two questions about a backend that is not active.
+	// It is longer than an answer usually takes between data centres.
+	doubtPause = 100 * time.Millisecond
+	// terminateTimeout bounds the ending of a silent backend.
+	terminateTimeout = time.Second
 	// routePause separates looks at the replicas while a read waits for one.
 	routePause = 5 * dfclock.Millisecond
 )
--- /dev/null
+++ b/dfholder/silence.go
@@ -0,0 +1,48 @@
+package dfholder
+
+import (
+	"context"
+	"time"
+
+	"dragonflygrade/dfcontrol"
+	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfunit"
+)
+
+// doubt asks the upstream over its control connection whether the statement of
+// a silent connection still runs. It returns true if the connection is lost. A
+// backend that is not active is asked about twice, because an answer or the
+// request itself may still be on its way.
+func (u *unit) doubt(pid uint32, count int) bool {
+	if count == 0 {
+		u.pool.Doubt(u.conn)
+	}
+	if !u.seemsLost(pid) {
+		return false
+	}
+	time.Sleep(doubtPause)
+	return u.seemsLost(pid)
+}
+
+// seemsLost reports whether no answer can be expected. Without an answer on the
+// control connection the upstream itself may be in trouble: a read then goes
+// elsewhere, and a write waits for the decision on the primary.
+func (u *unit) seemsLost(pid uint32) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), doubtTimeout)
+	defer cancel()
+	activity, err := u.holder.control.Activity(ctx, u.upstream.ID, pid, u.holder.ApplicationName())
+	if err != nil {
+		return u.request.Class == dfunit.ClassRead
+	}
+	return activity != dfcontrol.BackendActive
+}
+
+// terminate ends the backend of a connection that went silent. It would hold
+// its locks and its place within the connection limit otherwise.
+func (h *Holder) terminate(upstream dfgroup.UpstreamID, pid uint32) {
+	ctx, cancel := context.WithTimeout(context.Background(), terminateTimeout)
+	defer cancel()
+	if err := h.control.Terminate(ctx, upstream, pid, h.ApplicationName()); err != nil {
+		h.log.Debug().Err(err).Str("Upstream", string(upstream)).Msg("holder: silent backend not ended")
+	}
+}
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -55,9 +55,14 @@
 	if write {
 		options.Gate = u.gate
 	}
+	meter := u.holder.meters[u.upstream.ID]
+	options.Silence, options.Doubt = meter.Bound(), u.doubt
 	inspected := &refusalSink{sink: sink, enabled: u.batches == 1 || write, later: u.batches > 1, aborted: u.aborted}
 	started := u.holder.now()
 	result, err := u.conn.Exchange(ctx, batch, inspected, options)
+	if err == nil {
+		meter.Answered(u.conn.AnswerTime())
+	}
 	u.slowest = max(u.slowest, u.holder.now().Since(started))
 	if err != nil {
 		u.failed = true
--- a/dfpool/event.go
+++ b/dfpool/event.go
@@ -48,6 +48,13 @@
 // Silent means that the connection did not answer in time.
 type Silent struct{ Conn ConnID }
 
+// Doubted means that the connection's request is not answered in time and that
+// its holder still waits. The connection stays held.
+type Doubted struct{ Conn ConnID }
+
+// Reachable tells whether the upstream is seen to answer at all.
+type Reachable struct{ Up bool }
+
 // ProbeAnswered tells the result of a probe.
 type ProbeAnswered struct {
 	Conn ConnID
@@ -72,6 +79,8 @@
 func (OpenFailed) event()    {}
 func (Closed) event()        {}
 func (Silent) event()        {}
+func (Doubted) event()       {}
+func (Reachable) event()     {}
 func (ProbeAnswered) event() {}
 func (Tick) event()          {}
 func (LimitChanged) event()  {}
--- a/dfpool/limit.go
+++ b/dfpool/limit.go
@@ -8,12 +8,14 @@
 	DefaultWaiters = 1024
 	// DefaultIdleClose frees connections that a quiet service does not use.
 	DefaultIdleClose = 5 * dfclock.Minute
-	// DefaultReopenFirst is the wait after the first failed opening. It is a
-	// few times the time to open a connection.
-	DefaultReopenFirst = 50 * dfclock.Millisecond
-	// DefaultReopenCap keeps the wait short enough that a returning upstream is
-	// used within a second.
-	DefaultReopenCap = dfclock.Second
+	// DefaultReopenFirst is the wait after the first failed opening. It is
+	// several times the time to open a connection.
+	DefaultReopenFirst = 250 * dfclock.Millisecond
+	// DefaultReopenCap bounds the wait. With the jitter, which takes up to half
+	// off, a pool tries at most once in a second.
+	DefaultReopenCap = 2 * dfclock.Second
+	// DefaultSuspension is the wait after the administrator ended connections.
+	DefaultSuspension = dfclock.Second
 	// maxDoublings keeps the doubling of the wait from overflowing.
 	maxDoublings = 16
 )
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -97,7 +97,11 @@
 	failures int
 	// openAfter is the instant before which nothing is opened.
 	openAfter dfclock.Millis
-	actions   []Action
+	// suspendedUntil is the part of openAfter that only time ends.
+	suspendedUntil dfclock.Millis
+	// down is true while the upstream is seen not to answer. Then nobody waits.
+	down    bool
+	actions []Action
 }
 
 // New returns a pool without connections. The source gives the jitter.
@@ -130,12 +134,17 @@
 		p.closed(e.Conn)
 	case Silent:
 		p.silent(e.Conn)
+	case Doubted:
+		p.doubted(e.Conn)
+	case Reachable:
+		p.reachable(now, e.Up)
 	case ProbeAnswered:
 		p.probeAnswered(now, e)
 	case LimitChanged:
 		p.config.Limit = max(0, e.Limit)
 	case Suspended:
-		p.openAfter = max(p.openAfter, now.Add(e.For))
+		p.suspendedUntil = max(p.suspendedUntil, now.Add(e.For))
+		p.openAfter = max(p.openAfter, p.suspendedUntil)
 	case Tick:
 		p.closeUnused(now)
 	}
@@ -273,10 +282,34 @@
 	}
 	delete(p.connections, id)
 	wait := min(p.config.ReopenCap, p.config.ReopenFirst<<min(p.failures, maxDoublings))
+	if p.down {
+		wait = p.config.ReopenCap
+	}
 	p.failures++
-	// Half of the wait is random, so that hosts do not return all at once.
-	jittered := wait/2 + dfclock.Millis(p.source.Int64N(int64(wait/2)+1))
-	p.openAfter = max(p.openAfter, now.Add(jittered))
+	p.openAfter = max(p.openAfter, now.Add(p.jittered(wait)))
+}
+
+// jittered makes half of a wait random, so that hosts do not return all at once.
+func (p *Pool) jittered(wait dfclock.Millis) dfclock.Millis {
+	return wait/2 + dfclock.Millis(p.source.Int64N(int64(wait/2)+1))
+}
+
+// reachable takes what others see of the upstream. Connections of an upstream
+// that did not answer are probed, and one that returns is used at once.
+func (p *Pool) reachable(now dfclock.Millis, up bool) {
+	if p.down == !up {
+		return
+	}
+	p.down = !up
+	if up {
+		p.failures = 0
+		p.openAfter = p.suspendedUntil
+		return
+	}
+	p.openAfter = max(p.openAfter, now.Add(p.jittered(p.config.ReopenCap)))
+	for _, c := range p.idles {
+		c.suspect = true
+	}
 }
 
 func (p *Pool) closed(id ConnID) {
@@ -288,21 +321,33 @@
 	delete(p.connections, id)
 }
 
-// silent suspects every idle connection that is as old or older, because they
-// share the fate of the path that went silent.
+// silent closes a connection and suspects its age.
 func (p *Pool) silent(id ConnID) {
 	c := p.connections[id]
 	if c == nil {
 		return
 	}
+	p.suspectAge(c)
+	if c.state != closing {
+		p.close(c)
+	}
+}
+
+// doubted suspects the age of a connection that may be silent.
+func (p *Pool) doubted(id ConnID) {
+	if c := p.connections[id]; c != nil {
+		p.suspectAge(c)
+	}
+}
+
+// suspectAge suspects every idle connection that is as old or older, because
+// they share the fate of the path that went silent.
+func (p *Pool) suspectAge(c *connection) {
 	for _, other := range p.idles {
 		if other.openedAt <= c.openedAt {
 			other.suspect = true
 		}
 	}
-	if c.state != closing {
-		p.close(c)
-	}
 }
 
 func (p *Pool) probeAnswered(now dfclock.Millis, e ProbeAnswered) {
@@ -402,7 +447,7 @@
 		return
 	}
 	wanted := len(p.waiters) - p.count(opening)
-	if p.failures > 0 {
+	if p.failures > 0 || p.down {
 		// One attempt at a time finds out whether the upstream is back.
 		wanted = min(wanted, 1-p.count(opening))
 	}
@@ -427,6 +472,10 @@
 
 // refuseHopeless refuses waiters early that no connection can reach in time.
 func (p *Pool) refuseHopeless(now dfclock.Millis) {
+	if p.down {
+		p.refuseAll(now)
+		return
+	}
 	if len(p.waiters) == 0 || now.Reached(p.openAfter) && p.config.Limit > 0 {
 		return
 	}
@@ -444,6 +493,14 @@
 	p.waiters = kept
 }
 
+// refuseAll sends the waiters elsewhere.
+func (p *Pool) refuseAll(now dfclock.Millis) {
+	for _, w := range p.waiters {
+		p.act(Refuse{Waiter: w.id, Code: dfresult.UpstreamRefused, RetryAfter: p.retryAfter(now)})
+	}
+	p.waiters = p.waiters[:0]
+}
+
 func (p *Pool) retryAfter(now dfclock.Millis) dfclock.Millis {
 	return max(0, p.openAfter.Since(now))
 }
--- a/dfupstream/conn.go
+++ b/dfupstream/conn.go
@@ -63,6 +63,7 @@
 	// silent is set if the upstream did not answer in time.
 	silent atomic.Bool
 	probe  *socketProbe
+	guard  guard
 	// giveUp makes reads and writes fail; it is kept to avoid an allocation.
 	giveUp func()
 
@@ -411,4 +412,13 @@
 	// Gate is called after all replies of a batch that committed arrived. The
 	// end of the answer is passed on once it returns nil.
 	Gate func(ctx context.Context, position dfposition.Position) error
+	// Silence is the span without a message from the upstream after which Doubt
+	// is called. Zero, or a nil Doubt, watches nothing.
+	Silence dfclock.Millis
+	// Doubt runs on a goroutine of its own, once for each further span of
+	// silence, never twice at once.
+	Doubt Doubt
+	// Identity asks for the identity of the explicit transaction until it is
+	// known, behind a batch and in the same write.
+	Identity bool
 }
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -70,7 +70,12 @@
 	c.sequence++
 	c.running.Store(c.sequence)
 	stop := c.begin(ctx)
+	c.watchSilence(options)
 	err := c.perform(batch)
+	if c.endWatch() && err != nil {
+		c.silent.Store(true)
+		err = errSilent
+	}
 	c.finishRunning()
 	if !stop() && err == nil {
 		err = eris.New("the context ended")
@@ -168,7 +173,9 @@
 	}
 	c.unfinished = true
 	if len(c.out) <= inlineWriteBytes {
+		c.guard.waiting.Store(true)
 		n, err := c.stream.Write(c.out)
+		c.guard.waiting.Store(false)
 		c.batch.sent = c.batch.sent || n > 0
 		return err
 	}
@@ -205,10 +212,13 @@
 		if c.queue.empty() || c.copyIn {
 			return c.settleWrite()
 		}
+		c.guard.waiting.Store(true)
 		messageType, body, err := c.reader.Next()
+		c.guard.waiting.Store(false)
 		if err != nil {
 			return eris.Wrap(err, "read")
 		}
+		c.guard.heard.Add(1)
 		if err := c.take(messageType, body); err != nil {
 			return err
 		}
--- a/dfupstream/limit.go
+++ b/dfupstream/limit.go
@@ -23,6 +23,16 @@
 	keepBufferBytes = 64 << 10
 	// cancelTimeout bounds a cancel, which delays the end of its batch.
 	cancelTimeout = 2 * time.Second
+	// MinSilence is above the usual jitter of links and statements, so that a
+	// doubt is rare. It is a tenth of the largest failover gap.
+	MinSilence = 300 * dfclock.Millisecond
+	// MaxSilence leaves time to ask about the statement and to repeat it on a
+	// fresh connection within the largest failover gap.
+	MaxSilence = 1000 * dfclock.Millisecond
+	// meterScale keeps fractions of a millisecond, and meterSpreads is the
+	// number of spreads above the mean that is still usual.
+	meterScale   = 16
+	meterSpreads = 4
 	// closeTimeout bounds the writing of the Terminate message.
 	closeTimeout = 100 * time.Millisecond
 )
@@ -36,6 +46,9 @@
 	DefaultOpenTimeout = 5 * dfclock.Second
 	// DefaultProbeTimeout is a few round trips between data centres.
 	DefaultProbeTimeout = 500 * dfclock.Millisecond
+	// failureLogPeriod separates log lines on failed openings, of which an
+	// upstream that is down causes many.
+	failureLogPeriod = 5 * dfclock.Second
 	// DefaultResetTimeout bounds DISCARD ALL.
 	DefaultResetTimeout = 2 * dfclock.Second
 )
--- a/dfupstream/pool.go
+++ b/dfupstream/pool.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfpool"
 	"dragonflygrade/dfresult"
@@ -24,6 +22,10 @@
 	// OnTerminated is called by a goroutine of its own when the upstream's
 	// administrator ended a connection. It must not call Close; nil does nothing.
 	OnTerminated func()
+	// OnSilent is called by a goroutine of its own with the process number of a
+	// connection found silent, which the upstream may still keep. It must not call
+	// Close; nil does nothing.
+	OnSilent func(pid uint32)
 	// Seed makes the jitter repeatable.
 	Seed         uint64
 	Ring         int
@@ -90,6 +92,8 @@
 	ctx     context.Context
 	workers sync.WaitGroup
 	lastID  atomic.Uint64
+	// failures limits the log lines on failed openings.
+	failures failureLog
 
 	// The following fields belong to the pool's goroutine.
 	decision *dfpool.Pool
@@ -167,6 +171,8 @@
 
 func (p *Pool) returned(conn *Conn, idle bool) {
 	if conn.Silent() {
+		silentRequests.Inc()
+		p.tellSilent(conn)
 		p.post(request{event: dfpool.Silent{Conn: dfpool.ConnID(conn.poolID)}})
 		return
 	}
@@ -178,7 +184,26 @@
 	if p.config.Pool.ReopenCap > 0 {
 		return p.config.Pool.ReopenCap
 	}
-	return dfpool.DefaultReopenCap
+	return dfpool.DefaultSuspension
+}
+
+// tellSilent reports a connection that the upstream may still keep.
+func (p *Pool) tellSilent(conn *Conn) {
+	if p.config.OnSilent != nil {
+		go p.config.OnSilent(conn.PID())
+	}
+}
+
+// Doubt makes idle connections as old as a held one, or older, be probed before
+// reuse, because the held one is not answered in time.
+func (p *Pool) Doubt(conn *Conn) {
+	p.post(request{event: dfpool.Doubted{Conn: dfpool.ConnID(conn.poolID)}})
+}
+
+// SetReachable tells whether the upstream is seen to answer at all. While it is
+// not, waiters are refused and openings are rare.
+func (p *Pool) SetReachable(up bool) {
+	p.post(request{event: dfpool.Reachable{Up: up}})
 }
 
 // Suspend stops the opening of connections for a span.
@@ -406,7 +431,7 @@
 	if err != nil {
 		var known *dfresult.Error
 		if errors.As(err, &known) && p.ctx.Err() == nil {
-			log.Warn().Str("upstream", p.config.Conn.Address).Str("reason", known.Detail).Msg("pool: opening failed")
+			p.failures.note(p.config.Now(), p.config.Conn.Address, known.Detail)
 		}
 		p.post(request{event: dfpool.OpenFailed{Conn: id}})
 		return
@@ -419,5 +444,10 @@
 	ctx, stop := p.bounded(p.config.ProbeTimeout)
 	defer stop()
 	err := conn.Probe(ctx)
+	suspectsProbed.Inc()
+	if err != nil && conn.Silent() {
+		silentSuspects.Inc()
+		p.tellSilent(conn)
+	}
 	p.post(request{event: dfpool.ProbeAnswered{Conn: id, OK: err == nil && conn.Idle()}})
 }
