Resolve lost commits by transaction identity

A commit in flight at a lost or replaced primary was unknown. Inside an explicit transaction the holder now asks for the transaction identity in the same write as the first statement that writes, and asks pg_xact_status at the confirmed primary when the answer to the commit is lost. Committed and on a majority gives done, rolled back gives not run, and everything else stays unknown after 2 s. A rollback under a later term counts only once an entry of that term is on a majority, because until then a further promotion may choose the old log.

Requests marked not to be repeated are handed to one unit at most; a second send is refused and counted.

--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -72,6 +72,11 @@
 	// doubtPause separates the two questions about a backend that is not active.
 	// It is longer than an answer usually takes between data centres.
 	doubtPause = 100 * time.Millisecond
+	// resolveSpan bounds the search for the outcome of a lost commit. It covers a
+	// promotion, which takes about a second, and the question afterwards.
+	resolveSpan = 2 * dfclock.Second
+	// settlePause separates the questions about a lost commit.
+	settlePause = 20 * time.Millisecond
 	// terminateTimeout bounds the ending of a silent backend.
 	terminateTimeout = time.Second
 	// routePause separates looks at the replicas while a read waits for one.
--- /dev/null
+++ b/dfholder/resolve.go
@@ -0,0 +1,160 @@
+package dfholder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"dragonflygrade/dfoutcome"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfunit"
+	"dragonflygrade/dfupstream"
+)
+
+var resolvedCommits = map[dfresult.Outcome]*metrics.Counter{
+	dfresult.Done:    metrics.NewCounter(`dragonflygrade_resolved_commits_total{outcome="done"}`),
+	dfresult.NotRun:  metrics.NewCounter(`dragonflygrade_resolved_commits_total{outcome="not run"}`),
+	dfresult.Unknown: metrics.NewCounter(`dragonflygrade_resolved_commits_total{outcome="unknown"}`),
+}
+
+// noteTransaction keeps the identity of the open transaction.
+func (u *unit) noteTransaction(result dfunit.Result) {
+	if result.Status != 'T' {
+		u.transaction = dfoutcome.Transaction{}
+		return
+	}
+	if identity := u.conn.Identity(); identity.ID != 0 {
+		u.transaction = dfoutcome.Transaction{ID: identity.ID, Term: u.term, AssignedBy: identity.Position}
+	}
+}
+
+// isCommitDoubt reports whether the effect of a commit is not known.
+func isCommitDoubt(err error) bool {
+	var failure *dfresult.Error
+	if !errors.As(err, &failure) {
+		return false
+	}
+	switch failure.Code {
+	case dfresult.CommitUnknown, dfresult.NotMajority, dfresult.PrimaryChanged:
+		return true
+	}
+	return false
+}
+
+// resolve finds out about a commit whose answer was lost. It returns the cause
+// if that does not succeed within its bound.
+func (u *unit) resolve(ctx context.Context, batch dfunit.Batch, cause error) (dfunit.Result, error) {
+	ctx, cancel := contextUntil(ctx, resolveSpan)
+	defer cancel()
+	settled := u.settle(ctx)
+	if settled.outcome == dfresult.Done && (!dfupstream.IsCommit(batch) || u.confirm(ctx, settled) != nil) {
+		settled.outcome = dfresult.Unknown
+	}
+	resolvedCommits[settled.outcome].Inc()
+	switch settled.outcome {
+	case dfresult.Done:
+		if err := u.conn.FinishCommit(); err != nil {
+			return dfunit.Result{}, dfresult.NewError(dfresult.ConnectionLost, "%v", err)
+		}
+		return dfunit.Result{Status: 'I', Position: settled.position}, nil
+	case dfresult.NotRun:
+		return dfunit.Result{}, dfresult.NewError(dfresult.TransactionLost, "the commit did not take effect")
+	}
+	return dfunit.Result{}, cause
+}
+
+// confirm makes a commit that was found count as any other: a majority has it,
+// and the other slot holders know of it.
+func (u *unit) confirm(ctx context.Context, found settlement) error {
+	u.term = found.term
+	return u.gate(ctx, found.position)
+}
+
+// settlement is what was found of a commit.
+type settlement struct {
+	outcome dfresult.Outcome
+	// position is at or behind the commit in the log of the primary of the term.
+	position dfposition.Position
+	term     dfposition.Term
+}
+
+// settle asks the confirmed primary until it knows or the context ends.
+func (u *unit) settle(ctx context.Context) settlement {
+	for {
+		view := u.holder.watcher.View()
+		leader, confirmed := view.Find(view.Primary)
+		found := settlement{term: view.Term}
+		switch step := u.transaction.Plan(leader.Status, confirmed).(type) {
+		case dfoutcome.Conclude:
+			return settlement{outcome: step.Outcome}
+		case dfoutcome.AskStatus:
+			found = u.askStatus(ctx, step, found)
+		}
+		if found.outcome != 0 {
+			return found
+		}
+		if !pause(ctx, settlePause) {
+			return settlement{outcome: dfresult.Unknown}
+		}
+	}
+}
+
+// Answers of pg_xact_status that do not end the resolution.
+const (
+	statusInProgress = "in progress"
+	statusCommitted  = "committed"
+)
+
+// askStatus asks once. An outcome of zero means to ask again.
+func (u *unit) askStatus(ctx context.Context, step dfoutcome.AskStatus, found settlement) settlement {
+	text, err := u.transactionStatus(ctx, step)
+	switch {
+	case err != nil || text == "":
+		// The upstream may have just lost its role.
+		return found
+	case text == statusInProgress:
+		// The commit did not reach the backend. Ending it decides.
+		if step.Upstream == u.upstream.ID {
+			u.holder.terminate(step.Upstream, u.conn.PID())
+		}
+		return found
+	case text != statusCommitted && found.term == u.transaction.Term:
+		found.outcome = u.transaction.Conclusion(text).Outcome
+		return found
+	}
+	// The barrier is taken behind the answer, so it confirms that the primary was
+	// still the primary when it answered.
+	position, err := u.holder.watcher.Barrier(ctx)
+	if err != nil || u.holder.watcher.View().Term != found.term {
+		return found
+	}
+	if text != statusCommitted && position.Term < found.term {
+		// Until an entry of the new term is on a majority, a later promotion may
+		// still choose the log of the old primary.
+		return found
+	}
+	found.position = position
+	found.outcome = u.transaction.Conclusion(text).Outcome
+	return found
+}
+
+func (u *unit) transactionStatus(ctx context.Context, step dfoutcome.AskStatus) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, doubtTimeout)
+	defer cancel()
+	return u.holder.control.TransactionStatus(ctx, step.Upstream, step.ID)
+}
+
+// pause waits and reports whether the context is still open.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -8,6 +8,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfhealth"
+	"dragonflygrade/dfoutcome"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfsession"
@@ -39,6 +40,8 @@
 	aborted bool
 	// term is the term of the primary to which a write was routed.
 	term dfposition.Term
+	// transaction identifies the open transaction once it has written.
+	transaction dfoutcome.Transaction
 	// release gives the admission back; it is called once.
 	release func()
 	closed  bool
@@ -51,7 +54,7 @@
 	}
 	u.batches++
 	write := u.request.Class == dfunit.ClassWrite
-	options := dfupstream.Options{Write: write, Position: write}
+	options := dfupstream.Options{Write: write, Position: write, Identity: write}
 	if write {
 		options.Gate = u.gate
 	}
@@ -67,8 +70,12 @@
 	if err != nil {
 		u.failed = true
 		u.report(ctx, started)
+		if u.transaction.ID != 0 && isCommitDoubt(err) {
+			return u.resolve(ctx, batch, err)
+		}
 		return dfunit.Result{}, err
 	}
+	u.noteTransaction(result)
 	u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Answered{Upstream: u.upstream.ID, Span: u.holder.now().Since(started)})
 	if inspected.refusal != nil {
 		u.conn.Close()
--- a/dfhost/attempt.go
+++ b/dfhost/attempt.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfoutcome"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfunit"
 )
@@ -32,12 +34,18 @@
 	sink    *passedSink
 	// avoid has hosts that refused this request.
 	avoid map[string]bool
+	// sends tracks what was handed to units. A request that must not be repeated
+	// is handed to one unit at most.
+	sends dfoutcome.Attempt
 	// opened is called with each unit before its first batch runs.
 	opened func(dfunit.Unit)
 }
 
 func newAttempt(host *Host, request dfunit.Request, sink dfunit.Sink, opened func(dfunit.Unit)) *attempt {
-	return &attempt{host: host, request: request, sink: &passedSink{sink: sink}, opened: opened}
+	return &attempt{
+		host: host, request: request, sink: &passedSink{sink: sink}, opened: opened,
+		sends: dfoutcome.NewAttempt(request.NoRepeat),
+	}
 }
 
 func (a *attempt) run(ctx context.Context, batch dfunit.Batch) (dfunit.Result, dfunit.Unit, error) {
@@ -75,8 +83,13 @@
 		a.refusedBy(target, err)
 		return dfunit.Result{}, nil, err
 	}
+	if err := a.beginSend(); err != nil {
+		unit.Close()
+		return dfunit.Result{}, nil, err
+	}
 	a.opened(unit)
 	result, err := unit.Exchange(ctx, batch, a.sink)
+	a.sends = noteSend(a.sends, a.request.Class, err)
 	if err != nil {
 		a.opened(nil)
 		unit.Close()
@@ -86,6 +99,37 @@
 	return result, unit, nil
 }
 
+// beginSend asserts that a request that must not be repeated is sent once.
+func (a *attempt) beginSend() error {
+	next, refusal := a.sends.BeginSend(a.request.Class == dfunit.ClassWrite)
+	if refusal == nil {
+		a.sends = next
+		return nil
+	}
+	a.host.counters.repeatsRefused.Inc()
+	if strictSends.Load() {
+		panic("host: invariant failed: " + refusal.Error())
+	}
+	a.host.log.Error().Err(refusal).Msg("host: a repeat was refused")
+	return refusal
+}
+
+// strictSends makes a refused repeat panic. Tests set it.
+var strictSends atomic.Bool
+
+// noteSend takes the end of a send. A read that was lost has no effect, so it
+// counts as undone.
+func noteSend(sends dfoutcome.Attempt, class dfunit.Class, err error) dfoutcome.Attempt {
+	var failure *dfresult.Error
+	switch {
+	case err == nil:
+		return sends.WithAnswered()
+	case errors.As(err, &failure) && failure.Code.Outcome() == dfresult.NotRun, class == dfunit.ClassRead:
+		return sends.WithRolledBack()
+	}
+	return sends
+}
+
 // movedToPrimary turns a read that a replica refused into a write.
 func (a *attempt) movedToPrimary(err error) bool {
 	var failure *dfresult.Error
@@ -116,7 +160,7 @@
 // repeatable reports whether another attempt may follow: the request did not
 // run, or it was a read of which the caller has seen nothing.
 func (a *attempt) repeatable(err error) bool {
-	if a.sink.passed {
+	if a.sink.passed || !a.sends.MayRetry() {
 		return false
 	}
 	var failure *dfresult.Error
--- a/dfhost/counters.go
+++ b/dfhost/counters.go
@@ -21,8 +21,10 @@
 	localReads   *metrics.Counter
 	writes       *metrics.Counter
 	retries      *metrics.Counter
-	byRung       [rungs + 1]*metrics.Counter
-	version      atomic.Uint64
+	// repeatsRefused counts sends that a broken rule would have repeated.
+	repeatsRefused *metrics.Counter
+	byRung         [rungs + 1]*metrics.Counter
+	version        atomic.Uint64
 }
 
 func newCounters(host string) *counters {
@@ -31,12 +33,13 @@
 		return set.NewCounter(fmt.Sprintf("dragonflygrade_%s{host=%q}", name, host))
 	}
 	c := &counters{
-		set:          set,
-		reads:        counter("reads_total"),
-		replicaReads: counter("replica_reads_total"),
-		localReads:   counter("local_reads_total"),
-		writes:       counter("writes_total"),
-		retries:      counter("retries_total"),
+		set:            set,
+		reads:          counter("reads_total"),
+		replicaReads:   counter("replica_reads_total"),
+		localReads:     counter("local_reads_total"),
+		writes:         counter("writes_total"),
+		retries:        counter("retries_total"),
+		repeatsRefused: counter("repeats_refused_total"),
 	}
 	for rung := range c.byRung {
 		c.byRung[rung] = set.NewCounter(fmt.Sprintf("dragonflygrade_reads_by_rung_total{host=%q,rung=\"%d\"}", host, rung))
--- a/dfupstream/conn.go
+++ b/dfupstream/conn.go
@@ -83,6 +83,9 @@
 	queue      replyQueue
 	out        []byte
 
+	// identity names the explicit transaction that is open, once it is known.
+	identity Identity
+
 	// batch is the state of the exchange that runs now.
 	batch exchange
 	// sequence counts batches; running is the current one, or zero.
--- a/dfupstream/encode.go
+++ b/dfupstream/encode.go
@@ -97,7 +97,10 @@
 // noteExecute treats a portal that was bound in an earlier batch as one that
 // may end the transaction or take COPY data, because its text is no longer known.
 func (c *Conn) noteExecute(body []byte) {
-	portal, _, _ := dfframe.CutString(body)
+	portal, rows, _ := dfframe.CutString(body)
+	if !bytes.Equal(rows, allRows) {
+		c.batch.partial = true
+	}
 	if !c.batch.bound || len(portal) > 0 {
 		c.mayEnd = true
 		c.batch.mayCopyIn = true
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -28,6 +28,8 @@
 	// mayCopyIn is true if the upstream may wait for COPY data, during which no
 	// position query may follow.
 	mayCopyIn bool
+	// partial is true if a portal may stay open for more of its rows.
+	partial bool
 	// committed is true after the tag of a commit; failed after an error.
 	committed bool
 	failed    bool
@@ -100,6 +102,9 @@
 func (c *Conn) planEnd(batch dfunit.Batch) {
 	c.batch.inside = c.status != 'I' && !c.mayEnd
 	c.batch.gated = c.batch.options.Gate != nil && !c.batch.inside
+	if c.wantsIdentity(batch) {
+		c.appendIdentity()
+	}
 	if c.batch.inside || c.skipping {
 		c.batch.options.Position = false
 	}
@@ -270,8 +275,11 @@
 	case 'C':
 		c.recordTag(body)
 	case 'D':
-		if due.kind == replyPosition {
+		switch due.kind {
+		case replyPosition:
 			return c.recordPosition(body)
+		case replyIdentity:
+			return c.recordIdentity(body)
 		}
 	case 'G':
 		if c.batch.committed && c.batch.gated {
@@ -334,9 +342,12 @@
 		return eris.New("ReadyForQuery is malformed")
 	}
 	c.status = body[0]
-	if due.kind != replyPosition {
+	if !due.injected {
 		c.batch.ended = body[0]
 	}
+	if c.status == 'I' {
+		c.identity = Identity{}
+	}
 	last := c.queue.head == len(c.queue.items)-1
 	if last {
 		c.unfinished = false
@@ -359,7 +370,7 @@
 		return eris.Wrap(refusal(body), "the upstream ended the connection")
 	}
 	due := c.queue.first()
-	if due.kind == replyPosition {
+	if due.kind == replyPosition || due.kind == replyIdentity {
 		return nil
 	}
 	c.batch.failed = true
--- a/dfupstream/reply.go
+++ b/dfupstream/reply.go
@@ -17,6 +17,8 @@
 	replyFunction
 	// replyPosition is the answer to the position query of the proxy.
 	replyPosition
+	// replyIdentity is the answer to the identity query of the proxy.
+	replyIdentity
 	// replyMade is an answer that the proxy gives itself.
 	replyMade
 )
@@ -35,7 +37,7 @@
 
 // ready reports whether ReadyForQuery ends the answer.
 func (e expected) ready() bool {
-	return e.kind >= replySync && e.kind <= replyPosition
+	return e.kind >= replySync && e.kind <= replyIdentity
 }
 
 // replyQueue has the due answers in the order of their messages.
@@ -107,7 +109,7 @@
 		return oneOf(messageType, "DCsIGHdcW")
 	case replyQuery:
 		return oneOf(messageType, "TDCIGHdcWZ")
-	case replyPosition:
+	case replyPosition, replyIdentity:
 		return oneOf(messageType, "TDCZ")
 	case replyFunction:
 		return oneOf(messageType, "VZ")
@@ -124,7 +126,7 @@
 		return messageType != 't'
 	case replyExecute:
 		return oneOf(messageType, "CsI")
-	case replyQuery, replyPosition, replyFunction:
+	case replyQuery, replyPosition, replyIdentity, replyFunction:
 		return messageType == 'Z'
 	}
 	return true
