--- a/dfholder/resolve.go
+++ b/dfholder/resolve.go
@@ -131,9 +131,7 @@
 	if err != nil || u.holder.watcher.View().Term != found.term {
 		return found
 	}
-	if text != statusCommitted && position.Term < found.term {
-		// Until an entry of the new term is on a majority, a later promotion may
-		// still choose the log of the old primary.
+	if text != statusCommitted && !u.isFinal(ctx, position, found.term) {
 		return found
 	}
 	found.position = position
@@ -141,6 +139,12 @@
 	return found
 }
 
+// isFinal reports whether no later promotion can choose the log of an earlier
+// primary any more: a majority has an entry of the term.
+func (u *unit) isFinal(ctx context.Context, position dfposition.Position, term dfposition.Term) bool {
+	return position.Term == term && u.holder.watcher.AwaitAck(ctx, position) == nil
+}
+
 func (u *unit) transactionStatus(ctx context.Context, step dfoutcome.AskStatus) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, doubtTimeout)
 	defer cancel()
