Ask only upstreams that answer status polls

Questions about backends share the control connection with the status polls. Towards a paused upstream they would hold up the polls, on which failure detection depends.

--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -69,6 +69,9 @@
 	// doubtTimeout bounds one question about a backend. It is several round trips
 	// between data centres.
 	doubtTimeout = 300 * time.Millisecond
+	// reportAge is the age up to which a status report shows that the upstream
+	// answers. It is the period of the polls and their bound.
+	reportAge = 300 * dfclock.Millisecond
 	// doubtPause separates the two questions about a backend that is not active.
 	// It is longer than an answer usually takes between data centres.
 	doubtPause = 100 * time.Millisecond
@@ -78,7 +81,7 @@
 	// settlePause separates the questions about a lost commit.
 	settlePause = 20 * time.Millisecond
 	// terminateTimeout bounds the ending of a silent backend.
-	terminateTimeout = time.Second
+	terminateTimeout = 300 * time.Millisecond
 	// routePause separates looks at the replicas while a read waits for one.
 	routePause = 5 * dfclock.Millisecond
 )
--- a/dfholder/resolve.go
+++ b/dfholder/resolve.go
@@ -110,6 +110,9 @@
 
 // askStatus asks once. An outcome of zero means to ask again.
 func (u *unit) askStatus(ctx context.Context, step dfoutcome.AskStatus, found settlement) settlement {
+	if !u.holder.reports(step.Upstream) {
+		return found
+	}
 	text, err := u.transactionStatus(ctx, step)
 	switch {
 	case err != nil || text == "":
--- a/dfholder/silence.go
+++ b/dfholder/silence.go
@@ -24,22 +24,33 @@
 	return u.seemsLost(pid)
 }
 
-// seemsLost reports whether no answer can be expected. Without an answer on the
-// control connection the upstream itself may be in trouble: a read then goes
-// elsewhere, and a write waits for the decision on the primary.
+// seemsLost reports whether no answer can be expected. While the upstream itself
+// is in trouble, a read goes elsewhere once the upstream gets no ordinary work
+// any more, and a write waits for the decision on the primary.
 func (u *unit) seemsLost(pid uint32) bool {
+	if !u.holder.reports(u.upstream.ID) {
+		seen, found := u.holder.watcher.View().Find(u.upstream.ID)
+		return u.request.Class == dfunit.ClassRead && found && seen.Ejected
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), doubtTimeout)
 	defer cancel()
 	activity, err := u.holder.control.Activity(ctx, u.upstream.ID, pid, u.holder.ApplicationName())
-	if err != nil {
-		return u.request.Class == dfunit.ClassRead
-	}
-	return activity != dfcontrol.BackendActive
+	return err == nil && activity != dfcontrol.BackendActive
+}
+
+// reports tells whether an upstream answers status polls. Questions to one that
+// does not would hold up the polls, on which failure detection depends.
+func (h *Holder) reports(upstream dfgroup.UpstreamID) bool {
+	seen, found := h.watcher.View().Find(upstream)
+	return found && h.now().Since(seen.ReportedAt) <= reportAge
 }
 
 // terminate ends the backend of a connection that went silent. It would hold
 // its locks and its place within the connection limit otherwise.
 func (h *Holder) terminate(upstream dfgroup.UpstreamID, pid uint32) {
+	if !h.reports(upstream) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), terminateTimeout)
 	defer cancel()
 	if err := h.control.Terminate(ctx, upstream, pid, h.ApplicationName()); err != nil {
