Forget the identity when a batch may end its transaction

A batch that ends one transaction and begins another kept the identity of the first, so that a lost commit of the second was judged by it. The test stated not run for a commit that took effect.

--- a/dfholder/holder_test.go
+++ b/dfholder/holder_test.go
@@ -260,6 +260,19 @@
 	w.requireOutcome(ctx, dfresult.Unknown, err)
 }
 
+// Guards against an outcome that belongs to an earlier transaction of the same
+// connection: that one was rolled back, and this one commits.
+func TestIdentityOfEarlierTransaction(t *testing.T) {
+	w := newWorld(t)
+	unit, ctx := w.begin("k1")
+	_, err := send(ctx, unit, "ROLLBACK; BEGIN; "+insert("k2"))
+	require.NoError(t, err)
+	w.loss.Store(int32(loseAnswer))
+	_, err = send(ctx, unit, "COMMIT")
+	w.requireOutcome(ctx, dfresult.Unknown, err)
+	require.Equal(t, 1, w.rows())
+}
+
 // Guards against the wrong outcome of a commit whose primary was replaced.
 func TestCommitAtReplacedPrimary(t *testing.T) {
 	cases := []struct {
--- a/dfholder/resolve.go
+++ b/dfholder/resolve.go
@@ -22,8 +22,8 @@
 
 // noteTransaction keeps the identity of the open transaction.
 func (u *unit) noteTransaction(result dfunit.Result) {
+	u.transaction = dfoutcome.Transaction{}
 	if result.Status != 'T' {
-		u.transaction = dfoutcome.Transaction{}
 		return
 	}
 	if identity := u.conn.Identity(); identity.ID != 0 {
@@ -50,7 +50,9 @@
 	ctx, cancel := contextUntil(ctx, resolveSpan)
 	defer cancel()
 	settled := u.settle(ctx)
-	if settled.outcome == dfresult.Done && (!dfupstream.IsCommit(batch) || u.confirm(ctx, settled) != nil) {
+	// A commit that was found counts as any other: a majority has it, and the
+	// other slot holders know of it.
+	if settled.outcome == dfresult.Done && (!dfupstream.IsCommit(batch) || u.gateUnder(ctx, settled.position, settled.term) != nil) {
 		settled.outcome = dfresult.Unknown
 	}
 	resolvedCommits[settled.outcome].Inc()
@@ -66,13 +68,6 @@
 	return dfunit.Result{}, cause
 }
 
-// confirm makes a commit that was found count as any other: a majority has it,
-// and the other slot holders know of it.
-func (u *unit) confirm(ctx context.Context, found settlement) error {
-	u.term = found.term
-	return u.gate(ctx, found.position)
-}
-
 // settlement is what was found of a commit.
 type settlement struct {
 	outcome dfresult.Outcome
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -119,6 +119,11 @@
 // gate holds a commit until a majority has it and every other slot holder with
 // a position lease knows of it.
 func (u *unit) gate(ctx context.Context, position dfposition.Position) error {
+	return u.gateUnder(ctx, position, u.term)
+}
+
+// gateUnder is gate for an answer from the primary of a term.
+func (u *unit) gateUnder(ctx context.Context, position dfposition.Position, term dfposition.Term) error {
 	if position.IsZero() {
 		return dfresult.NewError(dfresult.CommitUnknown, "the upstream reported no position")
 	}
@@ -133,7 +138,7 @@
 			h.knowledge.answered(id, peer)
 		})
 	}
-	if err := u.awaitMajority(ctx, position); err != nil {
+	if err := u.awaitMajority(ctx, position, term); err != nil {
 		h.knowledge.abandon(id)
 		return err
 	}
@@ -143,11 +148,11 @@
 // awaitMajority waits until a majority has the position. A position of an
 // earlier term than the one of the routing shows that the unit wrote nothing;
 // its answer must then not come from a replaced primary.
-func (u *unit) awaitMajority(ctx context.Context, position dfposition.Position) error {
-	if position.Term == u.term {
+func (u *unit) awaitMajority(ctx context.Context, position dfposition.Position, term dfposition.Term) error {
+	if position.Term == term {
 		return u.holder.watcher.AwaitAck(ctx, position)
 	}
-	return u.holder.watcher.AwaitConfirmed(ctx, position, u.term)
+	return u.holder.watcher.AwaitConfirmed(ctx, position, term)
 }
 
 // report tells the failure detection of a connection that broke or was too slow.
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -345,7 +345,8 @@
 	if !due.injected {
 		c.batch.ended = body[0]
 	}
-	if c.status == 'I' {
+	if c.status == 'I' || c.mayEnd {
+		// Another transaction may have begun in the same batch.
 		c.identity = Identity{}
 	}
 	last := c.queue.head == len(c.queue.items)-1
