Tell an upstream that stopped from a silent connection

The bound on a report's age was as long as the least bound on silence, so that questions to a paused upstream could still hold up its status polls. A COMMIT that did not take effect leaves the caller outside of a transaction, as PostgreSQL does.

--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -70,8 +70,9 @@
 	// between data centres.
 	doubtTimeout = 300 * time.Millisecond
 	// reportAge is the age up to which a status report shows that the upstream
-	// answers. It is the period of the polls and their bound.
-	reportAge = 300 * dfclock.Millisecond
+	// answers. It is two periods of the polls, and less than any bound on silence,
+	// so that a doubt about an upstream that stopped finds an older report.
+	reportAge = 200 * dfclock.Millisecond
 	// doubtPause separates the two questions about a backend that is not active.
 	// It is longer than an answer usually takes between data centres.
 	doubtPause = 100 * time.Millisecond
--- a/dfhost/session.go
+++ b/dfhost/session.go
@@ -12,6 +12,7 @@
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dftoken"
 	"dragonflygrade/dfunit"
+	"dragonflygrade/dfupstream"
 )
 
 // Settings that a caller may change by SET.
@@ -121,7 +122,7 @@
 	if err != nil {
 		wasInside := s.inside
 		s.closeUnit()
-		if wasInside && !isCommitDoubt(err) {
+		if wasInside && !isCommitDoubt(err) && !dfupstream.IsCommit(batch) {
 			// The caller's side answers everything but the end of the
 			// transaction from here on.
 			return statusFailed, err
