--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -80,6 +80,23 @@
 	probePriority = 0
 	// retryHint is when a caller that was refused may come back.
 	retryHint = 200 * dfclock.Millisecond
+	// doubtTimeout bounds one question about a backend. It is several round trips
+	// between data centres.
+	doubtTimeout = 300 * time.Millisecond
+	// reportAge is the age up to which a status report shows that the upstream
+	// answers. It is two periods of the polls, and less than any bound on silence,
+	// so that a doubt about an upstream that stopped finds an older report.
+	reportAge = 200 * dfclock.Millisecond
+	// doubtPause separates the two questions about a backend that is not active.
+	// It is longer than an answer usually takes between data centres.
+	doubtPause = 100 * time.Millisecond
+	// resolveSpan bounds the search for the outcome of a lost commit. It covers a
+	// promotion, which takes about a second, and the question afterwards.
+	resolveSpan = 2 * dfclock.Second
+	// settlePause separates the questions about a lost commit.
+	settlePause = 20 * time.Millisecond
+	// terminateTimeout bounds the ending of a silent backend.
+	terminateTimeout = 300 * time.Millisecond
 	// routePause separates looks at the replicas while a read waits for one.
 	routePause = 5 * dfclock.Millisecond
 )
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -8,6 +8,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfhealth"
+	"dragonflygrade/dfoutcome"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfsession"
@@ -39,6 +40,8 @@
 	aborted bool
 	// term is the term of the primary to which a write was routed.
 	term dfposition.Term
+	// transaction identifies the open transaction once it has written.
+	transaction dfoutcome.Transaction
 	// release gives the admission back; it is called once.
 	release func()
 	closed  bool
@@ -51,19 +54,28 @@
 	}
 	u.batches++
 	write := u.request.Class == dfunit.ClassWrite
-	options := dfupstream.Options{Write: write, Position: write}
+	options := dfupstream.Options{Write: write, Position: write, Identity: write}
 	if write {
 		options.Gate = u.gate
 	}
+	meter := u.holder.meters[u.upstream.ID]
+	options.Silence, options.Doubt = meter.Bound(), u.doubt
 	inspected := &refusalSink{sink: sink, enabled: u.batches == 1 || write, later: u.batches > 1, aborted: u.aborted}
 	started := u.holder.now()
 	result, err := u.conn.Exchange(ctx, batch, inspected, options)
+	if err == nil {
+		meter.Answered(u.conn.AnswerTime())
+	}
 	u.slowest = max(u.slowest, u.holder.now().Since(started))
 	if err != nil {
 		u.failed = true
 		u.report(ctx, started)
+		if u.transaction.ID != 0 && isCommitDoubt(err) {
+			return u.resolve(ctx, batch, err)
+		}
 		return dfunit.Result{}, err
 	}
+	u.noteTransaction(result)
 	u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Answered{Upstream: u.upstream.ID, Span: u.holder.now().Since(started)})
 	if inspected.refusal != nil {
 		u.conn.Close()
@@ -107,6 +119,11 @@
 // gate holds a commit until a majority has it and every other slot holder with
 // a position lease knows of it.
 func (u *unit) gate(ctx context.Context, position dfposition.Position) error {
+	return u.gateUnder(ctx, position, u.term)
+}
+
+// gateUnder is gate for an answer from the primary of a term.
+func (u *unit) gateUnder(ctx context.Context, position dfposition.Position, term dfposition.Term) error {
 	if position.IsZero() {
 		return dfresult.NewError(dfresult.CommitUnknown, "the upstream reported no position")
 	}
@@ -121,7 +138,7 @@
 			h.knowledge.answered(id, peer)
 		})
 	}
-	if err := u.awaitMajority(ctx, position); err != nil {
+	if err := u.awaitMajority(ctx, position, term); err != nil {
 		h.knowledge.abandon(id)
 		return err
 	}
@@ -131,11 +148,11 @@
 // awaitMajority waits until a majority has the position. A position of an
 // earlier term than the one of the routing shows that the unit wrote nothing;
 // its answer must then not come from a replaced primary.
-func (u *unit) awaitMajority(ctx context.Context, position dfposition.Position) error {
-	if position.Term == u.term {
+func (u *unit) awaitMajority(ctx context.Context, position dfposition.Position, term dfposition.Term) error {
+	if position.Term == term {
 		return u.holder.watcher.AwaitAck(ctx, position)
 	}
-	return u.holder.watcher.AwaitConfirmed(ctx, position, u.term)
+	return u.holder.watcher.AwaitConfirmed(ctx, position, term)
 }
 
 // report tells the failure detection of a connection that broke or was too slow.
@@ -228,7 +245,9 @@
 // flush passes on what was held.
 func (r *refusalSink) flush() error {
 	r.enabled = false
-	for held := r.held; len(held) > 0; {
+	held := r.held
+	r.held = nil
+	for len(held) > 0 {
 		size := int(binary.BigEndian.Uint32(held[1:]))
 		if err := r.sink.Send(held[0], held[5:5+size]); err != nil {
 			return err
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -28,6 +28,8 @@
 	// mayCopyIn is true if the upstream may wait for COPY data, during which no
 	// position query may follow.
 	mayCopyIn bool
+	// partial is true if a portal may stay open for more of its rows.
+	partial bool
 	// committed is true after the tag of a commit; failed after an error.
 	committed bool
 	failed    bool
@@ -70,7 +72,12 @@
 	c.sequence++
 	c.running.Store(c.sequence)
 	stop := c.begin(ctx)
+	c.watchSilence(options)
 	err := c.perform(batch)
+	if c.endWatch() && err != nil {
+		c.silent.Store(true)
+		err = errSilent
+	}
 	c.finishRunning()
 	if !stop() && err == nil {
 		err = eris.New("the context ended")
@@ -95,6 +102,9 @@
 func (c *Conn) planEnd(batch dfunit.Batch) {
 	c.batch.inside = c.status != 'I' && !c.mayEnd
 	c.batch.gated = c.batch.options.Gate != nil && !c.batch.inside
+	if c.wantsIdentity(batch) {
+		c.appendIdentity()
+	}
 	if c.batch.inside || c.skipping {
 		c.batch.options.Position = false
 	}
@@ -168,7 +178,9 @@
 	}
 	c.unfinished = true
 	if len(c.out) <= inlineWriteBytes {
+		c.guard.waiting.Store(true)
 		n, err := c.stream.Write(c.out)
+		c.guard.waiting.Store(false)
 		c.batch.sent = c.batch.sent || n > 0
 		return err
 	}
@@ -205,10 +217,13 @@
 		if c.queue.empty() || c.copyIn {
 			return c.settleWrite()
 		}
+		c.guard.waiting.Store(true)
 		messageType, body, err := c.reader.Next()
+		c.guard.waiting.Store(false)
 		if err != nil {
 			return eris.Wrap(err, "read")
 		}
+		c.guard.heard.Add(1)
 		if err := c.take(messageType, body); err != nil {
 			return err
 		}
@@ -260,8 +275,11 @@
 	case 'C':
 		c.recordTag(body)
 	case 'D':
-		if due.kind == replyPosition {
+		switch due.kind {
+		case replyPosition:
 			return c.recordPosition(body)
+		case replyIdentity:
+			return c.recordIdentity(body)
 		}
 	case 'G':
 		if c.batch.committed && c.batch.gated {
@@ -324,9 +342,13 @@
 		return eris.New("ReadyForQuery is malformed")
 	}
 	c.status = body[0]
-	if due.kind != replyPosition {
+	if !due.injected {
 		c.batch.ended = body[0]
 	}
+	if c.status == 'I' || c.mayEnd {
+		// Another transaction may have begun in the same batch.
+		c.identity = Identity{}
+	}
 	last := c.queue.head == len(c.queue.items)-1
 	if last {
 		c.unfinished = false
@@ -349,7 +371,7 @@
 		return eris.Wrap(refusal(body), "the upstream ended the connection")
 	}
 	due := c.queue.first()
-	if due.kind == replyPosition {
+	if due.kind == replyPosition || due.kind == replyIdentity {
 		return nil
 	}
 	c.batch.failed = true
