Pass messages held for a refusal on only once

Cause: the sink kept what it had passed on, so that ParseComplete, BindComplete and RowDescription came again before ReadyForQuery. Change: the held messages are dropped when they are passed on.

--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -228,7 +228,9 @@
 // flush passes on what was held.
 func (r *refusalSink) flush() error {
 	r.enabled = false
-	for held := r.held; len(held) > 0; {
+	held := r.held
+	r.held = nil
+	for len(held) > 0 {
 		size := int(binary.BigEndian.Uint32(held[1:]))
 		if err := r.sink.Send(held[0], held[5:5+size]); err != nil {
 			return err
