Refuse in failed transactions of the stand-in what PostgreSQL refuses

Cause: the stand-in bound and described statements in a failed transaction, kept portals after a simple COMMIT, reported unchanged parameters, and gave DEALLOCATE ALL the wrong tag. Change: Bind, Describe, portals, parameters and the tag follow PostgreSQL.

--- a/dfstandinsql/session.go
+++ b/dfstandinsql/session.go
@@ -122,7 +122,11 @@
 }
 
 func (s *Session) set(name, value string) {
+	changed := s.settings[name] != value
 	s.settings[name] = value
+	if !changed {
+		return
+	}
 	s.environment.Changed(name, value)
 }
 
@@ -161,7 +165,7 @@
 func deallocate(statement *pg.DeallocateStmt) Result {
 	name := statement.Name
 	if name == "" {
-		name = "*"
+		return Result{Tag: "DEALLOCATE ALL", Deallocated: "*"}
 	}
 	return Result{Tag: "DEALLOCATE", Deallocated: name}
 }
--- a/dfstandinwire/connection.go
+++ b/dfstandinwire/connection.go
@@ -342,6 +342,9 @@
 }
 
 func (c *Conn) ready() error {
+	if c.session.Status() == 'I' {
+		clear(c.portals)
+	}
 	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.session.Status()})
 	return c.backend.Flush()
 }
@@ -355,9 +358,6 @@
 		}
 	}
 	c.skipping = false
-	if c.session.Status() == 'I' {
-		clear(c.portals)
-	}
 	return c.ready()
 }
 
--- a/dfstandinwire/extended.go
+++ b/dfstandinwire/extended.go
@@ -55,7 +55,7 @@
 		return dfstandinstore.Errorf(dfstandinstore.CodeSyntax, "cannot insert multiple commands into a prepared statement")
 	}
 	if c.session.Status() == 'E' && len(statements) == 1 && !statements[0].EndsTransaction() {
-		return dfstandinstore.Errorf(dfstandinstore.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+		return errAborted()
 	}
 	if _, known := c.statements[m.Name]; known && m.Name != "" {
 		return dfstandinstore.Errorf("42P05", "prepared statement %q already exists", m.Name)
@@ -72,11 +72,23 @@
 	return nil
 }
 
+func errAborted() error {
+	return dfstandinstore.Errorf(dfstandinstore.CodeInTransaction, "current transaction is aborted, commands ignored until end of transaction block")
+}
+
+// aborted reports whether the statement cannot run in a failed transaction.
+func (c *Conn) aborted(entry *prepared) bool {
+	return c.session.Status() == 'E' && (entry.statement == nil || !entry.statement.EndsTransaction())
+}
+
 func (c *Conn) bind(m *pgproto3.Bind) error {
 	entry := c.statements[m.PreparedStatement]
 	if entry == nil {
 		return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.PreparedStatement)
 	}
+	if c.aborted(entry) {
+		return errAborted()
+	}
 	oids := entry.description.Parameters
 	if len(m.Parameters) != len(oids) {
 		return dfstandinstore.Errorf(codeProtocol, "bind message supplies %d parameters, but the statement requires %d", len(m.Parameters), len(oids))
@@ -100,6 +112,9 @@
 		if entry == nil {
 			return dfstandinstore.Errorf(codeStatementName, "prepared statement %q does not exist", m.Name)
 		}
+		if c.session.Status() == 'E' && entry.description.Columns != nil {
+			return errAborted()
+		}
 		c.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: entry.description.Parameters})
 		c.sendDescription(entry.description.Columns, nil)
 		return nil
@@ -108,6 +123,9 @@
 	if bound == nil {
 		return dfstandinstore.Errorf(codePortalName, "portal %q does not exist", m.Name)
 	}
+	if c.session.Status() == 'E' && bound.prepared.description.Columns != nil {
+		return errAborted()
+	}
 	c.sendDescription(bound.prepared.description.Columns, bound.formats)
 	return nil
 }
