Let a batch set settings first and carry a taken statement name

Cause: settings of a caller have to be set on whichever connection serves it, and the upstream knows prepared statements by other names than the caller. Change: a batch may begin with a prelude of which the caller sees only errors, and a Parse whose name is taken is refused by the upstream. In a failed transaction a Parse of a known statement is sent and refused as well.

--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -150,11 +150,23 @@
 	u.peer.putStream(u.stream)
 }
 
+// preludeFlag marks the messages of a batch's prelude beside their type.
+const preludeFlag = 1 << 8
+
+// duplicateFlag marks a Parse that has to be refused.
+const duplicateFlag = 1 << 9
+
 func encodeBatch(batch dfunit.Batch) *dfproto.RelayRequest {
 	request := &dfproto.RelayRequest{Messages: make([]*dfproto.FrontendMessage, len(batch.Messages))}
 	indexes := make(map[*dfunit.Statement]uint32)
 	for i, message := range batch.Messages {
 		encoded := &dfproto.FrontendMessage{Type: uint32(message.Type), Body: message.Body}
+		if i < batch.Prelude {
+			encoded.Type |= preludeFlag
+		}
+		if message.Duplicate {
+			encoded.Type |= duplicateFlag
+		}
 		if statement := message.Statement; statement != nil {
 			index, found := indexes[statement]
 			if !found {
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -199,7 +199,10 @@
 	}
 	batch := dfunit.Batch{Messages: make([]dfunit.Message, len(request.Messages))}
 	for i, message := range request.Messages {
-		batch.Messages[i] = dfunit.Message{Type: byte(message.Type), Body: message.Body}
+		batch.Messages[i] = dfunit.Message{Type: byte(message.Type), Body: message.Body, Duplicate: message.Type&duplicateFlag != 0}
+		if message.Type&preludeFlag != 0 {
+			batch.Prelude = i + 1
+		}
 		if message.Statement > 0 && int(message.Statement) <= len(statements) {
 			batch.Messages[i].Statement = statements[message.Statement-1]
 		}
--- a/dfunit/unit.go
+++ b/dfunit/unit.go
@@ -63,6 +63,9 @@
 	// Statement is set on Parse, Bind and Describe messages that name a
 	// prepared statement. The executor prepares it on its connection if needed.
 	Statement *Statement
+	// Duplicate marks a Parse whose name the caller already uses; the upstream
+	// has to refuse it.
+	Duplicate bool
 }
 
 // Batch is what a caller sends before it waits: one Query, extended-protocol
@@ -70,6 +73,9 @@
 type Batch struct {
 	// Messages is not empty.
 	Messages []Message
+	// Prelude counts the leading messages that the host puts before those of
+	// the caller. They are Query messages, and only their errors reach the sink.
+	Prelude int
 }
 
 // Sink takes backend messages for the caller in order. The body is only valid
--- a/dfupstream/encode.go
+++ b/dfupstream/encode.go
@@ -16,6 +16,10 @@
 	c.out = c.out[:0]
 	c.evict()
 	for i := range batch.Messages {
+		if i < batch.Prelude {
+			c.encodePrelude(&batch.Messages[i])
+			continue
+		}
 		if err := c.encodeMessage(&batch.Messages[i]); err != nil {
 			c.queue.truncate(mark)
 			c.statements.forgetPending()
@@ -70,6 +74,14 @@
 	return nil
 }
 
+// encodePrelude sends a query of the host, of which the caller sees only errors.
+func (c *Conn) encodePrelude(message *dfunit.Message) {
+	c.state = max(c.state, Reset)
+	c.statements.hasUnnamed = false
+	c.out = dfframe.Append(c.out, message.Type, message.Body)
+	c.queue.push(expected{kind: replyQuery, injected: true})
+}
+
 // forward sends the message as it is.
 func (c *Conn) forward(message *dfunit.Message, kind replyKind) {
 	c.out = dfframe.Append(c.out, message.Type, message.Body)
@@ -116,14 +128,44 @@
 		c.queue.push(expected{kind: replyParse, key: key})
 		return nil
 	}
-	if _, ok := c.statements.lookup(key); ok {
-		c.queue.push(expected{kind: replyMade, made: '1'})
+	if message.Duplicate {
+		c.encodeDuplicate(message.Statement)
+		return nil
+	}
+	if known, ok := c.statements.lookup(key); ok {
+		c.encodeKnown(known, message.Statement)
 		return nil
 	}
 	c.prepare(key, message.Statement, false)
 	return nil
 }
 
+// encodeKnown answers a Parse for a statement that is prepared already. In a
+// failed transaction the upstream refuses it unless it may end the transaction.
+func (c *Conn) encodeKnown(known *preparedState, statement *dfunit.Statement) {
+	if c.status != 'E' || mayEnd(statement.SQL) {
+		c.queue.push(expected{kind: replyMade, made: '1'})
+		return
+	}
+	c.out = appendParse(c.out, known.name, statement)
+	c.queue.push(expected{kind: replyParse})
+}
+
+// duplicateKey is the key of an empty statement whose name is taken on purpose.
+var duplicateKey = statementKey{}
+
+// encodeDuplicate makes the upstream refuse a Parse because of its name, as the
+// caller's connection has one of that name but this one may not.
+func (c *Conn) encodeDuplicate(statement *dfunit.Statement) {
+	taken, ok := c.statements.lookup(duplicateKey)
+	if !ok {
+		c.prepare(duplicateKey, &dfunit.Statement{}, true)
+		taken, _ = c.statements.lookup(duplicateKey)
+	}
+	c.out = appendParse(c.out, taken.name, statement)
+	c.queue.push(expected{kind: replyParse})
+}
+
 // prepare sends a Parse for a named statement.
 func (c *Conn) prepare(key statementKey, statement *dfunit.Statement, injected bool) string {
 	prepared := c.statements.add(key)
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -231,6 +231,9 @@
 func (c *Conn) take(messageType byte, body []byte) error {
 	switch messageType {
 	case 'N', 'S', 'A':
+		if messageType == 'S' && c.queue.first().injected {
+			return nil
+		}
 		return c.pass(messageType, body)
 	case 'E':
 		return c.takeError(body)
@@ -324,7 +327,7 @@
 		return eris.New("ReadyForQuery is malformed")
 	}
 	c.status = body[0]
-	if due.kind != replyPosition {
+	if !due.injected {
 		c.batch.ended = body[0]
 	}
 	last := c.queue.head == len(c.queue.items)-1
