Keep settings of a session across connections

Cause: SET outside of a transaction was answered and then lost, because the connection was reset when it went back to the pool; startup parameters of the proxy needed the simple protocol. Change: the host keeps settings, sets them on each connection that serves the caller, and takes them back when their transaction rolls back. SET that cannot be repeated pins the connection. application_name stays at the host, since the name on the upstream marks the slot. Settings of the host work in the extended protocol. Conclusion: SET, SHOW and RESET answer as an upstream does.

--- a/dfhost/admin.go
+++ b/dfhost/admin.go
@@ -149,10 +149,16 @@
 
 // leavesBehind tells what a statement leaves in the session of its connection.
 func (h *Host) leavesBehind(sql string) dfupstream.State {
-	effects := h.classifier.Classify(sql).Effects
+	statement := h.classifier.Classify(sql)
+	effects := statement.Effects
 	if effects.Pins() {
 		return dfupstream.Pin
 	}
+	for _, part := range statement.Parts {
+		if part.Effects&dfclassify.EffectSetting != 0 && !replayable(part.Setting) {
+			return dfupstream.Pin
+		}
+	}
 	const harmless = dfclassify.EffectCopy | dfclassify.EffectCursor
 	if effects&^harmless != 0 {
 		return dfupstream.Reset
--- a/dfhost/opener.go
+++ b/dfhost/opener.go
@@ -46,6 +46,8 @@
 			}
 		},
 	}
+	s.application = opening.Parameters[parameterApplication]
+	s.firstApplication, s.status = s.application, statusIdle
 	if opening.Token != "" {
 		if err := s.presentToken(opening.Token); err != nil {
 			return nil, err
--- a/dfhost/plan.go
+++ b/dfhost/plan.go
@@ -20,6 +20,8 @@
 	messageSync     = 'S'
 	messageFlush    = 'H'
 	messageFunction = 'F'
+	messageDescribe = 'D'
+	messageClose    = 'C'
 )
 
 // plan is what a batch asks for, before it has an upstream.
@@ -31,6 +33,8 @@
 	// local is the setting that the host answers itself, if isLocal is true.
 	local   dfclassify.Setting
 	isLocal bool
+	// settings are the changes of the session's settings, in order.
+	settings []dfclassify.Setting
 	// empty is true if the batch asks for nothing but ReadyForQuery.
 	empty    bool
 	maxAge   dfclock.Millis
@@ -86,6 +90,14 @@
 	if statement.Class == dfunit.ClassWrite {
 		p.class = dfunit.ClassWrite
 	}
+	if statement.Effects&dfclassify.EffectDiscard != 0 && strings.EqualFold(strings.TrimRight(text, "; \n"), "discard all") {
+		p.settings = append(p.settings, dfclassify.Setting{Verb: dfclassify.VerbResetAll})
+	}
+	if statement.Effects&dfclassify.EffectSetting != 0 {
+		for _, part := range statement.Parts {
+			p.settings = append(p.settings, part.Setting)
+		}
+	}
 	query := dfconfig.Query{Text: text, Tables: statement.Tables, Fingerprint: strconv.FormatUint(statement.Fingerprint, 16)}
 	freshness := service.Freshness(query)
 	p.strong = p.strong || freshness.Strong
@@ -114,7 +126,7 @@
 // localSetting returns a setting that concerns the host and not the upstream.
 func localSetting(statement *dfclassify.Statement) (dfclassify.Setting, bool) {
 	setting, found := statement.Setting()
-	if !found || !strings.HasPrefix(setting.Name, parameterPrefix) {
+	if !found || !strings.HasPrefix(setting.Name, parameterPrefix) && setting.Name != parameterApplication {
 		return dfclassify.Setting{}, false
 	}
 	return setting, true
--- a/dfhost/session.go
+++ b/dfhost/session.go
@@ -47,16 +47,33 @@
 	canceller unitPointer
 	// inside is true while the caller is in a transaction.
 	inside bool
+	// status is the transaction status that the caller was told last.
+	status byte
+	// settings are set on every connection that serves the session.
+	settings settingList
+	// application is the caller's own application_name, and firstApplication
+	// the one given at startup.
+	application, firstApplication string
+	// applicationBefore is the name at the begin of the transaction that changed
+	// it, valid if applicationChanged.
+	applicationBefore  string
+	applicationChanged bool
 }
 
 // Run executes one batch and returns the transaction status.
 func (s *session) Run(ctx context.Context, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
+	status, err := s.run(ctx, batch, sink)
+	s.status = status
+	return status, err
+}
+
+func (s *session) run(ctx context.Context, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
 	service, found := s.host.configuration().Service(s.service)
 	if !found {
 		return statusIdle, dfresult.NewError(dfresult.ServiceUnknown, "service %q was removed", s.service)
 	}
 	p := makePlan(s.host.classifier, service, batch)
-	if p.isLocal {
+	if p.isLocal && s.status != statusFailed {
 		return s.answerSetting(p.local, batch, sink)
 	}
 	limit := service.Deadlines.Write
@@ -65,13 +82,39 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(limit)*time.Millisecond)
 	defer cancel()
+	watch := &errorWatch{sink: sink}
+	status, err := s.runBatch(ctx, service, p, limit, batch, watch)
+	s.noteSettings(p, watch.failed || err != nil, status)
+	return status, err
+}
+
+func (s *session) runBatch(ctx context.Context, service dfconfig.Service, p plan, limit dfclock.Millis, batch dfunit.Batch, sink dfunit.Sink) (byte, error) {
 	if s.unit != nil {
 		return s.continueUnit(ctx, batch, sink)
 	}
 	if p.empty {
 		return statusIdle, nil
 	}
-	return s.beginUnit(ctx, service, p, limit, batch, sink)
+	return s.beginUnit(ctx, service, p, limit, s.settings.prelude(batch), sink)
+}
+
+// noteSettings takes over what a batch changed, and takes back what a
+// transaction changed that was rolled back.
+func (s *session) noteSettings(p plan, failed bool, status byte) {
+	if status == statusIdle && (s.status == statusFailed || failed || p.control == dfclassify.ControlRollback) {
+		s.settings.rolledBack()
+		if s.applicationChanged {
+			s.setApplication(s.applicationBefore)
+		}
+	}
+	if status == statusIdle {
+		s.applicationChanged = false
+	}
+	changes := p.settings
+	if !p.executes {
+		changes = nil
+	}
+	s.settings.changed(changes, failed, status)
 }
 
 // beginUnit runs the first batch of a unit, at another upstream or host if the
@@ -194,35 +237,72 @@
 	if s.inside {
 		status = statusInside
 	}
-	if len(batch.Messages) != 1 {
-		return status, dfresult.NewError(dfresult.FeatureUnsupported, "use the simple protocol for %s", setting.Name)
+	for _, message := range batch.Messages {
+		if err := s.answerMessage(setting, message, sink); err != nil {
+			return status, err
+		}
 	}
-	tag := "SET"
+	if batch.Messages[len(batch.Messages)-1].Type == messageFlush {
+		return 0, nil
+	}
+	return status, nil
+}
+
+// answerMessage answers one message of a batch about a host's own parameter.
+func (s *session) answerMessage(setting dfclassify.Setting, message dfunit.Message, sink dfunit.Sink) error {
+	description, row := textRow(setting.Name, s.parameter(setting.Name))
+	shows := setting.Verb == dfclassify.VerbShow
+	switch message.Type {
+	case messageParse:
+		return sink.Send('1', nil)
+	case messageBind:
+		return sink.Send('2', nil)
+	case messageClose:
+		return sink.Send('3', nil)
+	case messageDescribe:
+		if message.Body[0] == 'S' {
+			if err := sink.Send('t', []byte{0, 0}); err != nil {
+				return err
+			}
+		}
+		if !shows {
+			return sink.Send('n', nil)
+		}
+		return sink.Send('T', description)
+	case messageQuery:
+		if shows {
+			if err := sink.Send('T', description); err != nil {
+				return err
+			}
+		}
+		return s.executeSetting(setting, row, sink)
+	case messageExecute:
+		return s.executeSetting(setting, row, sink)
+	}
+	return nil
+}
+
+// executeSetting carries a statement about a host's own parameter out.
+func (s *session) executeSetting(setting dfclassify.Setting, row []byte, sink dfunit.Sink) error {
 	switch setting.Verb {
 	case dfclassify.VerbShow:
-		tag = "SHOW"
-		description, row := textRow(setting.Name, s.parameter(setting.Name))
-		if err := errors.Join(sink.Send('T', description), sink.Send('D', row)); err != nil {
-			return status, err
-		}
+		return errors.Join(sink.Send('D', row), sink.Send('C', commandComplete("SHOW")))
 	case dfclassify.VerbReset, dfclassify.VerbResetAll:
-		tag = "RESET"
 		s.resetParameter(setting.Name)
-	default:
-		if err := s.setParameter(setting.Name, setting.Value); err != nil {
-			return status, err
-		}
+		return sink.Send('C', commandComplete("RESET"))
 	}
-	if err := sink.Send('C', commandComplete(tag)); err != nil {
-		return status, err
+	if err := s.setParameter(setting.Name, setting.Value); err != nil {
+		return err
 	}
-	return status, sink.Send('Z', []byte{status})
+	return sink.Send('C', commandComplete("SET"))
 }
 
 func (s *session) parameter(name string) string {
 	switch name {
 	case parameterCaller:
 		return s.caller
+	case parameterApplication:
+		return s.application
 	case parameterToken:
 		if text, err := s.host.keys.Sign(s.token); err == nil {
 			return text
@@ -232,13 +312,30 @@
 }
 
 func (s *session) resetParameter(name string) {
-	if name == parameterToken {
+	switch name {
+	case parameterToken:
 		s.token, s.presented = dftoken.New(s.service), false
+	case parameterApplication:
+		s.setApplication(s.firstApplication)
+	}
+}
+
+func (s *session) setApplication(name string) {
+	if s.inside && !s.applicationChanged {
+		s.applicationBefore, s.applicationChanged = s.application, true
+	}
+	if name == s.application {
+		return
 	}
+	s.application = name
+	s.report(parameterApplication, name)
 }
 
 func (s *session) setParameter(name, value string) error {
 	switch name {
+	case parameterApplication:
+		s.setApplication(value)
+		return nil
 	case parameterToken:
 		return s.presentToken(value)
 	case parameterCaller:
