Give prepared statement names the life that PostgreSQL gives them

Cause: a name could be parsed twice, survived a failed Parse, and DEALLOCATE was sent to an upstream that knows the statement by another name. Change: taken names are refused, changes that the upstream did not carry out are taken back, DEALLOCATE of a name is answered by the host.

--- a/dfwire/caller.go
+++ b/dfwire/caller.go
@@ -61,10 +61,13 @@
 	copyIn     bool
 	copySimple bool
 	// sentError is true if the running batch was answered by an error.
-	sentError  bool
-	collected  collector
-	statements prepared
-	scratch    []byte
+	sentError bool
+	// parsed and closed count the Parse and Close messages of the running batch
+	// that were carried out.
+	parsed, closed int
+	collected      collector
+	statements     prepared
+	scratch        []byte
 }
 
 func newCaller(server *Server, stream net.Conn) *caller {
--- a/dfwire/collect.go
+++ b/dfwire/collect.go
@@ -41,35 +41,75 @@
 type prepared struct {
 	named   map[string]*dfunit.Statement
 	unnamed *dfunit.Statement
+	// parses and closes are the changes of the batch that is collected.
+	parses, closes []change
 }
 
-// parse stores the statement of a Parse message. An equal statement is reused.
-func (p *prepared) parse(body []byte) (*dfunit.Statement, error) {
+// change is the effect of a Parse or Close message, which is taken back if the
+// upstream does not carry the message out.
+type change struct {
+	name string
+	// before is the statement of that name before the message, or nil.
+	before *dfunit.Statement
+}
+
+// settle takes back the changes that were not carried out, and begins a batch.
+func (p *prepared) settle(parsed, closed int) {
+	p.takeBack(p.parses, parsed)
+	p.takeBack(p.closes, closed)
+	p.parses, p.closes = p.parses[:0], p.closes[:0]
+}
+
+func (p *prepared) takeBack(changes []change, done int) {
+	for i := len(changes) - 1; i >= done; i-- {
+		if changes[i].name == "" {
+			continue
+		}
+		if changes[i].before == nil {
+			delete(p.named, changes[i].name)
+			continue
+		}
+		p.named[changes[i].name] = changes[i].before
+	}
+}
+
+// parse stores the statement of a Parse message, unless its name is taken. An
+// equal statement is reused.
+func (p *prepared) parse(body []byte) (statement *dfunit.Statement, duplicate bool, err error) {
 	name, rest, ok := dfframe.CutString(body)
 	if !ok {
-		return nil, malformed("Parse")
+		return nil, false, malformed("Parse")
 	}
 	sql, rest, ok := dfframe.CutString(rest)
 	if !ok || len(rest) < 2 || len(rest) != 2+4*int(binary.BigEndian.Uint16(rest)) {
-		return nil, malformed("Parse")
+		return nil, false, malformed("Parse")
 	}
 	oids := rest[2:]
-	if known := p.find(name); known != nil && sameStatement(known, sql, oids) {
-		return known, nil
+	known := p.find(name)
+	if len(name) > 0 {
+		p.parses = append(p.parses, change{name: string(name), before: known})
+	} else {
+		p.parses = append(p.parses, change{})
+	}
+	if known != nil && sameStatement(known, sql, oids) {
+		return known, len(name) > 0, nil
 	}
-	statement := &dfunit.Statement{SQL: string(sql), ParameterOIDs: make([]uint32, len(oids)/4)}
+	statement = &dfunit.Statement{SQL: string(sql), ParameterOIDs: make([]uint32, len(oids)/4)}
 	for i := range statement.ParameterOIDs {
 		statement.ParameterOIDs[i] = binary.BigEndian.Uint32(oids[4*i:])
 	}
 	if len(name) == 0 {
 		p.unnamed = statement
-		return statement, nil
+		return statement, false, nil
 	}
-	if len(p.named) >= maxStatements && p.find(name) == nil {
-		return nil, dfresult.NewError(dfresult.MessageTooLarge, "more than %d prepared statements", maxStatements)
+	if known != nil {
+		return statement, true, nil
+	}
+	if len(p.named) >= maxStatements {
+		return nil, false, dfresult.NewError(dfresult.MessageTooLarge, "more than %d prepared statements", maxStatements)
 	}
 	p.named[string(name)] = statement
-	return statement, nil
+	return statement, false, nil
 }
 
 func sameStatement(known *dfunit.Statement, sql, oids []byte) bool {
@@ -111,11 +151,15 @@
 		return nil, malformed("Describe or Close")
 	}
 	if body[0] == 'P' {
+		if messageType == 'C' {
+			p.closes = append(p.closes, change{})
+		}
 		return nil, nil
 	}
 	name := body[1 : len(body)-1]
 	statement := p.find(name)
 	if messageType == 'C' {
+		p.closes = append(p.closes, change{name: string(name), before: statement})
 		p.forget(name)
 		return nil, nil
 	}
@@ -175,11 +219,12 @@
 	if c.skipping {
 		return c.skip(messageType)
 	}
-	statement, err := c.statementOf(messageType, body)
+	statement, duplicate, err := c.statementOf(messageType, body)
 	if err != nil {
 		return err
 	}
 	c.collected.add(messageType, body, statement)
+	c.collected.messages[len(c.collected.messages)-1].Duplicate = duplicate
 	if messageType == 'S' || messageType == 'H' {
 		return c.run()
 	}
@@ -190,24 +235,26 @@
 	return nil
 }
 
-func (c *caller) statementOf(messageType byte, body []byte) (*dfunit.Statement, error) {
+// statementOf returns the statement that a message names, and whether it is a
+// Parse whose name is taken.
+func (c *caller) statementOf(messageType byte, body []byte) (statement *dfunit.Statement, duplicate bool, err error) {
 	switch messageType {
 	case 'P':
 		return c.statements.parse(body)
 	case 'B':
-		return c.statements.bind(body)
+		statement, err = c.statements.bind(body)
 	case 'D', 'C':
-		return c.statements.target(messageType, body)
+		statement, err = c.statements.target(messageType, body)
 	case 'E':
 		if bytes.IndexByte(body, 0) != len(body)-5 {
-			return nil, malformed("Execute")
+			err = malformed("Execute")
 		}
 	case 'S', 'H':
 		if len(body) != 0 {
-			return nil, malformed("Sync or Flush")
+			err = malformed("Sync or Flush")
 		}
 	}
-	return nil, nil
+	return statement, false, err
 }
 
 // takeCopy hands COPY data over in chunks. Data after a failed COPY is dropped.
--- a/dfwire/run.go
+++ b/dfwire/run.go
@@ -17,7 +17,11 @@
 	if c.failed {
 		return c.runFailed(last)
 	}
-	c.sentError = false
+	if c.takeDeallocate() {
+		return c.endDeallocate()
+	}
+	c.sentError, c.parsed, c.closed = false, 0, 0
+	defer func() { c.statements.settle(c.parsed, c.closed) }()
 	status, err := c.session.Run(c.ctx, dfunit.Batch{Messages: c.collected.messages}, c)
 	if err != nil {
 		return c.refuse(status, err, last)
@@ -31,6 +35,38 @@
 	return c.ready(status)
 }
 
+// takeDeallocate drops a prepared statement that a query names by DEALLOCATE.
+// The upstream knows it by another name and keeps it for other callers.
+func (c *caller) takeDeallocate() bool {
+	first := c.collected.messages[0]
+	if c.status == 'E' || len(c.collected.messages) != 1 || first.Type != 'Q' || len(first.Body) == 0 || first.Body[0]|0x20 != 'd' {
+		return false
+	}
+	words := strings.Fields(strings.TrimRight(textOf(first), "; \t\r\n"))
+	if len(words) == 3 && strings.EqualFold(words[1], "prepare") {
+		words = append(words[:1], words[2])
+	}
+	if len(words) != 2 || !strings.EqualFold(words[0], "deallocate") {
+		return false
+	}
+	name := strings.ToLower(words[1])
+	if quoted := strings.Trim(words[1], `"`); quoted != words[1] {
+		name = quoted
+	}
+	if c.statements.named[name] == nil {
+		return false
+	}
+	delete(c.statements.named, name)
+	return true
+}
+
+func (c *caller) endDeallocate() error {
+	if err := c.write(&pgproto3.CommandComplete{CommandTag: []byte("DEALLOCATE")}); err != nil {
+		return err
+	}
+	return c.ready(c.status)
+}
+
 // Send passes a reply of the session to the caller. ReadyForQuery is dropped,
 // because the server writes its own after the reported parameters.
 func (c *caller) Send(messageType byte, body []byte) error {
@@ -42,8 +78,15 @@
 	case 'E':
 		c.sentError = true
 		c.copyIn = false
+	case '1':
+		c.parsed++
+	case '3':
+		c.closed++
 	case 'C':
 		c.copyIn = false
+		if tag := string(body); tag == "DEALLOCATE ALL\x00" || tag == "DISCARD ALL\x00" {
+			clear(c.statements.named)
+		}
 	}
 	return c.writer.Send(messageType, body)
 }
