--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -340,3 +340,8 @@
 	}
 	s.network.Close()
 }
+
+// Hosts lists the running hosts.
+func (s *Stack) Hosts() []*dfhost.Host {
+	return s.hosts
+}
