--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -246,6 +246,9 @@
 func (c *Conn) take(messageType byte, body []byte) error {
 	switch messageType {
 	case 'N', 'S', 'A':
+		if messageType == 'S' && c.queue.first().injected {
+			return nil
+		}
 		return c.pass(messageType, body)
 	case 'E':
 		return c.takeError(body)
