Measure slopes of positions, audit, classification and configuration

The capacity at the target size was stated without measured slopes. The command `capacity` measures each at four sizes or more, fits a line by least squares with the error of its slope, and replaces tables between markers of a page.

--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -33,10 +33,11 @@
 type CLI struct {
 	LogLevel string `help:"Lowest level of log lines: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
 
-	Host    HostCommand    `cmd:"" help:"Run a host."`
-	Demo    DemoCommand    `cmd:"" help:"Run hosts and stand-ins in one process, under load and faults."`
-	Load    LoadCommand    `cmd:"" help:"Drive hosts or upstreams with load and check the answers."`
-	Standin StandinCommand `cmd:"" help:"Run a stand-in of an outside system."`
+	Host     HostCommand     `cmd:"" help:"Run a host."`
+	Demo     DemoCommand     `cmd:"" help:"Run hosts and stand-ins in one process, under load and faults."`
+	Load     LoadCommand     `cmd:"" help:"Drive hosts or upstreams with load and check the answers."`
+	Standin  StandinCommand  `cmd:"" help:"Run a stand-in of an outside system."`
+	Capacity CapacityCommand `cmd:"" help:"Measure how the cost of each role grows and remake the tables of docs/CAPACITY.md."`
 }
 
 // environment is what commands get besides their flags.
