--- a/dfcapacity/measurement.go
+++ b/dfcapacity/measurement.go
@@ -18,6 +18,7 @@
 	Callers    []int
 	Calls      []int
 	Members    []int
+	Promotions []int
 	// Rounds repeats short measurements.
 	Rounds int
 	// Spread is the virtual span of the spreading, Watch the real one of the
@@ -38,6 +39,7 @@
 		Callers:    []int{500, 1000, 2000, 4000, 8000},
 		Calls:      []int{2000, 4000, 8000, 16000},
 		Members:    []int{500, 1000, 2000, 4000},
+		Promotions: []int{1, 2, 4, 8, 16},
 		Rounds:     40,
 		Spread:     30000,
 		Watch:      4 * time.Second,
@@ -56,6 +58,7 @@
 		Callers:    []int{5, 10, 20, 40},
 		Calls:      []int{20, 40, 80, 160},
 		Members:    []int{20, 40, 80, 160},
+		Promotions: []int{1, 2, 3},
 		Rounds:     2,
 		Spread:     4000,
 		Watch:      250 * time.Millisecond,
@@ -114,3 +117,7 @@
 	}
 	return report, nil
 }
+
+func errNoSlot(databases int) error {
+	return eris.Errorf("capacity: a host of %d databases got no slot", databases)
+}
