--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -51,6 +51,7 @@
 	Standin StandinCommand `cmd:"" help:"Run a stand-in of an outside system."`
 
 	Completion CompletionCommand `cmd:"" help:"Print a script that completes commands in bash."`
+	Capacity   CapacityCommand   `cmd:"" help:"Measure how the cost of each role grows and remake the tables of docs/CAPACITY.md."`
 }
 
 // environment is what commands get besides their flags.
