Tell slot holders how long their host lease covers the slot

Cause: a slot holder's knowledge of caller positions now counts only while its host lease is confirmed, and nothing told it so; every read without a token took a barrier. Change: the keeper passes the end of the host lease on after each step.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -360,6 +360,11 @@
 	h.knowledge.setFloor(dfsession.Floor{StartedAt: startedAt, Position: position})
 }
 
+// SetHeld tells how long the slot is known to be held.
+func (h *Holder) SetHeld(until dfclock.Millis) {
+	h.knowledge.setHeld(until)
+}
+
 // Grant answers a peer's request for a position lease.
 func (h *Holder) Grant(peer dfsession.Peer) bool {
 	return h.knowledge.grant(peer)
--- a/dfholder/knowledge.go
+++ b/dfholder/knowledge.go
@@ -43,6 +43,12 @@
 	return k.state.Tell(k.now(), caller)
 }
 
+func (k *knowledge) setHeld(until dfclock.Millis) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state.SetHeld(k.now(), until)
+}
+
 func (k *knowledge) grant(peer dfsession.Peer) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/dfhost/keeper.go
+++ b/dfhost/keeper.go
@@ -112,11 +112,29 @@
 	if read, ok := event.(dflease.RowsRead); ok {
 		k.host.slots.takeRows(read)
 	}
+	k.tellHeld()
 	for _, action := range actions {
 		k.perform(ctx, action)
 	}
 }
 
+// tellHeld tells the holders how long the host lease covers their slots. The
+// clock of leases may differ from the host's clock by a constant.
+func (k *keeper) tellHeld() {
+	k.mu.Lock()
+	left := k.state.ValidUntil().Since(k.now())
+	k.mu.Unlock()
+	if left <= 0 {
+		return
+	}
+	until := k.host.now().Add(left)
+	for _, holder := range k.host.slots.all() {
+		if slot, held := k.slot(holder.Group()); held && slot.Epoch == holder.Epoch() {
+			holder.SetHeld(until)
+		}
+	}
+}
+
 func (k *keeper) perform(ctx context.Context, action dflease.Action) {
 	platform := k.host.settings.Platform
 	switch a := action.(type) {
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -65,6 +65,17 @@
 	return s.holders[group]
 }
 
+// all returns the held slots in no particular order.
+func (s *slots) all() []*dfholder.Holder {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	holders := make([]*dfholder.Holder, 0, len(s.holders))
+	for _, holder := range s.holders {
+		holders = append(holders, holder)
+	}
+	return holders
+}
+
 // rows returns the known slots of the group. The slice is never modified.
 func (s *slots) rows(group dfgroup.ID) []slotRow {
 	s.mu.RLock()
--- a/dflease/keeper.go
+++ b/dflease/keeper.go
@@ -105,6 +105,15 @@
 	return k.joined && now.Before(k.validUntil)
 }
 
+// ValidUntil returns the end of the host lease, counted from before its renewal
+// was sent, or zero if there is none.
+func (k *Keeper) ValidUntil() dfclock.Millis {
+	if !k.joined {
+		return 0
+	}
+	return k.validUntil
+}
+
 // MayOpen reports whether connections to the upstream may be opened now. It is
 // to be asked again once the connection is established, before it is used.
 func (k *Keeper) MayOpen(group dfgroup.ID, upstream dfgroup.UpstreamID, now dfclock.Millis) bool {
