Do not run a statement that arrives with the end of its connection

Cause: the stand-in checked for a termination before it read a message and not after, so a statement that arrived at the same moment ran on an ended connection. Change: the check follows the read.

--- a/dfstandinwire/connection.go
+++ b/dfstandinwire/connection.go
@@ -253,15 +253,16 @@
 		return nil, c.end(ending)
 	}
 	message, err := c.backend.Receive()
-	if err == nil {
-		return message, nil
-	}
 	c.mu.Lock()
 	ending = c.ending
 	c.mu.Unlock()
 	if ending != nil {
+		// A message that arrived together with the end is not run.
 		return nil, c.end(ending)
 	}
+	if err == nil {
+		return message, nil
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, c.fatal(dfstandinstore.Errorf(code, "terminating connection due to %s", strings.ReplaceAll(setting, "_", "-")))
 	}
