--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -47,6 +47,7 @@
 	Status  StatusCommand  `cmd:"" help:"Show hosts, services, upstreams, slots and versions."`
 	Audit   AuditCommand   `cmd:"" help:"Print and verify the audit trail."`
 	Change  ChangeCommand  `cmd:"" help:"Move the lead of a database away from its present primary."`
+	Changes ChangesCommand `cmd:"" help:"Measure changes of primary of each kind under load."`
 	Load    LoadCommand    `cmd:"" help:"Drive hosts or upstreams with load and check the answers."`
 	Standin StandinCommand `cmd:"" help:"Run a stand-in of an outside system."`
 
