--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -76,7 +76,7 @@
 		return dfunit.Result{}, err
 	}
 	u.noteTransaction(result)
-	u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Answered{Upstream: u.upstream.ID, Span: u.holder.now().Since(started)})
+	u.holder.watcher.Traffic(u.upstream.ID, dfhealth.Answered{Upstream: u.upstream.ID, Span: u.conn.AnswerTime()})
 	if inspected.refusal != nil {
 		u.conn.Close()
 		return dfunit.Result{}, inspected.refusal
