Close units that were opened across a change of primary

A write that got its connection between the change of the view and its entry among the open units stayed at the replaced primary until its deadline. Questions about backends end with the holder.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -55,6 +55,8 @@
 	// marks has the leaving marks that this holder passed on.
 	marks map[dfgroup.UpstreamID]bool
 
+	// ctx ends with Close.
+	ctx    context.Context
 	stop   context.CancelFunc
 	duties sync.WaitGroup
 }
@@ -87,19 +89,19 @@
 		marks:     make(map[dfgroup.UpstreamID]bool),
 		knowledge: newKnowledge(dfsession.New(options.ClaimedAt, options.FromVacant, 0, 0), options.Now),
 	}
+	h.ctx, h.stop = context.WithCancel(context.Background())
 	for _, upstream := range upstreams {
 		h.pools[upstream.ID] = h.newPool(upstream)
 		h.meters[upstream.ID] = &dfupstream.SilenceMeter{}
 	}
 	h.watcher, err = dfcontrol.NewWatcher(h.watcherOptions(upstreams))
 	if err != nil {
+		h.stop()
 		h.closePools()
 		return nil, eris.Wrapf(err, "holder %s", options.Group)
 	}
 	h.router = newRouter(h)
-	ctx, cancel := context.WithCancel(context.Background())
-	h.stop = cancel
-	h.duties.Go(func() { h.keepFloor(ctx) })
+	h.duties.Go(func() { h.keepFloor(h.ctx) })
 	return h, nil
 }
 
@@ -242,6 +244,10 @@
 	}
 	if write {
 		h.remember(opened)
+		if h.replaced(chosen.term) {
+			// The view changed before the unit was remembered.
+			conn.Close()
+		}
 	}
 	return opened, nil
 }
@@ -291,6 +297,12 @@
 	}
 }
 
+// replaced reports whether there is a primary of a later term.
+func (h *Holder) replaced(term dfposition.Term) bool {
+	view := h.watcher.View()
+	return view.Primary != "" && view.Term > term
+}
+
 // wait is a write that waits for a connection to the primary of a term.
 type wait struct {
 	term   dfposition.Term
@@ -310,6 +322,9 @@
 	h.unitsMu.Lock()
 	h.waits[w] = struct{}{}
 	h.unitsMu.Unlock()
+	if h.replaced(chosen.term) {
+		cancel()
+	}
 	conn, err := pool.Get(bounded, request.Deadline, request.Priority)
 	h.unitsMu.Lock()
 	delete(h.waits, w)
--- a/dfholder/silence.go
+++ b/dfholder/silence.go
@@ -32,7 +32,7 @@
 		seen, found := u.holder.watcher.View().Find(u.upstream.ID)
 		return u.request.Class == dfunit.ClassRead && found && seen.Ejected
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), doubtTimeout)
+	ctx, cancel := context.WithTimeout(u.holder.ctx, doubtTimeout)
 	defer cancel()
 	activity, err := u.holder.control.Activity(ctx, u.upstream.ID, pid, u.holder.ApplicationName())
 	return err == nil && activity != dfcontrol.BackendActive
@@ -48,10 +48,10 @@
 // terminate ends the backend of a connection that went silent. It would hold
 // its locks and its place within the connection limit otherwise.
 func (h *Holder) terminate(upstream dfgroup.UpstreamID, pid uint32) {
-	if !h.reports(upstream) {
+	if h.ctx.Err() != nil || !h.reports(upstream) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), terminateTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, terminateTimeout)
 	defer cancel()
 	if err := h.control.Terminate(ctx, upstream, pid, h.ApplicationName()); err != nil {
 		h.log.Debug().Err(err).Str("Upstream", string(upstream)).Msg("holder: silent backend not ended")
