End reads whose deadline passed while an older chunk waits

Cause: a reader whose deadline passed after a waiting chunk was due waited for that chunk again and again without a pause, held a core and could not be stopped. Change: a passed deadline ends the read.

--- a/dflink/conn.go
+++ b/dflink/conn.go
@@ -97,7 +97,7 @@
 				q.mu.Unlock()
 				return head, nil
 			}
-			if until.IsZero() || head.due.Before(until) {
+			if !passed(until) && (until.IsZero() || head.due.Before(until)) {
 				q.mu.Unlock()
 				if err := await(changed, head.due, ended); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 					return chunk{}, err
