Admit requests at the slot holder through fair queues

Cause: requests waited in the pools in order of arrival; one caller could fill them, and late requests were served after their callers had given up. Change: each slot holder has a queue for reads and one for writes, fair between callers, refusing early what can't run in time; writes wait for a primary and are released at a rising rate.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,13 @@
 
 	// writing counts the open units at the primary.
 	writing atomic.Int64
-	// working counts the admitted requests.
+	// reads and writes admit the requests of each kind.
+	reads, writes *admission
+	// held is true while writes wait for a primary; only the watcher's goroutine
+	// uses it.
+	held bool
+
+	// working counts the requests, waiting ones included.
 	working atomic.Int64
 
 	unitsMu sync.Mutex
@@ -95,6 +102,8 @@
 		knowledge: newKnowledge(initialKnowledge(options), options.Now),
 	}
 	h.share.Store(int64(options.Database.Share()))
+	h.reads = newAdmission(options.Database.Share()*len(upstreams), options.Now)
+	h.writes = newAdmission(options.Database.Share(), options.Now)
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	for _, upstream := range upstreams {
 		h.opened[upstream.ID] = newOpenings()
@@ -173,14 +182,28 @@
 		h.working.Add(-1)
 		return nil, dfresult.NewError(dfresult.QueueFull, "database %s", h.options.Group).WithRetryAfter(retryHint)
 	}
+	finish, err := h.admitRequest(ctx, request)
+	if err != nil {
+		h.working.Add(-1)
+		return nil, err
+	}
 	opened, err := h.open(ctx, request)
 	if err != nil {
+		finish(isOverload(err))
 		h.working.Add(-1)
 		return nil, err
 	}
+	opened.finish = finish
 	return opened, nil
 }
 
+// isOverload reports whether the error shows that the upstreams have more work
+// than they can do.
+func isOverload(err error) bool {
+	var failure *dfresult.Error
+	return errors.As(err, &failure) && failure.Code == dfresult.NoConnection
+}
+
 func (h *Holder) inFlightLimit() int {
 	if h.options.RequestsInFlight > 0 {
 		return h.options.RequestsInFlight
@@ -273,6 +296,7 @@
 // their deadlines.
 func (h *Holder) viewChanged(view dfgroup.View) {
 	h.tellPools(view)
+	h.paceWrites(view.Primary != "")
 	if view.Primary == "" {
 		return
 	}
@@ -290,6 +314,18 @@
 	}
 }
 
+// paceWrites keeps writes waiting while there is no primary, and lets them go on
+// at a rising rate afterwards, so that a new primary is not flooded.
+func (h *Holder) paceWrites(hasPrimary bool) {
+	switch {
+	case !hasPrimary && !h.held:
+		h.writes.hold()
+	case hasPrimary && h.held:
+		h.writes.release()
+	}
+	h.held = !hasPrimary
+}
+
 // tellPools passes on which upstreams are seen not to answer.
 func (h *Holder) tellPools(view dfgroup.View) {
 	for _, upstream := range view.Upstreams {
@@ -489,6 +525,8 @@
 func (h *Holder) Close() {
 	h.stop()
 	h.duties.Wait()
+	h.reads.close()
+	h.writes.close()
 	h.closePools()
 	h.watcher.Stop()
 	h.control.Close()
--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -72,6 +72,9 @@
 	DefaultRequestsInFlight = 4096
 	// floorPeriod separates attempts to take a floor.
 	floorPeriod = 100 * dfclock.Millisecond
+	// holdBound is how long a write waits for a primary at one slot holder before
+	// another one is tried.
+	holdBound = 1500 * dfclock.Millisecond
 	// markTimeout bounds one statement that sets a leaving mark.
 	markTimeout = time.Second
 	// probeTimeout bounds a probe that proves the right to open connections.
--- a/dfholder/slot.go
+++ b/dfholder/slot.go
@@ -134,6 +134,8 @@
 // Connections beyond a lower limit are closed when they are returned.
 func (h *Holder) SetShare(share int) {
 	h.share.Store(int64(share))
+	h.reads.setLimit(share * len(h.pools))
+	h.writes.setLimit(share)
 	for _, pool := range h.pools {
 		pool.SetLimit(share)
 	}
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -42,7 +42,8 @@
 	term dfposition.Term
 	// transaction identifies the open transaction once it has written.
 	transaction dfoutcome.Transaction
-	// release gives the admission back; it is called once.
+	// finish ends the admission and release the counts; both are called once.
+	finish  func(overloaded bool)
 	release func()
 	closed  bool
 }
@@ -188,6 +189,9 @@
 	u.holder.forget(u)
 	u.pool.Put(u.conn)
 	u.holder.router.ended(choice{upstream: u.upstream, replica: u.replica, rung: u.rung}, u.slowest, !u.failed)
+	if u.finish != nil {
+		u.finish(false)
+	}
 	u.release()
 }
 
