--- a/dfdemo/operate_test.go
+++ b/dfdemo/operate_test.go
@@ -298,6 +298,9 @@
 	}, patience, 20*time.Millisecond)
 	require.Equal(t, before, stack.owners())
 	stack.requireLimits(t)
+	// A call of the audit trail that the outage left without an answer ends too.
+	_, err := stack.verifyAudit(context.Background())
+	require.NoError(t, err)
 }
 
 // owners lists the slots that hosts serve with their epochs.
--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -89,7 +89,7 @@
 	}
 	h.directory = dfpeer.NewDirectory(settings.DialPeer, peerCredentials(settings))
 	h.notifier = dfpeer.NewNotifier(h.directory, settings.ID, incarnation)
-	h.audit = dfaudit.NewWriter(dfaudit.NewTrail(settings.ID, incarnation), settings.Platform, unixMillis, sleepSpan)
+	h.audit = dfaudit.NewWriter(dfaudit.NewTrail(settings.ID, incarnation), boundedStore{settings.Platform}, unixMillis, sleepSpan)
 	h.adoption = newAdoption(h)
 	h.members = newMembership(h)
 	h.slots = newSlots(h)
