--- /dev/null
+++ b/dfpool/count_test.go
@@ -0,0 +1,29 @@
+package dfpool
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+)
+
+// Guards against counts by state that drift from the connections.
+func TestCountsFollowConnections(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 1))
+	p := New(Config{Limit: 4, IdleClose: 50}, random)
+	ids := func() ConnID { return ConnID(random.IntN(int(p.lastID) + 2)) }
+	for step := range 5000 {
+		now := dfclock.Millis(step)
+		events := []Event{
+			Want{Waiter: WaiterID(step + 1), Deadline: now.Add(30)}, Opened{Conn: ids()}, OpenFailed{Conn: ids()},
+			Returned{Conn: ids(), Idle: random.IntN(4) > 0}, Closed{Conn: ids()}, Stale{Conn: ids()},
+			Silent{Conn: ids()}, ProbeAnswered{Conn: ids(), OK: true}, Tick{},
+		}
+		p.Handle(now, events[random.IntN(len(events))])
+		stats := p.Stats()
+		counted := [closing + 1]int{opening: stats.Opening, idle: stats.Idle, held: stats.Held, probing: stats.Probing, closing: stats.Closing}
+		require.Equal(t, counted, p.counts, "step %d", step)
+	}
+}
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -89,6 +89,8 @@
 	lastID ConnID
 	// connections has at most Limit entries unless the limit was lowered.
 	connections map[ConnID]*connection
+	// counts has the number of connections by state.
+	counts [closing + 1]int
 	// idles has the idle connections, the last used one at the end.
 	idles []*connection
 	// waiters is in the order of service: priority, then arrival.
@@ -253,7 +255,8 @@
 
 // rest makes a connection idle and trusted.
 func (p *Pool) rest(now dfclock.Millis, c *connection) {
-	c.state, c.idleAt, c.suspect = idle, now, false
+	p.enter(c, idle)
+	c.idleAt, c.suspect = now, false
 	p.idles = append(p.idles, c)
 }
 
@@ -271,7 +274,7 @@
 	if c == nil {
 		return
 	}
-	delete(p.connections, id)
+	p.remove(c)
 	wait := min(p.config.ReopenCap, p.config.ReopenFirst<<min(p.failures, maxDoublings))
 	p.failures++
 	// Half of the wait is random, so that hosts do not return all at once.
@@ -285,7 +288,7 @@
 		return
 	}
 	p.unrest(c)
-	delete(p.connections, id)
+	p.remove(c)
 }
 
 // silent suspects every idle connection that is as old or older, because they
@@ -319,7 +322,7 @@
 
 func (p *Pool) close(c *connection) {
 	p.unrest(c)
-	c.state = closing
+	p.enter(c, closing)
 	p.act(Close{Conn: c.id})
 }
 
@@ -357,12 +360,7 @@
 }
 
 func (p *Pool) closeBeyondLimit() {
-	excess := len(p.connections) - p.config.Limit
-	for _, c := range p.connections {
-		if c.state == closing {
-			excess--
-		}
-	}
+	excess := len(p.connections) - p.config.Limit - p.count(closing)
 	for excess > 0 && len(p.idles) > 0 {
 		p.close(p.idles[0])
 		excess--
@@ -377,7 +375,8 @@
 			continue
 		}
 		p.unrest(c)
-		c.state, c.given = held, p.waiters[0]
+		p.enter(c, held)
+		c.given = p.waiters[0]
 		p.act(Give{Waiter: p.waiters[0].id, Conn: c.id})
 		p.waiters = p.waiters[:copy(p.waiters, p.waiters[1:])]
 	}
@@ -389,7 +388,7 @@
 	for i := len(p.idles) - 1; i >= 0 && wanted > 0; i-- {
 		c := p.idles[i]
 		p.unrest(c)
-		c.state = probing
+		p.enter(c, probing)
 		p.act(Probe{Conn: c.id})
 		wanted--
 	}
@@ -409,20 +408,30 @@
 	wanted = max(wanted, min(p.config.Warm-len(p.connections), 1-p.count(opening)))
 	for ; wanted > 0 && len(p.connections) < p.config.Limit; wanted-- {
 		p.lastID++
-		c := &connection{id: p.lastID, state: opening, openedAt: now}
+		c := &connection{id: p.lastID, openedAt: now}
 		p.connections[c.id] = c
+		p.enter(c, opening)
 		p.act(Open{Conn: c.id})
 	}
 }
 
 func (p *Pool) count(want state) int {
-	n := 0
-	for _, c := range p.connections {
-		if c.state == want {
-			n++
-		}
+	return p.counts[want]
+}
+
+// enter moves a connection to a state. A new connection has none.
+func (p *Pool) enter(c *connection, next state) {
+	if c.state != 0 {
+		p.counts[c.state]--
 	}
-	return n
+	c.state = next
+	p.counts[next]++
+}
+
+// remove forgets a connection.
+func (p *Pool) remove(c *connection) {
+	p.counts[c.state]--
+	delete(p.connections, c.id)
 }
 
 // refuseHopeless refuses waiters early that no connection can reach in time.
