--- a/dfcompat/site_test.go
+++ b/dfcompat/site_test.go
@@ -39,7 +39,7 @@
 	deployment, err := dfdemo.NewDeployment("consortium")
 	require.NoError(tb, err)
 	deployment.Databases, deployment.Slots, deployment.ConnectionLimit, deployment.ConnectTime = 2, siteSlots, siteLimit, 0
-	stack, err := dfdemo.NewStack(tb.Context(), deployment, dfdemo.Options{Deployment: "consortium", Hosts: siteHosts, Seed: 1})
+	stack, err := dfdemo.NewStack(tb.Context(), deployment, dfdemo.Options{Deployment: "consortium", Hosts: siteHosts, Seed: 1, Unlinked: true})
 	tb.Cleanup(stack.Close)
 	require.NoError(tb, err)
 	direct, err := dfstandin.Start(dfstandin.Options{
--- a/dfdemo/demo.go
+++ b/dfdemo/demo.go
@@ -29,6 +29,9 @@
 	Hold bool
 	// Delays applies the deployment's delays between sites.
 	Delays bool
+	// Unlinked connects without links, so that measurements show the hosts
+	// alone. Faults of links then have no effect.
+	Unlinked bool
 	// Loss is the share of writes between data centres that are sent again.
 	Loss float64
 	// Lag is the delay with which replicas apply.
--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -104,6 +104,14 @@
 	return s, s.awaitReady(ctx)
 }
 
+// dialer connects from a data centre.
+func (s *Stack) dialer(centre string) dfstandin.Dial {
+	if s.options.Unlinked {
+		return (&net.Dialer{}).DialContext
+	}
+	return s.network.Dialer(centre).Dial
+}
+
 func (s *Stack) setDelays() {
 	s.network.SetDefaultDelay(dflink.Delay{OneWay: s.deployment.BetweenCentres, Jitter: s.deployment.Jitter, Loss: s.options.Loss})
 	for _, centre := range s.deployment.DataCentres {
@@ -126,7 +134,7 @@
 			ConnectionLimit: s.deployment.ConnectionLimit,
 			ConnectTime:     s.deployment.ConnectTime,
 			ApplyDelay:      s.options.Lag,
-			Dial:            s.network.Dialer(centre).Dial,
+			Dial:            s.dialer(centre),
 		}
 		if i == 0 {
 			first = options.ID
@@ -250,7 +258,7 @@
 
 func (s *Stack) startHost(ctx context.Context, index int) error {
 	centre := s.deployment.DataCentres[index%len(s.deployment.DataCentres)]
-	dialer := s.network.Dialer(centre)
+	dial := s.dialer(centre)
 	settings := dfhost.Settings{
 		ID:            fmt.Sprintf("host-%d", index+1),
 		DataCentre:    centre,
@@ -263,9 +271,9 @@
 		DrainTimeout:  dfhost.DefaultDrainTimeout,
 		MaxCallers:    dfhost.DefaultMaxCallers,
 		Platform:      s.store,
-		DialUpstream:  dialer.Dial,
+		DialUpstream:  dial,
 		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.Dial(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		},
 	}
 	host, err := dfhost.New(settings)
