Guard the pool of an upstream by a mutex instead of a goroutine

Cause: taking and returning a connection each woke the pool's goroutine and the caller again, which cost two switches for each request and a queue at 64 callers. The instant of the next tick walked all idle connections for each event. Change: callers handle events under a mutex; a timer's goroutine only ticks. Callers that wait for the mutex are bounded as the ring was.

--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -178,8 +178,10 @@
 		next = min(next, p.openAfter)
 	}
 	if len(p.connections) > p.config.Warm {
-		for _, c := range p.idles {
-			next = min(next, c.idleAt.Add(p.config.IdleClose))
+		if len(p.idles) > 0 {
+			// Connections are appended when they become idle, so the first one
+			// has been idle for longest.
+			next = min(next, p.idles[0].idleAt.Add(p.config.IdleClose))
 		}
 	}
 	return next
--- a/dfupstream/limit.go
+++ b/dfupstream/limit.go
@@ -29,7 +29,7 @@
 
 // Defaults of a pool runner.
 const (
-	// DefaultRing bounds the requests that wait for the pool's goroutine.
+	// DefaultRing bounds the requests that wait for the pool's mutex.
 	DefaultRing = 1024
 	// DefaultOpenTimeout covers a dial, TLS, SCRAM and the startup, which take
 	// about 30 ms, with room for a busy upstream.
--- a/dfupstream/pool.go
+++ b/dfupstream/pool.go
@@ -63,10 +63,10 @@
 }
 
 // unusedClaims has claims that were answered. A claim that its caller gave up
-// is not reused, because the pool's goroutine may still hold it.
+// is not reused, because the pool may still hold it.
 var unusedClaims = sync.Pool{New: func() any { return &claim{answer: make(chan grant, 1)} }}
 
-// request is an event for the pool's goroutine with what belongs to it.
+// request is an event for the pool with what belongs to it.
 type request struct {
 	event dfpool.Event
 	// conn belongs to Opened.
@@ -77,21 +77,25 @@
 	stats chan dfpool.Stats
 }
 
-// Pool runs the decisions of dfpool. One goroutine owns the decision value.
+// Pool runs the decisions of dfpool. A mutex guards the decision value: handing
+// every event to one goroutine costs two switches for each request.
 type Pool struct {
 	config PoolConfig
-	// requests is the bounded ring of callers. A full ring refuses.
-	requests chan request
-	// results carries the ends of openings, probes and returns, which are never
-	// refused: there are at most as many as connections.
-	results chan request
-	done    chan struct{}
+	done   chan struct{}
+	// kick makes the timer's goroutine look for an earlier instant.
+	kick    chan struct{}
 	stop    context.CancelFunc
 	ctx     context.Context
 	workers sync.WaitGroup
 	lastID  atomic.Uint64
-
-	// The following fields belong to the pool's goroutine.
+	// entering counts the callers of Get that wait for the mutex, at most Ring.
+	entering atomic.Int64
+
+	// mu guards the following fields.
+	mu     sync.Mutex
+	closed bool
+	// wakeAt is the instant for which the timer is set.
+	wakeAt   dfclock.Millis
 	decision *dfpool.Pool
 	// pending has the actions that are carried out now.
 	pending []dfpool.Action
@@ -105,9 +109,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pool{
 		config:   config,
-		requests: make(chan request, config.Ring),
-		results:  make(chan request, config.Ring),
 		done:     make(chan struct{}),
+		kick:     make(chan struct{}, 1),
 		stop:     stop,
 		ctx:      ctx,
 		decision: dfpool.New(config.Pool, rand.New(rand.NewPCG(config.Seed, 1))),
@@ -125,12 +128,20 @@
 	waiter := dfpool.WaiterID(p.lastID.Add(1))
 	want := dfpool.Want{Waiter: waiter, Priority: priority, Deadline: deadline}
 	mine := unusedClaims.Get().(*claim)
-	select {
-	case p.requests <- request{event: want, claim: mine}:
-	case <-p.done:
+	if p.entering.Add(1) > int64(p.config.Ring) {
+		p.entering.Add(-1)
+		return nil, dfresult.NewError(dfresult.QueueFull, "the pool of %s is busy", p.config.Conn.Address)
+	}
+	open := p.post(request{event: want, claim: mine})
+	p.entering.Add(-1)
+	if !open {
 		return nil, errPoolClosed()
+	}
+	select {
+	case granted := <-mine.answer:
+		unusedClaims.Put(mine)
+		return granted.conn, granted.err
 	default:
-		return nil, dfresult.NewError(dfresult.QueueFull, "the pool of %s is busy", p.config.Conn.Address)
 	}
 	select {
 	case granted := <-mine.answer:
@@ -210,63 +221,65 @@
 	p.workers.Wait()
 }
 
-// post hands an event to the pool's goroutine.
-func (p *Pool) post(r request) {
-	select {
-	case p.results <- r:
-	case <-p.done:
+// post handles an event. It returns false if the pool is closed.
+func (p *Pool) post(r request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
 		if r.conn != nil {
 			r.conn.Close()
 		}
+		return false
+	}
+	p.take(r)
+	if p.decision.Wake() < p.wakeAt {
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
 	}
+	return true
 }
 
+// run ticks the decision at the instants that it asks for.
 func (p *Pool) run() {
 	defer p.shutDown()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	p.handle(dfpool.Tick{})
+	p.post(request{event: dfpool.Tick{}})
 	for {
 		timer.Reset(p.untilWake())
 		select {
 		case <-p.ctx.Done():
 			return
-		case r := <-p.results:
-			p.take(r)
-		case r := <-p.requests:
-			p.take(r)
+		case <-p.kick:
 		case <-timer.C:
-			p.handle(dfpool.Tick{})
+			p.post(request{event: dfpool.Tick{}})
 		}
 	}
 }
 
 func (p *Pool) untilWake() time.Duration {
-	wake := p.decision.Wake()
-	if wake == dfclock.Never {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeAt = p.decision.Wake()
+	if p.wakeAt == dfclock.Never {
 		return time.Hour
 	}
 	// A span of at least one millisecond keeps a past instant from spinning.
-	span := max(wake.Since(p.config.Now()), dfclock.Millisecond)
+	span := max(p.wakeAt.Since(p.config.Now()), dfclock.Millisecond)
 	return time.Duration(span) * time.Millisecond
 }
 
-// shutDown closes everything once no event is handled any more.
+// shutDown closes everything; no event is handled any more.
 func (p *Pool) shutDown() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
 	close(p.done)
 	for _, conn := range p.conns {
 		conn.Close()
 	}
-	for {
-		select {
-		case r := <-p.results:
-			if r.conn != nil {
-				r.conn.Close()
-			}
-		default:
-			return
-		}
-	}
 }
 
 // take handles a request with its attachments.
