Keep COPY data apart from the batch that follows

Cause: COPY data larger than the inline bound was written by a goroutine while the next batch reused its buffer, so rows were lost and others came twice. The stand-in dropped the unnamed statement after each execution. Change: the end of the write is awaited; the stand-in drops what DEALLOCATE names.

--- a/dfstandinwire/connection.go
+++ b/dfstandinwire/connection.go
@@ -425,7 +425,9 @@
 		clear(c.statements)
 		clear(c.portals)
 	}
-	delete(c.statements, result.Deallocated)
+	if result.Deallocated != "" {
+		delete(c.statements, result.Deallocated)
+	}
 	return result, err
 }
 
--- a/dfupstream/exchange.go
+++ b/dfupstream/exchange.go
@@ -133,7 +133,8 @@
 		return err
 	}
 	if c.copyIn && batch.Messages[len(batch.Messages)-1].Type == 'd' {
-		return nil
+		// The next batch reuses the output buffer.
+		return c.settleWrite()
 	}
 	c.copyIn = false
 	if err := c.receive(); err != nil {
