Close forwarded units without a message when they end with their batch

Cause: each forwarded request sent a second message only to close its unit. Change: both sides see in the result that the unit is over.

--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -80,6 +80,8 @@
 	busy atomic.Bool
 	// broken is true when the stream can't be reused.
 	broken bool
+	// ended is true when the holder has closed the unit.
+	ended bool
 }
 
 // Exchange sends one batch and passes the answers on.
@@ -115,7 +117,9 @@
 			return dfunit.Result{}, decodeError(reply.Error)
 		}
 		if reply.Result != nil {
-			return decodeResult(reply.Result), nil
+			result := decodeResult(reply.Result)
+			u.ended = ended(result)
+			return result, nil
 		}
 	}
 }
@@ -143,6 +147,10 @@
 		u.stream.cancel()
 		return
 	}
+	if u.ended {
+		u.peer.putStream(u.stream)
+		return
+	}
 	if err := u.stream.send(&dfproto.RelayRequest{ID: u.id, Close: true}); err != nil {
 		u.stream.cancel()
 		return
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -112,9 +112,18 @@
 		return s.fail(request, err)
 	}
 	sink.reply.Result = encodeResult(result)
+	if ended(result) {
+		s.closeUnit()
+	}
 	return sink.flush()
 }
 
+// ended reports whether the unit is over with the batch. Then both sides close
+// it without a message.
+func ended(result dfunit.Result) bool {
+	return result.Status == 'I' && !result.Pinned && !result.CopyIn
+}
+
 func (s *relaySession) watchCancels(unit dfunit.Unit, done <-chan struct{}) {
 	for {
 		select {
