--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -84,6 +84,8 @@
 	busy atomic.Bool
 	// broken is true when the stream can't be reused.
 	broken bool
+	// ended is true when the holder has closed the unit.
+	ended bool
 }
 
 // Exchange sends one batch and passes the answers on.
@@ -99,12 +101,12 @@
 	if err := u.stream.send(request); err != nil {
 		// The reason why the stream ended is read from it.
 		_, err = u.stream.stream.Recv()
-		return dfunit.Result{}, u.ended(ctx, err)
+		return dfunit.Result{}, u.streamEnded(ctx, err)
 	}
 	for {
 		reply, err := u.stream.stream.Recv()
 		if err != nil {
-			return dfunit.Result{}, u.ended(ctx, err)
+			return dfunit.Result{}, u.streamEnded(ctx, err)
 		}
 		if reply.ID != u.id || reply.Sequence != u.sequence {
 			lateReplies.Inc()
@@ -121,14 +123,16 @@
 			return dfunit.Result{}, decodeError(reply.Error)
 		}
 		if reply.Result != nil {
-			return decodeResult(reply.Result), nil
+			result := decodeResult(reply.Result)
+			u.ended = ended(result)
+			return result, nil
 		}
 	}
 }
 
-// ended ends the unit after the end of its stream. If the holder drained and
+// streamEnded ends the unit after the end of its stream. If the holder drained and
 // handled nothing of this unit, the batch did not run.
-func (u *forwardedUnit) ended(ctx context.Context, err error) error {
+func (u *forwardedUnit) streamEnded(ctx context.Context, err error) error {
 	end, ok := status.FromError(err)
 	if !ok || end.Code() != codes.Aborted || ctx.Err() != nil {
 		return u.lost(ctx)
@@ -164,6 +168,10 @@
 		u.stream.cancel()
 		return
 	}
+	if u.ended {
+		u.peer.putStream(u.stream)
+		return
+	}
 	if err := u.stream.send(&dfproto.RelayRequest{ID: u.id, Close: true}); err != nil {
 		u.stream.cancel()
 		return
