Work out the roles at the target size and describe them

The tables between its markers are filled by the command; the list of slot rows is built directly, because letting keepers claim thousands of slots took minutes.

--- a/dfcapacity/call.go
+++ b/dfcapacity/call.go
@@ -9,8 +9,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconfig"
 	"dragonflygrade/dfpeer"
 	"dragonflygrade/dfproto"
+	"dragonflygrade/dfsession"
 )
 
 // databasesOfPeer is the number of databases that a holder has in common with
@@ -24,7 +26,11 @@
 
 // Lease grants everything.
 func (answering) Lease(request *dfproto.LeaseRequest) *dfproto.LeaseReply {
-	return &dfproto.LeaseReply{Granted: request.Groups, TTLMillis: 1000, Incarnation: request.Incarnation}
+	return granted(request)
+}
+
+func granted(request *dfproto.LeaseRequest) *dfproto.LeaseReply {
+	return &dfproto.LeaseReply{Granted: request.Groups, TTLMillis: int64(dfsession.LeaseSpan), Incarnation: request.Incarnation}
 }
 
 // Notify takes the positions.
@@ -33,9 +39,9 @@
 }
 
 // leaseRequest renews the leases of the databases in common with one peer.
-func leaseRequest() *dfproto.LeaseRequest {
+func leaseRequest(databases int) *dfproto.LeaseRequest {
 	request := &dfproto.LeaseRequest{Host: hostID(17), Incarnation: incarnation}
-	for i := range databasesOfPeer {
+	for i := range databases {
 		request.Groups = append(request.Groups, fmt.Sprintf("service-%04d/main", i*400))
 	}
 	return request
@@ -83,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	lease := func() error { _, err := peer.Client().Lease(ctx, leaseRequest()); return err }
+	lease := func() error { _, err := peer.Client().Lease(ctx, leaseRequest(databasesOfPeer)); return err }
 	notify := func() error { _, err := peer.Client().Notify(ctx, notifyRequest(1)); return err }
 	if err := m.call("call.lease", count, lease); err != nil {
 		return err
@@ -133,3 +139,16 @@
 	}
 	return nil
 }
+
+var notifyReply = &dfproto.NotifyReply{}
+
+// headBytes is the encoded size of one read of the head.
+func headBytes() float64 {
+	head := dfconfig.Index{Version: 1 << 20, Author: "operator-17", Attempt: "operator-17-1f8a3c5e7b9d0246-17"}.Head()
+	value, err := head.Encode()
+	if err != nil {
+		return 0
+	}
+	row := &dfproto.Row{Key: dfconfig.HeadKey, Value: value, Version: head.Version, Attempt: head.Attempt}
+	return payload(&dfproto.GetRowRequest{Key: dfconfig.HeadKey}, &dfproto.GetRowReply{Row: row})
+}
--- a/dfcapacity/config.go
+++ b/dfcapacity/config.go
@@ -11,7 +11,7 @@
 )
 
 // changesMeasured is how many changes follow one another at each size.
-const changesMeasured = 20
+const changesMeasured = 60
 
 // service is a usual service: one database, three upstreams, some rules.
 func service(number int, maxAge dfclock.Millis) dfconfig.Service {
@@ -98,6 +98,11 @@
 			return err
 		}
 		m.add("config.deliver", size, source.delivery)
+		index, err := source.head.Index().Encode()
+		if err != nil {
+			return err
+		}
+		m.add("config.index", size, float64(len(index)))
 		m.add("config.whole", size, float64(len(whole)))
 		if err := m.adopt(size, &source, whole); err != nil {
 			return err
--- a/dfcapacity/fit.go
+++ b/dfcapacity/fit.go
@@ -9,6 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// flat is the relative growth below which only rounding makes a slope.
+const flat = 1e-12
+
 // Point is one measurement.
 type Point struct {
 	Size  float64
@@ -50,6 +53,9 @@
 		return Line{}, eris.New("capacity: all points have one size")
 	}
 	line := Line{Slope: products / sizes, Determination: 1}
+	if math.Abs(line.Slope)*math.Sqrt(sizes) < flat*math.Abs(meanValue) {
+		return Line{Base: meanValue, Determination: 1}, nil
+	}
 	line.Base = meanValue - line.Slope*meanSize
 	var residuals float64
 	for _, point := range points {
--- a/dfcapacity/lease.go
+++ b/dfcapacity/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -19,8 +20,8 @@
 	// cellHosts hold the slots of the same databases.
 	cellHosts = 5
 	// leaseSettle lets the hosts claim their slots, one commit each.
-	leaseSettle = 200 * dfclock.Second
-	leaseSpan   = 600 * dfclock.Second
+	leaseSettle = 100 * dfclock.Second
+	leaseSpan   = 240 * dfclock.Second
 )
 
 // table counts the calls and bytes of the platform's table.
@@ -160,23 +161,13 @@
 }
 
 // tableRows measures a list of all slot rows.
-func (m *measurement) tableRows(ctx context.Context) error {
+func (m *measurement) tableRows(context.Context) error {
 	for _, size := range m.sizes.Members {
-		c := newCell(size/cellHosts + 1)
-		rows, err := c.table.Table.List(ctx, "slot/")
-		for len(rows) < size && err == nil {
-			c.run(dfclock.Second)
-			rows, err = c.table.Table.List(ctx, "slot/")
-		}
-		if err != nil {
-			return err
-		}
-		rows = rows[:size]
-		m.add("table.bytes", size, float64(proto.Size(wireRows(rows))))
-		data, err := proto.Marshal(wireRows(rows))
+		data, err := slotRows(size)
 		if err != nil {
 			return err
 		}
+		m.add("table.bytes", size, float64(len(data)))
 		started := processorTime()
 		for range m.sizes.Rounds {
 			if err := decodeRows(data); err != nil {
@@ -188,6 +179,26 @@
 	return nil
 }
 
+// slotRows returns an encoded list of slot rows.
+func slotRows(count int) ([]byte, error) {
+	reply := &dfproto.ListRowsReply{}
+	for i := range count {
+		group := dfgroup.ID(fmt.Sprintf("service-%04d/main", i/cellHosts))
+		host := hostID(i % int(Target.Hosts))
+		value, err := json.Marshal(dflease.SlotRow{
+			Host: host, Incarnation: incarnation, Address: "10.1.0.17:7000", Epoch: 17, Cleared: 16,
+		})
+		if err != nil {
+			return nil, err
+		}
+		reply.Rows = append(reply.Rows, &dfproto.Row{
+			Key: dflease.SlotKey(group, i%cellHosts), Value: value, Version: 1 << 20,
+			Attempt: fmt.Sprintf("%s-%s-%d", host, incarnation, i),
+		})
+	}
+	return proto.Marshal(reply)
+}
+
 func decodeRows(data []byte) error {
 	var reply dfproto.ListRowsReply
 	if err := proto.Unmarshal(data, &reply); err != nil {
--- a/dfcapacity/report.go
+++ b/dfcapacity/report.go
@@ -9,6 +9,7 @@
 	// Series are in the order of the table.
 	Series []Series
 	series map[string]Series
+	placed placed
 }
 
 // Slope returns the slope of a series.
@@ -27,11 +28,6 @@
 	Table Table
 }
 
-// Sections returns the tables of the page.
-func (r Report) Sections() []Section {
-	return []Section{{"slopes", r.slopes()}}
-}
-
 // Write returns the page with all tables replaced.
 func (r Report) Write(page string) (string, error) {
 	var err error
