--- a/dfcapacity/member.go
+++ b/dfcapacity/member.go
@@ -69,6 +69,9 @@
 	return dfmember.NewList().WithMembers(list), nil
 }
 
+// chooseRounds makes up for the short time of one choice.
+const chooseRounds = 10
+
 // placement measures how a host works out who holds which slot. Its time grows
 // with the product of hosts and cells, so it is given for one host of the list.
 func (m *measurement) placement(context.Context) error {
@@ -83,10 +86,11 @@
 		m.add("place.time", size, (processorTime()-started)/float64(size))
 		runtime.KeepAlive(placed)
 		started = processorTime()
-		for i := range m.sizes.Rounds {
+		rounds := m.sizes.Rounds * chooseRounds
+		for i := range rounds {
 			dfmember.Choose(fmt.Sprintf("service-%04d/main", i), hosts, Target.MostSlots)
 		}
-		m.add("choose.time", size, (processorTime()-started)/float64(m.sizes.Rounds))
+		m.add("choose.time", size, (processorTime()-started)/float64(rounds))
 	}
 	return nil
 }
--- a/dfcapacity/section.go
+++ b/dfcapacity/section.go
@@ -130,8 +130,8 @@
 	reads := r.At("lease.reads", t.Held(t.MostSlots))
 	add("table writes: host leases", "2,000 / 8", t.Hosts/hostRenewal, PlatformWrites)
 	add("table writes: all", "250 + 0.0775 heads + decisions", t.Hosts/hostRenewal+changes+t.PrimaryChangesPerDay/secondsPerDay, PlatformWrites)
+	add("table writes: with claims after a failed data centre, in the first 10 s", "250 + "+number(r.placed.lost)+" / 10", t.Hosts/hostRenewal+r.placed.lost/10, PlatformWrites)
 	add("table reads: head", "18 × 2 × 2", t.DataCentres*pollersPerCentre*headPollsPerSecond, PlatformReads)
-	add("table writes: claims after a failed data centre, in the first 10 s", "250 + slots / 10", t.Hosts/hostRenewal+r.placed.lost/10, PlatformWrites)
 	add("table reads: slot and host rows, own databases only", "2,000 × "+number(reads), t.Hosts*reads, PlatformReads)
 	each := (t.Held(t.MostSlots) + cellHosts) / idleRead
 	add("table reads: the same without the reads after each renewal", "2,000 × (9 + 5) / 60", t.Hosts*each, PlatformReads)
@@ -156,6 +156,11 @@
 	table.Add("reads the host list each second", number(t.Hosts)+"/s", quantity(list.bytes, "B")+"/s", percent(list.processor))
 	table.Add("lists all slot rows each second", number(t.Hosts)+"/s", quantity(r.At("table.bytes", rows), "B")+"/s", percent(r.At("table.time", rows)))
 	table.Add("ranks all hosts for each database each second", "", "", percent(t.Databases*r.At("choose.time", t.Hosts)))
+	whole := r.At("config.whole", t.Databases)
+	table.Add("fetches each document by itself, once at a start", number(t.Databases)+" of one host", "",
+		quantity(t.Databases*r.At("config.deliver", t.Databases), "s")+" once")
+	table.Add("the same as one payload from a peer, which dfconfig has", "1 of one host", quantity(whole, "B")+" once",
+		quantity(r.At("config.start", t.Databases), "s")+" once")
 	return table
 }
 
--- a/dfcapacity/table.go
+++ b/dfcapacity/table.go
@@ -77,7 +77,13 @@
 	return sign + whole
 }
 
+// smallest is the share below which only rounding is left.
+const smallest = 1e-7
+
 // percent formats a share.
 func percent(share float64) string {
+	if math.Abs(share) < smallest {
+		return "0 %"
+	}
 	return number(share*100) + " %"
 }
