--- a/dfcapacity/subjects.go
+++ b/dfcapacity/subjects.go
@@ -68,6 +68,7 @@
 	{"watch.wirePolls", "polls, in a second", "", "databases held"},
 	{"watch.wireMemory", "memory of watchers with their connections, both ends", "B", "databases held"},
 	{"watch.ownTime", "processor time of watchers alone, in a second", "s", "databases held"},
+	{"watch.slowTime", "processor time of watchers alone with a tick of 100 ms, in a second", "s", "databases held"},
 	{"watch.ownMemory", "memory of watchers alone", "B", "databases held"},
 	{"promote.gap", "time until all primaries that died together are replaced", "s", "databases"},
 	{"caller.login", "processor time of logins, both ends", "s", "callers"},
--- a/dfcapacity/watch.go
+++ b/dfcapacity/watch.go
@@ -18,6 +18,9 @@
 // watchBound is how long watchers may take to find or change a primary.
 const watchBound = 20 * time.Second
 
+// slowTick is ten times the watchers' tick, to show what the tick costs.
+const slowTick = 10 * dfcontrol.TickPeriod
+
 // group is the upstreams of one database.
 type group struct {
 	upstreams []*dfstandin.Upstream
@@ -105,6 +108,8 @@
 type holder struct {
 	watchers []*dfcontrol.Watcher
 	clients  []*dfcontrol.Client
+	// tick replaces the watchers' tick unless it is zero.
+	tick time.Duration
 }
 
 // clock counts from the start of the process, never at zero.
@@ -120,6 +125,9 @@
 	options.Upstreams, options.Control, options.Now = g.known, control, now
 	options.Actor, options.Rank = fmt.Sprintf("%s/%s/%d", hostID(number), incarnation, rank), rank
 	options.DataCentre = "centre-01"
+	if h.tick > 0 {
+		options.TickPeriod = h.tick
+	}
 	watcher, err := dfcontrol.NewWatcher(options)
 	if err == nil {
 		h.watchers = append(h.watchers, watcher)
@@ -191,6 +199,9 @@
 		if err := m.watchOver(ctx, size, g, "watch.own"); err != nil {
 			return err
 		}
+		if err := m.watchOver(ctx, size, g, "watch.slow"); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -198,13 +209,16 @@
 func (m *measurement) watchOver(ctx context.Context, size int, g *group, key string) error {
 	h, count := &holder{}, &traffic{}
 	defer func() { h.stop() }()
+	if key == "watch.slow" {
+		h.tick = slowTick
+	}
 	before := memory()
 	for i := range size {
 		var err error
-		if key == "watch.own" {
-			err = h.watch(i, 0, g, g.direct())
-		} else {
+		if key == "watch.wire" {
 			err = h.watchWired(i, 0, g, count)
+		} else {
+			err = h.watch(i, 0, g, g.direct())
 		}
 		if err != nil {
 			return err
