--- a/dfdemo/failover.go
+++ b/dfdemo/failover.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -150,7 +151,7 @@
 	deadline := time.Now().Add(changeTimeout)
 	for !target.following() {
 		if time.Now().After(deadline) {
-			return eris.Errorf("demo: service %s has no settled primary after %s", target.Service, changeTimeout)
+			return eris.Errorf("demo: service %s has no settled primary after %s:%s", target.Service, changeTimeout, target.describe())
 		}
 		if !wait(ctx, watchPeriod) {
 			return ctx.Err()
@@ -160,6 +161,17 @@
 	return ctx.Err()
 }
 
+// describe lists what the upstreams report of themselves.
+func (g *Group) describe() string {
+	var text strings.Builder
+	for _, upstream := range g.Upstreams {
+		status := upstream.Status()
+		_, _ = fmt.Fprintf(&text, " %s %s accepted %d by %s, log %d:%d, follows %q, leaving %t;", status.Upstream, status.Role,
+			status.Accepted, status.Actor, status.LogTerm, status.Flushed, status.Following, status.Leaving)
+	}
+	return text.String()
+}
+
 // following reports whether all upstreams accept the primary's term and follow it.
 func (g *Group) following() bool {
 	primary := g.primary()
