Check loads against hosts in other processes

Cause: load compared nothing with the upstreams when hosts run as processes of their own, and its share of replica reads was always 0.

--- a/dfcli/load.go
+++ b/dfcli/load.go
@@ -1,6 +1,7 @@
 package dfcli
 
 import (
+	"context"
 	"time"
 
 	"dragonflygrade/dfload"
@@ -12,6 +13,8 @@
 	User            string        `help:"User name." required:""`
 	Password        string        `help:"Password."`
 	Hosts           []string      `help:"ip:port of each host, separated by commas." required:""`
+	Admin           []string      `help:"ip:port of the hosts' admin addresses; the shares of reads come from their metrics."`
+	Check           bool          `help:"Compare what callers were told with the orders at the primary." default:"true" negatable:""`
 	Direct          []string      `help:"ip:port of upstreams, primary first; the ratios compare with them."`
 	DirectUser      string        `help:"User name at the upstreams." default:"dragonflygrade"`
 	DirectPassword  string        `help:"Password at the upstreams."`
@@ -41,8 +44,15 @@
 	if err := options.Check(); err != nil {
 		return usageError{err}
 	}
-	report, _, err := dfload.Run(env.ctx, options)
+	before, err := dfload.Scrape(env.ctx, c.Admin)
 	if err != nil {
+		return usageError{err}
+	}
+	report, ledger, err := dfload.Run(env.ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := c.check(env.ctx, options.Targets[0], ledger, &report, before); err != nil {
 		return err
 	}
 	if len(c.Direct) > 0 {
@@ -57,3 +67,23 @@
 	}
 	return printReport(report, c.JSON)
 }
+
+// check completes the report with the orders at the primary and the hosts' counters.
+func (c *LoadCommand) check(ctx context.Context, target dfload.Target, ledger *dfload.Ledger, report *dfload.Report, before map[string]float64) error {
+	if c.Check {
+		record, err := dfload.FetchRecord(ctx, target)
+		if err != nil {
+			return err
+		}
+		report.Apply(ledger.Check(target.Service, record))
+	}
+	if len(c.Admin) == 0 {
+		return nil
+	}
+	after, err := dfload.Scrape(ctx, c.Admin)
+	if err != nil {
+		return err
+	}
+	report.AddCounters(before, after)
+	return nil
+}
--- a/dfdemo/check.go
+++ b/dfdemo/check.go
@@ -59,11 +59,7 @@
 // check completes a report with what the stand-ins recorded.
 func (s *Stack) check(report *dfload.Report, ledger *dfload.Ledger) {
 	for _, group := range s.groups {
-		verdict := ledger.Check(group.Service, group.record())
-		report.LostWrites += verdict.LostWrites
-		report.DoubledWrites += verdict.DoubledWrites
-		report.NotRunButRan += verdict.NotRunButRan
-		report.ReplacedPrimaryAcks += verdict.ReplacedPrimaryAcks
+		report.Apply(ledger.Check(group.Service, group.record()))
 		for _, upstream := range group.Upstreams {
 			report.LimitExceeded += upstream.Counters().LimitExceeded
 		}
@@ -86,7 +82,7 @@
 		local += figures.LocalReads
 		for rung, count := range figures.ByRung {
 			if rung > 0 {
-				report.Rungs[rungNames[rung]] += int64(count)
+				report.Rungs[dfload.RungNames[rung]] += int64(count)
 			}
 		}
 	}
@@ -96,5 +92,3 @@
 		report.LocalReadShare = float64(local) / float64(reads)
 	}
 }
-
-var rungNames = [...]string{"", "Token", "Known", "Peers", "Barrier", "Primary"}
