End the pull of a stand-in replica with its generation

Cause: a replica that was told to follow another primary stayed on its link to the old one until the bound of 500 ms, in the answer that it waited for and again in the next dial, when that primary was silent.

Change: a request carries a channel that is closed when its generation ends, by group_fence, group_promote, group_follow or a crash. The dial and the pull end with it.

Conclusion: the former primary's silence no longer delays a replica. The new test saw 'deadline exceeded' in place of 'canceled' without the change.

--- a/dfstandin/network_test.go
+++ b/dfstandin/network_test.go
@@ -1,6 +1,8 @@
 package dfstandin
 
 import (
+	"context"
+	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -44,6 +46,37 @@
 	requireWait(t, all[2], 1, 2)
 }
 
+// Guards against a replica that waits out its bound at a silent former primary
+// before it turns to the one that it was told to follow.
+func TestFollowEndsLinkToSilentPrimary(t *testing.T) {
+	next := start(t, Options{ID: "u2", DataCentre: "dc-u2"})
+	require.NoError(t, next.Fence(2, "h1"))
+	require.NoError(t, next.Promote(2, "h1"))
+	ready, ended := make(chan *Upstream, 1), make(chan error, 1)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == next.Address() {
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		select {
+		case replica := <-ready:
+			if err := replica.Follow(2, "h1", "u2"); err != nil {
+				return nil, err
+			}
+		default:
+			return nil, errCut
+		}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, ctx.Err()
+	}
+	replica := start(t, Options{ID: "u3", DataCentre: "dc-u3", Following: "u1", Dial: dial,
+		Peers: []Peer{{ID: "u1", Address: "127.0.0.1:1"}, next.Peer()}})
+	ready <- replica
+	require.ErrorIs(t, <-ended, context.Canceled)
+	require.NoError(t, addOrder(connect(t, next, "anna", ""), "k1"))
+	requireWait(t, replica, 2, 1)
+}
+
 // Guards against statements outside the supported set that end the process or
 // the connection instead of being refused.
 func TestUnsupportedStatementsAreRefused(t *testing.T) {
--- a/dfstandin/replication.go
+++ b/dfstandin/replication.go
@@ -59,6 +59,9 @@
 	if !known {
 		return nil
 	}
+	// A silent former primary must not delay the link to the next one.
+	ctx, cancel := untilSuperseded(ctx, request)
+	defer cancel()
 	conn, err := u.connect(ctx, peer)
 	if err != nil {
 		return err
@@ -85,6 +88,19 @@
 	}
 }
 
+// untilSuperseded returns a context that ends with the request's generation.
+func untilSuperseded(ctx context.Context, request dfstandingroup.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-request.Superseded:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 var errCut = eris.New("replication: link is cut")
 
 func (u *Upstream) connect(ctx context.Context, peer Peer) (*pgconn.PgConn, error) {
--- a/dfstandingroup/group.go
+++ b/dfstandingroup/group.go
@@ -51,6 +51,8 @@
 	cut       []Committed
 	// generation changes when entries under way must be dropped.
 	generation int
+	// superseded is closed and replaced whenever generation changes.
+	superseded chan struct{}
 	received   []received
 	committed  map[uint64]bool
 	nextXID    uint64
@@ -105,7 +107,7 @@
 func New(options Options) *Group {
 	history, _ := dfposition.NewHistory(dfposition.Start{Term: FirstTerm})
 	g := &Group{id: options.ID, dataCentre: options.DataCentre, accepted: FirstTerm, role: dfgroup.RolePrimary,
-		history: history, heard: time.Now(), committed: map[uint64]bool{}, changed: make(chan struct{}),
+		history: history, heard: time.Now(), committed: map[uint64]bool{}, changed: make(chan struct{}), superseded: make(chan struct{}),
 		flushDelay: span(options.FlushDelay), applyDelay: span(options.ApplyDelay)}
 	if options.Following != "" {
 		g.role, g.following, g.verified = dfgroup.RoleReplica, options.Following, true
@@ -298,6 +300,8 @@
 
 func (g *Group) dropReceived() {
 	g.generation++
+	close(g.superseded)
+	g.superseded = make(chan struct{})
 	g.received = nil
 	g.notify()
 }
--- a/dfstandingroup/replica.go
+++ b/dfstandingroup/replica.go
@@ -141,6 +141,8 @@
 // an answer that comes later is dropped.
 type Request struct {
 	Generation int
+	// Superseded is closed when the generation ends.
+	Superseded <-chan struct{}
 	Term       dfposition.Term
 	Primary    dfgroup.UpstreamID
 	// Offset is the end of what the replica has received.
@@ -154,7 +156,7 @@
 func (g *Group) Request() (Request, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	request := Request{Generation: g.generation, Term: g.accepted, Primary: g.following}
+	request := Request{Generation: g.generation, Superseded: g.superseded, Term: g.accepted, Primary: g.following}
 	if g.verified {
 		request.Offset = len(g.log) + len(g.received)
 		request.Room = max(0, receivedLimit-len(g.received))
