Report the upstream's server_version to callers

Cause: hosts reported server_version 16.0 whatever the upstreams run.

Sessions hand such values to the server by the optional interface Greeter.

--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -42,6 +42,7 @@
 
 	adoption  *adoption
 	members   *membership
+	versions  versions
 	slots     *slots
 	peers     *peers
 	directory *dfpeer.Directory
--- a/dfhost/opener.go
+++ b/dfhost/opener.go
@@ -20,7 +20,7 @@
 }
 
 // Open checks service, database and token.
-func (o *opener) Open(_ context.Context, opening dfwire.Opening) (dfwire.Session, error) {
+func (o *opener) Open(ctx context.Context, opening dfwire.Opening) (dfwire.Session, error) {
 	h := o.host
 	snapshot := h.configuration()
 	if snapshot.Version() == 0 {
@@ -53,6 +53,7 @@
 			return nil, err
 		}
 	}
+	s.version = s.serverVersion(ctx)
 	return s, nil
 }
 
--- a/dfhost/session.go
+++ b/dfhost/session.go
@@ -52,6 +52,8 @@
 	status byte
 	// settings are set on every connection that serves the session.
 	settings settingList
+	// version is that of the upstreams, or empty if it was not known at startup.
+	version string
 	// application is the caller's own application_name, and firstApplication
 	// the one given at startup.
 	application, firstApplication string
--- a/dfwire/server.go
+++ b/dfwire/server.go
@@ -44,7 +44,8 @@
 	Host uint16
 	// MockSecret makes unknown users look alike on all hosts; empty means a
 	// random secret.
-	MockSecret      []byte
+	MockSecret []byte
+	// ServerVersion is told to callers whose session knows no version.
 	ServerVersion   string
 	MaxCallers      int
 	MaxMessageBytes int
--- a/dfwire/session.go
+++ b/dfwire/session.go
@@ -56,6 +56,13 @@
 	Close()
 }
 
+// Greeter is implemented by sessions that know what the caller is to be told at
+// startup better than the server does.
+type Greeter interface {
+	// Greeting returns values by lower-case parameter name.
+	Greeting() map[string]string
+}
+
 // Key identifies a caller connection in a cancel request.
 type Key struct {
 	// PID has the host's number in its upper 12 bits.
--- a/dfwire/startup.go
+++ b/dfwire/startup.go
@@ -292,7 +292,7 @@
 		return resultOf(err)
 	}
 	c.setSession(session)
-	if err := c.greet(opening, applicationName); err != nil {
+	if err := c.greet(session, opening, applicationName); err != nil {
 		return errSilentEnd
 	}
 	return nil
@@ -313,7 +313,7 @@
 }
 
 // greet sends the parameters that drivers expect, and the cancel key.
-func (c *caller) greet(opening Opening, applicationName string) error {
+func (c *caller) greet(session Session, opening Opening, applicationName string) error {
 	timeZone := opening.Parameters["timezone"]
 	if timeZone == "" {
 		timeZone = "UTC"
@@ -333,8 +333,16 @@
 		{"default_transaction_read_only", "off"},
 		{"session_authorization", opening.User},
 	}
+	var greeting map[string]string
+	if greeter, ok := session.(Greeter); ok {
+		greeting = greeter.Greeting()
+	}
 	for _, parameter := range reported {
-		if err := c.report(parameter[0], parameter[1]); err != nil {
+		value, found := greeting[strings.ToLower(parameter[0])]
+		if !found {
+			value = parameter[1]
+		}
+		if err := c.report(parameter[0], value); err != nil {
 			return err
 		}
 	}
