Balance databases over groups of hosts

Cause: the number of cells was rounded down to three significant bits, so that 2,000 hosts gave 320 cells of 5 instead of 375, and each database took the cell with the highest weight, however full it was.

Change: the number of cells keeps six significant bits, and a cell takes at most 1/8 more databases than the mean; a database that finds its cell full takes the next by weight. Databases choose in the order of their IDs.

--- a/dfmember/constants.go
+++ b/dfmember/constants.go
@@ -15,4 +15,10 @@
 	// standByShare keeps one in so many hosts without a seat, so that a failed
 	// holder's seat goes to a host that exchanges leases with nobody yet.
 	standByShare = 16
+	// countBits are the significant bits of the number of cells. Rounding leaves
+	// up to 1/32 of the hosts without a seat; with 3 bits it was up to a quarter.
+	countBits = 6
+	// roomShare bounds a cell to 1/8 more groups than the mean. Less room makes
+	// one group that comes or goes move more others.
+	roomShare = 8
 )
--- a/dfmember/member_test.go
+++ b/dfmember/member_test.go
@@ -110,6 +110,37 @@
 	require.LessOrEqual(t, moved, seats/20)
 }
 
+// TestBalance guards at full size against hosts that hold no slot beyond those
+// that stand by, against a host that holds over a third more databases than the
+// mean, and against one database that moves many others when it comes.
+func TestBalance(t *testing.T) {
+	hosts, all := made(2000, 18), groups(3600, 5)
+	turned := append(append([]Group(nil), all[100:]...), all[:100]...)
+	placement := Place(hosts, all)
+	require.Equal(t, placement, Place(hosts, turned))
+	held, most := make(map[string]int), 0
+	for _, group := range all {
+		for _, id := range placement.Candidates(group.ID)[:5] {
+			held[id]++
+			most = max(most, held[id])
+		}
+	}
+	t.Logf("%d hosts hold slots, the fullest %d", len(held), most)
+	require.GreaterOrEqual(t, len(held), 2000*9/10)
+	require.LessOrEqual(t, most, 3600*5/2000*4/3)
+	moved := 0
+	for i := range 10 {
+		before := Place(hosts, append(append([]Group(nil), all[:i*300]...), all[i*300+1:]...))
+		for id, name := range before.cellOf {
+			if placement.cellOf[id] != name {
+				moved++
+			}
+		}
+	}
+	t.Logf("%d databases moved by 10 that came", moved)
+	require.LessOrEqual(t, moved, 10*3600/100)
+}
+
 // TestList guards against hosts dropped because the platform's list lags, and
 // against hosts kept although nobody reaches them.
 func TestList(t *testing.T) {
--- a/dfmember/placement.go
+++ b/dfmember/placement.go
@@ -37,24 +37,47 @@
 	for slots := range sizes {
 		names := cellNames(slots, len(hosts))
 		placement.fill(names, slots, hosts)
-		for _, group := range groups {
-			if group.Slots == slots {
-				placement.cellOf[group.ID] = heaviest(group.ID, names)
-			}
-		}
+		placement.assign(names, slots, groups)
 	}
 	return placement
 }
 
-// heaviest returns the name with the highest weight for the key.
-func heaviest(key string, names []string) string {
-	best, weight := "", uint64(0)
-	for _, name := range names {
-		if s := score(key, name); best == "" || s > weight {
-			best, weight = name, s
+// assign gives each group with the number of slots the cell with the highest
+// weight that has room. Rooms are bounded because plain weights fill some cells
+// to twice the mean. Groups choose in the order of their IDs, so that the order
+// of the list has no influence.
+func (p Placement) assign(names []string, slots int, groups []Group) {
+	var ids []string
+	for _, group := range groups {
+		if group.Slots == slots {
+			ids = append(ids, group.ID)
 		}
 	}
-	return best
+	if len(names) == 0 {
+		return
+	}
+	sort.Strings(ids)
+	room := cellRoom(len(ids), len(names))
+	taken := make([]int, len(names))
+	for _, id := range ids {
+		best, weight := -1, uint64(0)
+		for i, name := range names {
+			if taken[i] == room {
+				continue
+			}
+			if s := score(id, name); best < 0 || s > weight {
+				best, weight = i, s
+			}
+		}
+		taken[best]++
+		p.cellOf[id] = names[best]
+	}
+}
+
+// cellRoom returns the most groups of one cell.
+func cellRoom(groups, cells int) int {
+	share := cells * roomShare
+	return (groups*(roomShare+1) + share - 1) / share
 }
 
 // Candidates returns the hosts in the order in which they should take a slot
@@ -86,11 +109,11 @@
 }
 
 // cellNames returns the cells for groups with the number of slots. The count
-// leaves some hosts over to stand by, and is rounded down to three significant
-// bits, so that single hosts that come or go rarely change it.
+// leaves some hosts over to stand by, and is rounded down to countBits
+// significant bits, so that single hosts that come or go rarely change it.
 func cellNames(slots, hosts int) []string {
 	count := (hosts - hosts/standByShare) / slots
-	if excess := bits.Len(uint(count)) - 3; excess > 0 {
+	if excess := bits.Len(uint(count)) - countBits; excess > 0 {
 		count = count >> excess << excess
 	}
 	if count == 0 && hosts > 0 {
