Take delivered documents without a look at all others

Cause: each delivered document searched all services of the version and listed all missing documents again, so that a start that takes documents one by one needed a time quadratic in the number of services.

Change: the adoption keeps the set of missing addresses beside the pending version. A delivery takes one out and asks for nothing; the documents were asked for when the version was offered, and no caller used the repetition.

--- a/dfconfig/adoption.go
+++ b/dfconfig/adoption.go
@@ -40,6 +40,9 @@
 	// pending is the highest version offered above the one in force; its
 	// version is 0 if there is none.
 	pending Index
+	// missing has the addresses of the documents that pending lacks. It is kept
+	// beside pending, so that a delivery does not look at the other documents.
+	missing map[string]bool
 	// documents has the documents in force and those fetched for pending.
 	documents map[string][]byte
 }
@@ -61,13 +64,9 @@
 
 // Missing returns the addresses of the documents that the pending version lacks.
 func (a *Adoption) Missing() []string {
-	var missing []string
-	listed := make(map[string]bool)
-	for _, address := range a.pending.Services {
-		if _, ok := a.documents[address]; !ok && !listed[address] {
-			missing = append(missing, address)
-			listed[address] = true
-		}
+	missing := make([]string, 0, len(a.missing))
+	for address := range a.missing {
+		missing = append(missing, address)
 	}
 	sort.Strings(missing)
 	return missing
@@ -111,6 +110,7 @@
 	for address, document := range difference.Documents {
 		if Address([]byte(document)) == address {
 			a.documents[address] = []byte(document)
+			delete(a.missing, address)
 		}
 	}
 	index, err := difference.Apply(a.inForce.index)
@@ -123,19 +123,20 @@
 	return a.OfferIndex(index)
 }
 
-// Deliver takes a document from any source.
+// Deliver takes a document from any source. It asks for nothing, because all
+// documents were asked for when the version was offered.
 func (a *Adoption) Deliver(document []byte) []Action {
 	if a.pending.Version == 0 {
 		return nil
 	}
-	address := Address(document)
-	for _, needed := range a.pending.Services {
-		if needed == address {
-			a.documents[address] = document
-			return a.advance()
-		}
+	if address := Address(document); a.missing[address] {
+		a.documents[address] = document
+		delete(a.missing, address)
 	}
-	return nil
+	if len(a.missing) > 0 {
+		return nil
+	}
+	return a.advance()
 }
 
 func (a *Adoption) refuseLower(version uint64) []Action {
@@ -148,8 +149,9 @@
 
 // advance adopts the pending version once its documents are complete.
 func (a *Adoption) advance() []Action {
-	if missing := a.Missing(); len(missing) > 0 {
-		return []Action{FetchDocuments{missing}}
+	a.compare()
+	if len(a.missing) > 0 {
+		return []Action{FetchDocuments{a.Missing()}}
 	}
 	next, err := a.inForce.WithIndex(a.pending, a.documents)
 	if err != nil {
@@ -167,6 +169,16 @@
 	return []Action{Adopt{next}}
 }
 
+// compare notes which documents the pending version lacks.
+func (a *Adoption) compare() {
+	a.missing = make(map[string]bool)
+	for _, address := range a.pending.Services {
+		if _, ok := a.documents[address]; !ok {
+			a.missing[address] = true
+		}
+	}
+}
+
 // Rises is the invariant of adoption: the version in force never decreases.
 func Rises(inForce, next uint64) bool {
 	return next > inForce
--- a/dfconfig/adoption_test.go
+++ b/dfconfig/adoption_test.go
@@ -95,6 +95,42 @@
 	}
 }
 
+// wide returns an index of many services with their documents.
+func wide(t testing.TB, count int) (Index, [][]byte) {
+	t.Helper()
+	head, documents := Snapshot{}, make([][]byte, count)
+	for i := range documents {
+		service := sample(fmt.Sprintf("service-%04d", i), 1)
+		var err error
+		head, err = head.WithService(service)
+		require.NoError(t, err)
+		documents[i], err = Encode(service)
+		require.NoError(t, err)
+	}
+	return head.Next("ada", "attempt1").Index(), documents
+}
+
+// TestDeliver guards against a delivery that asks for all other documents
+// again, by which a start took a time quadratic in the number of services, and
+// against a version that waits for documents that a refused difference brought.
+func TestDeliver(t *testing.T) {
+	index, documents := wide(t, 50)
+	adoption := NewAdoption()
+	require.Len(t, adoption.OfferIndex(index)[0].(FetchDocuments).Addresses, 50)
+	last := len(documents) - 1
+	for i, document := range documents[:last] {
+		require.Empty(t, adoption.Deliver(document))
+		require.Empty(t, adoption.Deliver(document))
+		require.Len(t, adoption.Missing(), last-i)
+	}
+	refused := Difference{From: 5, To: 6, Documents: map[string]string{Address(documents[last]): string(documents[last])}}
+	require.IsType(t, Refuse{}, adoption.OfferDifference(refused)[0])
+	require.Empty(t, adoption.Missing())
+	require.IsType(t, Adopt{}, adoption.Deliver(documents[0])[0])
+	require.Zero(t, adoption.Pending())
+	require.Empty(t, adoption.Missing())
+}
+
 // TestLowerOffer offers a lower version on purpose, as an index and as a
 // difference. The adoption must refuse it and the version in force must stay.
 func TestLowerOffer(t *testing.T) {
@@ -201,6 +237,19 @@
 	}
 }
 
+// BenchmarkDeliver measures a start at full size that takes the documents one by one.
+func BenchmarkDeliver(b *testing.B) {
+	index, documents := wide(b, 3600)
+	for b.Loop() {
+		adoption := NewAdoption()
+		adoption.OfferIndex(index)
+		for _, document := range documents {
+			adoption.Deliver(document)
+		}
+		require.Equal(b, uint64(1), adoption.InForce().Version())
+	}
+}
+
 // BenchmarkAdopt measures one version with one changed service out of 1,200,
 // from the payload to the snapshot in force, and reports the payload's size.
 func BenchmarkAdopt(b *testing.B) {
