Give startup settings to the session

Cause: settings of the startup message other than application_name were dropped.

Change: they become settings of the session, which are set on each connection that serves it, and RESET, RESET ALL and DISCARD ALL return to them.

Limits: a value that the upstream refuses fails the caller's statements and not its login. RESET inside a transaction gives the upstream's default until the transaction ends.

--- a/dfhost/opener.go
+++ b/dfhost/opener.go
@@ -48,6 +48,7 @@
 	}
 	s.application = opening.Parameters[parameterApplication]
 	s.firstApplication, s.status = s.application, statusIdle
+	s.settings = newSettingList(startupSettings(opening.Parameters))
 	if opening.Token != "" {
 		if err := s.presentToken(opening.Token); err != nil {
 			return nil, err
--- a/dfhost/setting.go
+++ b/dfhost/setting.go
@@ -20,12 +20,18 @@
 // session, because the next unit may run on another connection.
 type settingList struct {
 	values []setting
+	// initial has the values of the startup message, which RESET restores.
+	initial []setting
 	// before has the values at the begin of the open transaction.
 	before []setting
 	// open is true while before is valid.
 	open bool
 }
 
+func newSettingList(initial []setting) settingList {
+	return settingList{values: initial, initial: initial}
+}
+
 // with returns the values with one changed. The list itself is not modified.
 func with(values []setting, name, value string) []setting {
 	return append(without(values, name), setting{name: name, value: value})
@@ -68,9 +74,18 @@
 	case dfclassify.VerbSet:
 		l.values = with(l.values, change.Name, change.Value)
 	case dfclassify.VerbReset:
-		l.values = without(l.values, change.Name)
+		l.reset(change.Name)
 	case dfclassify.VerbResetAll:
-		l.values = nil
+		l.values = l.initial
+	}
+}
+
+func (l *settingList) reset(name string) {
+	l.values = without(l.values, name)
+	for _, s := range l.initial {
+		if s.name == name {
+			l.values = append(l.values, s)
+		}
 	}
 }
 
--- a/dfhost/version.go
+++ b/dfhost/version.go
@@ -10,7 +10,6 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfunit"
-	"dragonflygrade/dfwire"
 )
 
 const (
@@ -72,16 +71,6 @@
 	return entry.text
 }
 
-var _ dfwire.Greeter = (*session)(nil)
-
-// Greeting returns what the caller is told at its startup.
-func (s *session) Greeting() map[string]string {
-	if s.version == "" {
-		return nil
-	}
-	return map[string]string{parameterVersion: s.version}
-}
-
 // askVersion asks any upstream, through another host if this one holds no slot.
 func (s *session) askVersion(ctx context.Context) string {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(versionTimeout)*time.Millisecond)
