Check the reads of slot rows at full size

Cause: each renewal of a host lease read all rows of the host again.

Change: a test runs a cell of 5 hosts with 9 databases among 2,000 live hosts and bounds its reads by the constants. The measurement lists 2,000 hosts.

Lapses count as before, through a full TTL of successful reads.

--- a/dfcapacity/lease.go
+++ b/dfcapacity/lease.go
@@ -101,8 +101,13 @@
 		})
 		c.keepers = append(c.keepers, keeper)
 	}
+	// The keeper spaces its reads by the number of live hosts.
+	live := append([]string(nil), ids...)
+	for i := len(live); i < int(Target.Hosts); i++ {
+		live = append(live, hostID(i))
+	}
 	for i := range c.keepers {
-		c.step(i, dflease.Hosts{Live: ids})
+		c.step(i, dflease.Hosts{Live: live})
 		c.step(i, dflease.Configured{Wants: wants})
 	}
 	return c
--- a/dflease/keeper_test.go
+++ b/dflease/keeper_test.go
@@ -61,6 +61,10 @@
 	groups    []dfgroup.ID
 	upstreams []dfgroup.UpstreamID
 	slots     int
+	// elsewhere are live hosts that hold slots of other groups.
+	elsewhere []string
+	// reads counts the lists and rows read.
+	reads int
 }
 
 func newWorld(seed uint64, hosts, groups, slots int) *world {
@@ -103,6 +107,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case ReadRows:
+			w.reads += len(action.Prefixes) + len(action.Keys)
 			asked, rows, ok := w.now+m.offset, w.read(action), w.reaches(m)
 			w.later(m, func(dfclock.Millis) Event {
 				if !ok {
@@ -225,7 +230,7 @@
 // step runs one tick of the world.
 func (w *world) step() {
 	w.now += tick
-	live := make([]string, 0, len(w.machines))
+	live := append(make([]string, 0, len(w.elsewhere)+len(w.machines)), w.elsewhere...)
 	for _, m := range w.machines {
 		if !m.dead && w.now >= m.paused {
 			live = append(live, m.id)
@@ -558,6 +563,27 @@
 	require.Equal(t, maxIdleRead, keeper.idleInterval())
 }
 
+// TestReadRate guards at full size against hosts that read more of the table
+// than the constants allow while nothing happens: renewals that read all rows
+// again took 3,500 reads/s of the table's 2,000.
+func TestReadRate(t *testing.T) {
+	const hosts, span = 2000, 240 * dfclock.Second
+	w := newWorld(10, 5, 9, 5)
+	for i := range hosts - len(w.machines) {
+		w.elsewhere = append(w.elsewhere, fmt.Sprint("other", i))
+	}
+	w.settle(t, 10)
+	w.reads = 0
+	for range span / tick {
+		w.step()
+	}
+	rate := w.reads * hosts / len(w.machines) / int(span/dfclock.Second)
+	t.Logf("%d reads/s of %d hosts", rate, hosts)
+	// Reads of all rows, and one row read after each renewal, with a tenth for
+	// the answers that come late.
+	require.LessOrEqual(t, rate, (idleReads+hosts/int(RenewInterval/dfclock.Second))*11/10)
+}
+
 // TestNames guards against application names that PostgreSQL would cut.
 func TestNames(t *testing.T) {
 	long := dfgroup.ID(strings.Repeat("x", 63) + "/" + strings.Repeat("y", 63))
