Let watchers sleep until a bound is due

Cause: each watcher looked at all its bounds every 10 ms, whether anything waited or not.

Change: the loop looks once a tick only while something waits: an unsteady promotion, held writes, a suspect or ejected upstream, a commit or a barrier. Else it sleeps until the next silence becomes suspect; messages wake it. A silence is now noticed at its instant instead of at the next tick.

--- a/dfack/ack.go
+++ b/dfack/ack.go
@@ -169,6 +169,11 @@
 	return g.waits(now)
 }
 
+// Waiting reports whether a commit waits, so that Tick may have work.
+func (g *Gate) Waiting() bool {
+	return len(g.commits) > 0
+}
+
 // Tick answers the commits whose bound has passed.
 func (g *Gate) Tick(now dfclock.Millis) []Action {
 	return g.settle(now)
--- a/dfcontrol/constants.go
+++ b/dfcontrol/constants.go
@@ -18,7 +18,8 @@
 	// WaitPause follows a group_wait that failed, so that commits that wait do
 	// not turn a dead upstream into a stream of connections.
 	WaitPause = 50 * time.Millisecond
-	// TickPeriod separates the runner's looks at its bounds.
+	// TickPeriod separates the runner's looks at its bounds while something
+	// waits for one; else the runner sleeps until a silence becomes suspect.
 	TickPeriod = 10 * time.Millisecond
 	// BarrierTimeout bounds a barrier that the caller does not bound.
 	BarrierTimeout = 3 * time.Second
--- a/dfcontrol/loop.go
+++ b/dfcontrol/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -16,20 +17,59 @@
 )
 
 func (l *loop) run(ctx context.Context) {
-	ticker := l.watcher.after()
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-l.watcher.inbox:
 			l.take(m)
-		case <-ticker.C:
+			l.hasten(timer)
+		case <-timer.C:
 			l.tick()
+			l.lookAt = dfclock.Never
+			l.hasten(timer)
 		}
 	}
 }
 
+// hasten sets the timer to the next look unless an earlier one is set.
+func (l *loop) hasten(timer *time.Timer) {
+	now := l.watcher.options.Now()
+	next := l.nextLook(now)
+	if next >= l.lookAt {
+		return
+	}
+	l.lookAt = next
+	timer.Reset(time.Duration(next.Since(now)) * time.Millisecond)
+}
+
+// nextLook returns when the bounds are to be looked at again: after one tick
+// while something waits for time to pass, and at the latest when an upstream's
+// silence becomes suspect. Whatever else starts a wait comes as a message.
+func (l *loop) nextLook(now dfclock.Millis) dfclock.Millis {
+	period := max(dfclock.Millis(l.watcher.options.TickPeriod.Milliseconds()), 1)
+	silence := l.health.NextSilence(now)
+	if !l.machine.Steady() || l.watcher.held.Load() != nil || l.ejects() || l.health.Suspected(now) {
+		return min(silence, max(now, l.tickedAt.Add(period)))
+	}
+	if l.gate.Waiting() || len(l.barriers) > 0 {
+		return min(silence, now.Add(period))
+	}
+	return silence
+}
+
+// ejects reports whether the view has an ejected upstream; traffic may heal it.
+func (l *loop) ejects() bool {
+	for _, upstream := range l.view.Upstreams {
+		if upstream.Ejected {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *loop) take(m message) {
 	now := l.watcher.options.Now()
 	switch m := m.(type) {
@@ -69,6 +109,7 @@
 
 func (l *loop) tick() {
 	now := l.watcher.options.Now()
+	l.tickedAt = now
 	primary, _, _ := l.machine.Primary()
 	for _, upstream := range l.view.Upstreams {
 		dead := l.health.Verdict(now, upstream.ID, primary) == dfhealth.Dead
--- a/dfcontrol/watcher.go
+++ b/dfcontrol/watcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"dragonflygrade/dfack"
 	"dragonflygrade/dfclock"
@@ -205,11 +204,6 @@
 	}
 }
 
-// after returns a ticker for the loop; the caller stops it.
-func (w *Watcher) after() *time.Ticker {
-	return time.NewTicker(w.options.TickPeriod)
-}
-
 // loop is the state that only the watcher's goroutine touches.
 type loop struct {
 	watcher  *Watcher
@@ -222,6 +216,9 @@
 	// listed has the upstreams that the platform's host list marks as leaving.
 	listed  map[dfgroup.UpstreamID]bool
 	changes []plannedChange
+	// tickedAt is the last look at the bounds; lookAt is when the timer is set to
+	// bring the next, or Never while it is not set.
+	tickedAt, lookAt dfclock.Millis
 }
 
 // barrier is a read that waits since an instant.
@@ -257,5 +254,7 @@
 		acks: map[uint64]chan error{},
 
 		listed: map[dfgroup.UpstreamID]bool{},
+		// The first look comes at once.
+		lookAt: w.options.Now(),
 	}
 }
--- a/dffailover/failover.go
+++ b/dffailover/failover.go
@@ -87,6 +87,19 @@
 	return primary.status.Upstream, m.accepted, count >= m.majority()
 }
 
+// Steady reports whether time alone changes nothing: there is a primary that is
+// neither dead nor leaving, no attempt, and no upstream to bring into the term.
+func (m *Machine) Steady() bool {
+	for _, dead := range m.dead {
+		if dead {
+			return false
+		}
+	}
+	_, found := m.leader()
+	return found && m.attempt == nil && m.needSince == dfclock.Never &&
+		!m.change.holding && m.change.seenAt == 0 && len(m.repairs) == 0
+}
+
 // Handle takes an event and returns what to do, in order.
 func (m *Machine) Handle(now dfclock.Millis, event Event) []Action {
 	var actions []Action
--- a/dfhealth/health.go
+++ b/dfhealth/health.go
@@ -173,6 +173,28 @@
 	return Healthy
 }
 
+// Suspected reports whether an upstream is suspect or worse.
+func (t *Tracker) Suspected(now dfclock.Millis) bool {
+	for _, id := range t.upstreams {
+		if t.Verdict(now, id, "") >= Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// NextSilence returns when the next upstream falls silent if no further event
+// comes, or Never if all are silent.
+func (t *Tracker) NextSilence(now dfclock.Millis) dfclock.Millis {
+	next := dfclock.Never
+	for _, id := range t.upstreams {
+		if at := t.states[id].heardAt.Add(t.Bound(id)); !now.Reached(at) {
+			next = min(next, at)
+		}
+	}
+	return next
+}
+
 func (t *Tracker) slow(s *state) bool {
 	return s.last >= t.options.SlowFloor && s.last*scale >= t.options.SlowFactor*s.mean
 }
