Fetch the difference of a version instead of its index

Cause: a poller fetched the whole index object at each change, though one service had changed.

Change: the publisher stores the difference from the version before it beside the index, before it writes the head. A poller that is up to 4 versions behind follows the differences back by the attempts that they name and applies them; each result has to match its digest. Whatever goes wrong, the host fetches the whole index as before.

Conclusion: the index is read only at a start, by a host that missed more than 4 versions, or when a difference is absent. Each publication writes one more object.

--- a/dfconfig/difference.go
+++ b/dfconfig/difference.go
@@ -32,6 +32,11 @@
 	Documents map[string]string
 }
 
+// NewDifference returns the difference between two versions, without documents.
+func NewDifference(from, to Index) Difference {
+	return History{}.WithIndex(from).WithIndex(to).Difference(from.Version)
+}
+
 // Apply returns the index that results. It fails if the difference does not
 // lead from the version of the index or the result does not match the digest.
 func (d Difference) Apply(index Index) (Index, error) {
--- a/dfconfig/index.go
+++ b/dfconfig/index.go
@@ -115,6 +115,12 @@
 	return fmt.Sprintf("config/index/%d-%s", version, attempt)
 }
 
+// DifferenceObject returns the object name of the difference that leads to the
+// version of the attempt from the version before.
+func DifferenceObject(version uint64, attempt string) string {
+	return fmt.Sprintf("config/difference/%d-%s", version, attempt)
+}
+
 // Head returns the head that names the index.
 func (i Index) Head() Head {
 	return Head{Version: i.Version, Index: IndexObject(i.Version, i.Attempt), Author: i.Author, Attempt: i.Attempt}
--- a/dfhost/adoption.go
+++ b/dfhost/adoption.go
@@ -137,11 +137,7 @@
 }
 
 func (a *adoption) fetchIndex(ctx context.Context, head dfconfig.Head) error {
-	data, err := a.host.settings.Platform.Fetch(ctx, head.Index)
-	if err != nil {
-		return err
-	}
-	index, err := dfconfig.DecodeIndex(data)
+	index, err := readIndex(ctx, a.host.settings.Platform, a.inForce().Index(), head)
 	if err != nil {
 		return err
 	}
--- a/dfpublish/publish.go
+++ b/dfpublish/publish.go
@@ -183,7 +183,7 @@
 		"%d other publications came first; publish again", maxRounds)
 }
 
-// commit writes the index and then the head. It returns false if another
+// commit writes the index with its difference and then the head. It returns false if another
 // publication came first.
 func (p *Publisher) commit(ctx context.Context, head base, index dfconfig.Index) (bool, *dfresult.Error) {
 	data, err := index.Encode()
@@ -197,6 +197,9 @@
 	if err := p.put(ctx, index.Head().Index, data); err != nil {
 		return false, unavailable(err)
 	}
+	if err := p.putDifference(ctx, head.index, index); err != nil {
+		return false, unavailable(err)
+	}
 	err = p.settler.Commit(ctx, index.Attempt, dfplatform.Write{
 		Key: dfconfig.HeadKey, IfVersion: head.rowVersion, Value: row,
 	})
@@ -213,6 +216,20 @@
 	return false, unknown(index, err)
 }
 
+// putDifference stores what changed, so that hosts a few versions behind need
+// not fetch the whole index. The first version and one that changed more than a
+// payload may have go without; hosts then fetch the index.
+func (p *Publisher) putDifference(ctx context.Context, from, to dfconfig.Index) error {
+	if from.Version == 0 {
+		return nil
+	}
+	payload, err := dfconfig.NewDifference(from, to).Encode()
+	if err != nil {
+		return nil //nolint:nilerr // The index alone is enough.
+	}
+	return p.put(ctx, dfconfig.DifferenceObject(to.Version, to.Attempt), payload)
+}
+
 // settleReplaced finds out from the chain of indexes whether the attempt was
 // in force before others replaced it.
 func (p *Publisher) settleReplaced(ctx context.Context, index dfconfig.Index) (bool, *dfresult.Error) {
