Report a session position only for acknowledged batches

Cause: a statement that failed at the primary still gave the caller the end of the log as its session position. A promotion could cut that end, and the caller's reads were refused with DF2005 from then on.

--- a/dfadmit/admit_test.go
+++ b/dfadmit/admit_test.go
@@ -8,12 +8,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfcheck"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfresult"
 )
 
 func init() {
-	OnViolation = func(invariant string) { panic(invariant) }
+	dfcheck.SetHandler(dfcheck.Panic)
 }
 
 func fixed(limit, queued int) *Queue {
--- a/dfbudget/budget_test.go
+++ b/dfbudget/budget_test.go
@@ -5,10 +5,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"dragonflygrade/dfcheck"
 )
 
 func init() {
-	OnViolation = func(invariant string) { panic(invariant) }
+	dfcheck.SetHandler(dfcheck.Panic)
 }
 
 // TestShares guards against shares that differ from the stated ones.
--- a/dfdemo/check.go
+++ b/dfdemo/check.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"dragonflygrade/dfcheck"
 	"dragonflygrade/dfload"
 	"dragonflygrade/dfstandin"
 )
@@ -65,6 +66,7 @@
 		}
 	}
 	report.CutRequests += int64(s.cut)
+	report.InvariantFailures = int64(dfcheck.Failures())
 	s.addFigures(report)
 }
 
--- a/dfholder/holder_test.go
+++ b/dfholder/holder_test.go
@@ -260,6 +260,21 @@
 	w.requireOutcome(ctx, dfresult.Unknown, err)
 }
 
+// Guards against a session position that was never acknowledged: the log's end
+// behind a failed statement may be cut by a promotion, and the caller's reads
+// would be refused from then on.
+func TestFailedStatementGivesNoPosition(t *testing.T) {
+	w := newWorld(t)
+	for _, acknowledged := range []bool{true, false} {
+		unit, ctx := w.open(dfunit.ClassWrite)
+		batch := dfunit.Batch{Messages: []dfunit.Message{{Type: 'Q', Body: []byte(insert("k1") + "\x00")}}}
+		result, err := unit.Exchange(ctx, batch, &answer{})
+		require.NoError(t, err)
+		require.Equal(t, acknowledged, !result.Position.IsZero(), result.Position.String())
+		unit.Close()
+	}
+}
+
 // Guards against an outcome that belongs to an earlier transaction of the same
 // connection: that one was rolled back, and this one commits.
 func TestIdentityOfEarlierTransaction(t *testing.T) {
--- a/dfholder/unit.go
+++ b/dfholder/unit.go
@@ -36,6 +36,8 @@
 	// slowest and failed describe the unit for the choice of later reads.
 	slowest dfclock.Millis
 	failed  bool
+	// acknowledged is the position of the last batch if it was acknowledged.
+	acknowledged dfposition.Position
 	// aborted is true after an error that the caller has seen.
 	aborted bool
 	// term is the term of the primary to which a write was routed.
@@ -63,6 +65,7 @@
 	options.Silence, options.Doubt = meter.Bound(), u.doubt
 	inspected := &refusalSink{sink: sink, enabled: u.batches == 1 || write, later: u.batches > 1, aborted: u.aborted}
 	started := u.holder.now()
+	u.acknowledged = dfposition.Position{}
 	result, err := u.conn.Exchange(ctx, batch, inspected, options)
 	if err == nil {
 		meter.Answered(u.conn.AnswerTime())
@@ -89,6 +92,9 @@
 	if result.Status == 'T' && u.batches == 1 && write {
 		u.barrier = u.holder.confirmLeadership()
 	}
+	// The log's end behind a batch that acknowledged nothing, such as a failed
+	// statement, may hold entries of others that are never acknowledged.
+	result.Position = u.acknowledged
 	result.Upstream = u.upstream.ID
 	result.Replica = u.replica
 	result.Local = u.upstream.DataCentre == u.holder.options.DataCentre
@@ -143,7 +149,13 @@
 		h.knowledge.abandon(id)
 		return err
 	}
-	return h.knowledge.await(ctx, id)
+	if err := h.knowledge.await(ctx, id); err != nil {
+		return err
+	}
+	if position.Term == term {
+		u.acknowledged = position
+	}
+	return nil
 }
 
 // awaitMajority waits until a majority has the position. A position of an
--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -15,11 +15,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc/credentials"
 
 	"dragonflygrade/dfaudit"
+	"dragonflygrade/dfcheck"
 	"dragonflygrade/dfclassify"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconfig"
@@ -69,6 +71,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
+	watchInvariants()
 	settings = settings.withDefaults()
 	incarnation, err := newIncarnation()
 	if err != nil {
@@ -111,6 +114,20 @@
 	return h, nil
 }
 
+// invariantFailures counts broken invariants of all parts.
+var invariantFailures = metrics.NewCounter("dragonflygrade_invariant_failures_all_total")
+
+// watchInvariants reports broken invariants, unless a test handles them.
+func watchInvariants() {
+	report := func(part, invariant string) {
+		invariantFailures.Inc()
+		log.Error().Str("Part", part).Str("Invariant", invariant).Msg("host: broken invariant, the operation is refused")
+	}
+	if previous := dfcheck.SetHandler(report); previous != nil {
+		dfcheck.SetHandler(previous)
+	}
+}
+
 // newIncarnation tells one process from an earlier one of the same host.
 func newIncarnation() (string, error) {
 	var data [8]byte
--- a/dfload/gap.go
+++ b/dfload/gap.go
@@ -81,6 +81,7 @@
 		})
 	}
 	group.Wait()
+	w.landed(time.Now())
 }
 
 func (w *gapWriter) step(ctx context.Context, member *caller) {
--- a/dfload/report.go
+++ b/dfload/report.go
@@ -30,9 +30,11 @@
 	FailoverGapMsMax    int64
 	Refused             int64
 	// RefusedCodes counts refusals by result code or SQLSTATE.
-	RefusedCodes          map[string]int64 `json:",omitempty"`
-	CutRequests           int64
-	LimitExceeded         int64
+	RefusedCodes  map[string]int64 `json:",omitempty"`
+	CutRequests   int64
+	LimitExceeded int64
+	// InvariantFailures counts the checks that failed inside the program.
+	InvariantFailures     int64
 	AddedLatencyMicrosP50 int64
 	AddedLatencyMicrosP99 int64
 	ThroughputRatio       float64
@@ -79,6 +81,7 @@
 		{"MixedAnswers", r.MixedAnswers},
 		{"ReplacedPrimaryAcks", int64(r.ReplacedPrimaryAcks)},
 		{"LimitExceeded", r.LimitExceeded},
+		{"InvariantFailures", r.InvariantFailures},
 	} {
 		if figure.value != 0 {
 			names = append(names, fmt.Sprintf("%s=%d", figure.name, figure.value))
@@ -96,8 +99,8 @@
 	line("writes        %d, acknowledged %d, unknown %d, p50 %d us, p99 %d us", r.Writes, r.AckedWrites, r.UnknownWrites, r.WriteMicrosP50, r.WriteMicrosP99)
 	line("refused       %d %v", r.Refused, r.RefusedCodes)
 	line("failover gaps %v ms, longest %d ms", r.FailoverGapMs, r.FailoverGapMsMax)
-	line("must be zero  lost %d, doubled %d, stale %d, not run but ran %d, mixed %d, acknowledged by a replaced primary %d, over the limit %d",
-		r.LostWrites, r.DoubledWrites, r.StaleReads, r.NotRunButRan, r.MixedAnswers, r.ReplacedPrimaryAcks, r.LimitExceeded)
+	line("must be zero  lost %d, doubled %d, stale %d, not run but ran %d, mixed %d, acknowledged by a replaced primary %d, over the limit %d, broken invariants %d",
+		r.LostWrites, r.DoubledWrites, r.StaleReads, r.NotRunButRan, r.MixedAnswers, r.ReplacedPrimaryAcks, r.LimitExceeded, r.InvariantFailures)
 }
 
 // Bounds of the latency histograms.
--- a/dfmeasure/measure_test.go
+++ b/dfmeasure/measure_test.go
@@ -7,14 +7,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfcheck"
 	"dragonflygrade/dfclock"
-	"dragonflygrade/dfroute"
-	"dragonflygrade/dfsession"
 )
 
 func init() {
-	dfsession.OnViolation = func(invariant string) { panic(invariant) }
-	dfroute.OnViolation = dfsession.OnViolation
+	dfcheck.SetHandler(dfcheck.Panic)
 }
 
 // TestReplicaShare guards against a ladder that leaves the load on the primary,
--- a/dfroute/route_test.go
+++ b/dfroute/route_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfcheck"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfposition"
@@ -15,8 +16,7 @@
 )
 
 func init() {
-	OnViolation = func(invariant string) { panic(invariant) }
-	dfsession.OnViolation = OnViolation
+	dfcheck.SetHandler(dfcheck.Panic)
 }
 
 func at(term dfposition.Term, offset dfposition.Offset) dfposition.Position {
@@ -271,13 +271,12 @@
 	require.Panics(t, func() { r.Continue(220, ladder, BarrierReached{Upstream: "p", StartedAt: 209, Position: at(1, 1)}) })
 	ladder, _ = r.Continue(230, ladder, TimedOut{})
 	require.Panics(t, func() { r.Continue(240, ladder, PrimaryConfirmed{Upstream: "p", StartedAt: 209, Position: at(1, 1)}) })
-	previous := OnViolation
-	defer func() { OnViolation = previous }()
-	OnViolation = func(string) {}
-	before := Violations()
+	previous := dfcheck.SetHandler(nil)
+	defer func() { dfcheck.SetHandler(previous) }()
+	before := dfcheck.Failures()
 	_, action := forged.Read(260, token(1090), dfsession.Answer{})
 	require.IsType(t, Refuse{}, action, "refused in production")
-	require.Equal(t, before+1, Violations())
+	require.Equal(t, before+1, dfcheck.Failures())
 }
 
 // TestHitsDoNotAllocate guards against garbage on the path of every read.
--- a/dfsession/session_test.go
+++ b/dfsession/session_test.go
@@ -6,12 +6,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfcheck"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfposition"
 )
 
 func init() {
-	OnViolation = func(invariant string) { panic(invariant) }
+	dfcheck.SetHandler(dfcheck.Panic)
 }
 
 var (
@@ -235,12 +236,11 @@
 	lost := ready()
 	lost.peers[0].current, lost.peers[0].leaseUntil = false, dfclock.Millis(0)
 	require.Panics(t, func() { lost.Ask(2100, 7) }, "a peer without a lease was skipped")
-	before := Violations()
-	previous := OnViolation
-	defer func() { OnViolation = previous }()
-	OnViolation = func(string) {}
+	before := dfcheck.Failures()
+	previous := dfcheck.SetHandler(nil)
+	defer func() { dfcheck.SetHandler(previous) }()
 	require.False(t, k.Acknowledge(2210, id), "refused in production")
-	require.Equal(t, before+1, Violations())
+	require.Equal(t, before+1, dfcheck.Failures())
 }
 
 func BenchmarkAsk(b *testing.B) {
--- a/dfupstream/check.go
+++ b/dfupstream/check.go
@@ -5,6 +5,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
+
+	"dragonflygrade/dfcheck"
 )
 
 // strict makes a failed invariant check panic. Tests set it.
@@ -24,6 +26,7 @@
 		return true
 	}
 	failedChecks.Inc()
+	dfcheck.Holds(false, "upstream", text)
 	if strict.Load() {
 		panic("pool: invariant failed: " + text)
 	}
