Begin the demo's load once the slot holders know each other

Cause: the holder of a slot that was vacant holds acknowledgements back for up to 5.05 s, until it knows the other holders; load that began earlier saw writes stand still for 4.5 s, which looked like a failed change of primary. Change: the demo and the tests built on it wait until each holder has leases from all others, at most 6 s.

--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -378,7 +378,7 @@
 	for {
 		held := s.heldSlots()
 		if held >= s.deployment.Databases*min(s.deployment.Slots, len(s.hosts)) {
-			return nil
+			return s.awaitIntroduced(ctx)
 		}
 		if time.Now().After(deadline) {
 			return eris.Errorf("demo: %d slots held after %s", held, readyTimeout)
@@ -391,6 +391,34 @@
 	}
 }
 
+// introductionTimeout is a little longer than a holder of a slot that was vacant
+// waits for holders which it does not know yet.
+const introductionTimeout = 6 * time.Second
+
+// awaitIntroduced waits until the slot holders know each other. Until then they
+// hold back acknowledgements.
+func (s *Stack) awaitIntroduced(ctx context.Context) error {
+	deadline := time.Now().Add(introductionTimeout)
+	for !s.introduced() && time.Now().Before(deadline) {
+		if !wait(ctx, 50*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// introduced reports whether every slot holder has leases from all others.
+func (s *Stack) introduced() bool {
+	for _, host := range s.hosts {
+		for _, group := range host.Status().Groups {
+			if !group.Complete {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // heldSlots counts the slots that hosts serve.
 func (s *Stack) heldSlots() int {
 	held := 0
