--- a/dfcapacity/section.go
+++ b/dfcapacity/section.go
@@ -133,8 +133,6 @@
 	add("table writes: with claims after a failed data centre, in the first 10 s", "250 + "+number(r.placed.lost)+" / 10", t.Hosts/hostRenewal+r.placed.lost/10, PlatformWrites)
 	add("table reads: head", "18 × 2 × 2", t.DataCentres*pollersPerCentre*headPollsPerSecond, PlatformReads)
 	add("table reads: slot and host rows, own databases only", "2,000 × "+number(reads), t.Hosts*reads, PlatformReads)
-	each := (t.Held(t.MostSlots) + cellHosts) / idleRead
-	add("table reads: the same without the reads after each renewal", "2,000 × (9 + 5) / 60", t.Hosts*each, PlatformReads)
 	standing := r.At("lease.reads", r.placed.wanted)
 	add("table reads: with the databases stood by for", "2,000 × "+number(standing), t.Hosts*standing, PlatformReads)
 	add("host list reads, every host", "2,000 × 1", t.Hosts*listReadsPerSecond, PlatformReads)
@@ -142,20 +140,15 @@
 	add("object writes: adoption records, mean", "2,000 × 0.0775", t.Hosts*changes, PlatformWrites)
 	burst := t.Hosts / r.At("spread.reach", t.HostsPerCentre()*spreadCentres)
 	add("object writes: adoption records after a change", "2,000 within the time to reach all", burst, PlatformWrites)
-	add("object writes: publications", "2 × 0.0775", 2*changes, PlatformWrites)
+	add("object writes: publications", "3 × 0.0775", 3*changes, PlatformWrites)
 	add("object reads: index and document by pollers", "36 × 2 × 0.0775", t.DataCentres*pollersPerCentre*2*changes, PlatformReads)
 	return table
 }
 
 func (r Report) today() Table {
 	t, table := Target, Table{Head: []string{"Loop of dfhost", "Calls of all hosts", "Bytes at a host", "Processor of a host"}}
-	rows := t.Databases * float64(t.MostSlots)
-	table.Add("reads the head each 500 ms", number(t.Hosts*headPollsPerSecond)+"/s", quantity(headPollsPerSecond*(headBytes()+r.model(5).framing()), "B")+"/s",
-		percent(headPollsPerSecond*r.Slope("call.notifyTime")/2))
 	list := r.model(t.MostSlots).hostList()
 	table.Add("reads the host list each second", number(t.Hosts)+"/s", quantity(list.bytes, "B")+"/s", percent(list.processor))
-	table.Add("lists all slot rows each second", number(t.Hosts)+"/s", quantity(r.At("table.bytes", rows), "B")+"/s", percent(r.At("table.time", rows)))
-	table.Add("ranks all hosts for each database each second", "", "", percent(t.Databases*r.At("choose.time", t.Hosts)))
 	whole := r.At("config.whole", t.Databases)
 	table.Add("fetches each document by itself, once at a start", number(t.Databases)+" of one host", "",
 		quantity(t.Databases*r.At("config.deliver", t.Databases), "s")+" once")
@@ -183,8 +176,8 @@
 	free := PlatformWrites - t.Hosts/hostRenewal*(1-1/t.DataCentres)
 	table.Add("time to write the claims beside the renewals", number(r.placed.lost)+" / ("+number(PlatformWrites)+" − 236)/s", quantity(r.placed.lost/free, "s"))
 	table.Add("hosts that stand by for these slots, counted", "placement at full size", number(r.placed.watching))
-	reads := r.placed.watching * r.At("lease.reads", r.placed.wanted) * hostRenewal / 3
-	table.Add("table reads of these hosts while they watch each 3 s instead of each 8 s", number(r.placed.watching)+" × "+number(r.At("lease.reads", r.placed.wanted))+" × 8 / 3", number(reads)+"/s")
+	reads := r.placed.watching * r.At("lease.reads", r.placed.wanted) * idleRead / 3
+	table.Add("table reads of these hosts while they watch each 3 s instead of each 60 s", number(r.placed.watching)+" × "+number(r.At("lease.reads", r.placed.wanted))+" × 60 / 3", number(reads)+"/s")
 	table.Add("more statements at a slot holder of a database that lost one of five", "5 / 4", percent(0.25))
 	return table
 }
--- a/dfcontrol/loop.go
+++ b/dfcontrol/loop.go
@@ -222,8 +222,6 @@
 	if event.Actor == "" {
 		event.Actor = l.watcher.options.Actor
 	}
-	log.Info().Str("group", string(event.Group)).Str("kind", string(event.Kind)).Uint64("term", uint64(event.Term)).
-		Str("upstream", string(event.Upstream)).Str("detail", event.Detail).Msg("control: a change of the group")
 	if l.watcher.options.OnAudit != nil {
 		l.watcher.options.OnAudit(event)
 	}
