Tell a commit in doubt in one place

Cause: the slot holder and the caller's session had the same list of codes. Change: dfresult.IsCommitDoubt serves both.

--- a/dfholder/resolve.go
+++ b/dfholder/resolve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,19 +30,6 @@
 	}
 }
 
-// isCommitDoubt reports whether the effect of a commit is not known.
-func isCommitDoubt(err error) bool {
-	var failure *dfresult.Error
-	if !errors.As(err, &failure) {
-		return false
-	}
-	switch failure.Code {
-	case dfresult.CommitUnknown, dfresult.NotMajority, dfresult.PrimaryChanged:
-		return true
-	}
-	return false
-}
-
 // resolve finds out about a commit whose answer was lost. It returns the cause
 // if that does not succeed within its bound.
 func (u *unit) resolve(ctx context.Context, batch dfunit.Batch, cause error) (dfunit.Result, error) {
--- a/dfhost/session.go
+++ b/dfhost/session.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		wasInside := s.inside
 		s.closeUnit()
-		if wasInside && !isCommitDoubt(err) && !dfupstream.IsCommit(batch) {
+		if wasInside && !dfresult.IsCommitDoubt(err) && !dfupstream.IsCommit(batch) {
 			// The caller's side answers everything but the end of the
 			// transaction from here on.
 			return statusFailed, err
@@ -178,19 +178,6 @@
 	return result.Status, nil
 }
 
-// isCommitDoubt reports whether the error ended the transaction itself.
-func isCommitDoubt(err error) bool {
-	var failure *dfresult.Error
-	if !errors.As(err, &failure) {
-		return false
-	}
-	switch failure.Code {
-	case dfresult.CommitUnknown, dfresult.NotMajority, dfresult.PrimaryChanged:
-		return true
-	}
-	return false
-}
-
 // finish takes the result of a batch and closes a unit that has ended.
 func (s *session) finish(result dfunit.Result) {
 	s.host.counters.served(result)
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -3,6 +3,7 @@
 package dfresult
 
 import (
+	"errors"
 	"fmt"
 
 	"dragonflygrade/dfclock"
@@ -189,3 +190,17 @@
 	}
 	return fmt.Sprintf("DF%04d %s: %s", e.Code, e.Code.Text(), e.Detail)
 }
+
+// IsCommitDoubt reports whether the error leaves the effect of a commit open.
+// The transaction has ended, whatever became of it.
+func IsCommitDoubt(err error) bool {
+	var failure *Error
+	if !errors.As(err, &failure) {
+		return false
+	}
+	switch failure.Code {
+	case CommitUnknown, NotMajority, PrimaryChanged:
+		return true
+	}
+	return false
+}
