Take another barrier when a barrier position was cut

Cause: a barrier position covers writes that are not acknowledged yet; when a promotion cut them, the read was refused with DF2005 although nothing was lost.

--- a/dfroute/router.go
+++ b/dfroute/router.go
@@ -232,11 +232,12 @@
 // afterLoss handles a position that is gone for good. The position in a token
 // was acknowledged, so its loss is reported. What a slot holder knows may belong
 // to a write that was never acknowledged; a barrier then tells what the read
-// must see.
+// must see. A barrier position may itself be cut by a promotion, since it covers
+// writes that are not acknowledged yet; then another one is taken.
 func (r *Router) afterLoss(now dfclock.Millis, ladder Ladder) (Ladder, Action) {
 	token := need{maxAge: ladder.need.maxAge}
 	token.positions[0] = ladder.need.positions[0]
-	if ladder.rung == RungBarrier || r.lost(&token) {
+	if r.lost(&token) {
 		return ladder, discarded(ladder.need)
 	}
 	return r.barrier(now, ladder)
