Count only reads that run a statement

Cause: batches that only prepare a statement were counted as reads by replicas, so more reads by replicas were reported than reads. Change: such batches are left out of the hosts' counters. Conclusion: the share of replica reads is that of statements.

--- a/dfhost/session.go
+++ b/dfhost/session.go
@@ -132,7 +132,7 @@
 		s.closeUnit()
 		return statusIdle, err
 	}
-	s.finish(result)
+	s.finish(result, p.executes)
 	return result.Status, nil
 }
 
@@ -174,13 +174,16 @@
 		}
 		return statusIdle, err
 	}
-	s.finish(result)
+	s.finish(result, true)
 	return result.Status, nil
 }
 
-// finish takes the result of a batch and closes a unit that has ended.
-func (s *session) finish(result dfunit.Result) {
-	s.host.counters.served(result)
+// finish takes the result of a batch and closes a unit that has ended. Batches
+// that only prepare statements are not counted as served.
+func (s *session) finish(result dfunit.Result, executes bool) {
+	if executes {
+		s.host.counters.served(result)
+	}
 	s.inside = result.Status == statusInside || result.Status == statusFailed
 	if !result.Position.IsZero() {
 		s.token = s.token.WithPosition(s.group, result.Position)
