Keep one connection to each upstream open

Cause: without a valid host lease a slot holder opens connections only while probes on older ones are answered; a holder that nobody had used before an outage of the platform had none, and refused every request with DF1005.

--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -116,6 +116,7 @@
 	}
 	h.router = newRouter(h)
 	h.duties.Go(func() { h.keepFloor(h.ctx) })
+	h.duties.Go(func() { h.keepWarm(h.ctx) })
 	return h, nil
 }
 
@@ -165,6 +166,9 @@
 		},
 	}
 	config.Pool.Limit = h.options.Database.Share()
+	// Without a valid host lease connections are opened only while probes on
+	// older ones are answered, so there has to be an older one.
+	config.Pool.Warm = 1
 	return dfupstream.NewPool(config)
 }
 
--- a/dfholder/options.go
+++ b/dfholder/options.go
@@ -70,6 +70,9 @@
 	// DefaultRequestsInFlight bounds the requests of one database that a holder
 	// works on, waiting ones included.
 	DefaultRequestsInFlight = 4096
+	// warmPeriod is a third of the time after which upstreams close idle
+	// connections, so that two lost uses do no harm.
+	warmPeriod = time.Duration(DefaultIdleTimeout) * time.Millisecond / 3
 	// floorPeriod separates attempts to take a floor.
 	floorPeriod = 100 * dfclock.Millisecond
 	// holdBound is how long a write waits for a primary at one slot holder before
--- a/dfholder/slot.go
+++ b/dfholder/slot.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -106,6 +107,23 @@
 	return h.opened[upstream].find(conn.PID())
 }
 
+// keepWarm uses a connection to each upstream now and then, so that upstreams
+// don't close the last one for idleness.
+func (h *Holder) keepWarm(ctx context.Context) {
+	ticker := time.NewTicker(warmPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, upstream := range h.Upstreams() {
+			h.Probe(ctx, upstream)
+		}
+	}
+}
+
 // Upstreams lists the configured upstreams.
 func (h *Holder) Upstreams() []dfgroup.UpstreamID {
 	ids := make([]dfgroup.UpstreamID, len(h.options.Database.Upstreams))
