Show spans with their unit in the difference of a publication

Cause: the difference showed a staleness of 30 s as 30000. Conclusion: the difference can be read without the document's format.

--- a/dfpublish/plan.go
+++ b/dfpublish/plan.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 
+	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconfig"
 )
 
@@ -163,9 +165,25 @@
 			flatten(values, fmt.Sprintf("%s[%d]", path, i), value)
 		}
 	default:
-		text, err := json.Marshal(node)
-		if err == nil {
-			values[path] = string(text)
+		values[path] = valueText(path, node)
+	}
+}
+
+// spanKeys are the keys whose values are spans, which documents keep as
+// milliseconds.
+var spanKeys = []string{"MaxAge", "Deadlines.Read", "Deadlines.Write"}
+
+// valueText writes a value as a service file does.
+func valueText(path string, node any) string {
+	number, isNumber := node.(float64)
+	for _, key := range spanKeys {
+		if isNumber && strings.HasSuffix(path, key) {
+			return strconv.Quote(dfconfig.FormatSpan(dfclock.Millis(number)))
 		}
 	}
+	text, err := json.Marshal(node)
+	if err != nil {
+		return fmt.Sprint(node)
+	}
+	return string(text)
 }
