Divide connections among slots in one place

Cause: dfbudget was used by nothing, and dfconfig had the same division and reserve again. Change: a database's share and the check of its limit come from dfbudget.

--- a/dfconfig/constants.go
+++ b/dfconfig/constants.go
@@ -11,10 +11,6 @@
 	DefaultWritePriority = 1
 )
 
-// ReserveConnections is the part of each upstream's connection limit that no
-// slot uses, so that an operator can always connect.
-const ReserveConnections = 2
-
 const (
 	// maxFileBytes bounds one service file; the longest expected has a few KB.
 	maxFileBytes = 256 << 10
--- a/dfconfig/parse.go
+++ b/dfconfig/parse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"dragonflygrade/dfbudget"
 	"dragonflygrade/dfgroup"
 )
 
@@ -101,9 +102,9 @@
 		}
 		database.Slots = entry.integer("Slots", 1, maxSlots, 1)
 		database.ConnectionLimit = entry.integer("ConnectionLimit", 1, maxConnections, maxConnections)
-		if needed := database.Slots + ReserveConnections; database.ConnectionLimit < needed {
+		if needed := database.Slots + dfbudget.Reserve; database.ConnectionLimit < needed {
 			entry.fault("ConnectionLimit",
-				fmt.Sprintf("%d is too small for %d slots and a reserve of %d", database.ConnectionLimit, database.Slots, ReserveConnections),
+				fmt.Sprintf("%d is too small for %d slots and a reserve of %d", database.ConnectionLimit, database.Slots, dfbudget.Reserve),
 				fmt.Sprintf("write at least %d, or fewer slots", needed))
 		}
 		database.Upstreams = n.upstreams(entry)
--- a/dfconfig/service.go
+++ b/dfconfig/service.go
@@ -4,6 +4,7 @@
 package dfconfig
 
 import (
+	"dragonflygrade/dfbudget"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 )
@@ -38,9 +39,14 @@
 	Upstreams []Upstream
 }
 
-// Share returns the connections that one slot may hold to each upstream.
+// Share returns the connections that one slot may hold to each upstream, or 0
+// if the limit does not admit the slots.
 func (d Database) Share() int {
-	return (d.ConnectionLimit - ReserveConnections) / d.Slots
+	budget, err := dfbudget.New(d.ConnectionLimit, d.Slots)
+	if err != nil {
+		return 0
+	}
+	return budget.Share()
 }
 
 // Upstream is one database server.
