--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 KNOWN_RED   := $(shell sed -n 's/^\(Test[^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP        := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: help build demo test soak measure bench capacity lint format proto
+.PHONY: help build demo processes test soak measure bench capacity lint format proto
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -21,6 +21,9 @@
 demo: build ## Run hosts, upstreams and platform in one process, under load, with a killed primary
 	./$(BINARY) demo --json
 
+processes: ## Run platform, upstreams and hosts as separate processes and kill one
+	scripts/processes.sh
+
 test: ## Run every test, the decision packages also under the race detector
 	@echo "passed over as known red: $(if $(KNOWN_RED),$(KNOWN_RED),none)"
 	$(GO) vet ./...
