Convert positions in messages in one place

Cause: positions were put into and read from messages in five places of three packages; a field of the load's options and one of forwarded units were set and never read. Change: dfproto.EncodePosition and DecodePosition serve all; the two fields are gone.

--- a/dfcli/load.go
+++ b/dfcli/load.go
@@ -58,7 +58,7 @@
 	if len(c.Direct) > 0 {
 		options.Targets[0].Hosts = c.Direct[:1]
 		options.Targets[0].User, options.Targets[0].Password = c.DirectUser, c.DirectPassword
-		options.TokenShare, options.Plain, options.Seed = 0, true, c.Seed+1
+		options.TokenShare, options.Seed = 0, c.Seed+1
 		direct, _, err := dfload.Run(env.ctx, options)
 		if err != nil {
 			return err
--- a/dfholder/knowledge.go
+++ b/dfholder/knowledge.go
@@ -151,6 +151,6 @@
 	return &dfproto.CallerPosition{
 		Group:    group,
 		Caller:   uint64(caller),
-		Position: &dfproto.Position{Term: uint64(position.Term), Offset: uint64(position.Offset)},
+		Position: dfproto.EncodePosition(position),
 	}
 }
--- a/dfholder/lease.go
+++ b/dfholder/lease.go
@@ -63,10 +63,7 @@
 
 // Notified records a position that a peer is about to acknowledge.
 func (h *Holder) Notified(position *dfproto.CallerPosition) {
-	h.knowledge.notified(dfsession.Caller(position.Caller), dfposition.Position{
-		Term:   dfposition.Term(position.Position.GetTerm()),
-		Offset: dfposition.Offset(position.Position.GetOffset()),
-	})
+	h.knowledge.notified(dfsession.Caller(position.Caller), dfproto.DecodePosition(position.Position))
 }
 
 // Tell answers a peer that asks for a caller's position.
--- a/dfhost/peers.go
+++ b/dfhost/peers.go
@@ -9,7 +9,6 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
-	"dragonflygrade/dfposition"
 	"dragonflygrade/dfproto"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfsession"
@@ -179,11 +178,7 @@
 		return &dfproto.PositionsReply{}
 	}
 	position, known := holder.Tell(request.Caller)
-	return &dfproto.PositionsReply{Holder: known, Position: encodePosition(position)}
-}
-
-func encodePosition(position dfposition.Position) *dfproto.Position {
-	return &dfproto.Position{Term: uint64(position.Term), Offset: uint64(position.Offset)}
+	return &dfproto.PositionsReply{Holder: known, Position: dfproto.EncodePosition(position)}
 }
 
 // Configuration returns what the sender lacks.
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -357,9 +357,7 @@
 		if err != nil || !reply.Holder {
 			return dfposition.Position{}, false
 		}
-		return dfposition.Position{
-			Term: dfposition.Term(reply.Position.GetTerm()), Offset: dfposition.Offset(reply.Position.GetOffset()),
-		}, true
+		return dfproto.DecodePosition(reply.Position), true
 	}
 }
 
--- a/dfload/run.go
+++ b/dfload/run.go
@@ -67,8 +67,6 @@
 	// Gaps adds one steady writer for each target that measures write gaps.
 	Gaps bool
 	Seed uint64
-	// Plain leaves out what only hosts understand, for runs against upstreams.
-	Plain bool
 	// Started is called when the tables are filled and the load begins; it may be nil.
 	Started func()
 	// Dial replaces the network dialer.
--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -12,7 +12,6 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
-	"dragonflygrade/dfposition"
 	"dragonflygrade/dfproto"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfunit"
@@ -44,11 +43,10 @@
 		return nil, dfresult.NewError(dfresult.PeerUnreachable, "%s", f.peer.address)
 	}
 	return &forwardedUnit{
-		peer:    f.peer,
-		stream:  stream,
-		id:      unitIDs.Add(1),
-		request: request,
-		open:    f.openMessage(request),
+		peer:   f.peer,
+		stream: stream,
+		id:     unitIDs.Add(1),
+		open:   f.openMessage(request),
 	}, nil
 }
 
@@ -59,7 +57,7 @@
 		Group:           string(request.Group),
 		Caller:          request.Caller,
 		Write:           request.Class == dfunit.ClassWrite,
-		Need:            encodePosition(request.Need),
+		Need:            dfproto.EncodePosition(request.Need),
 		TokenPresented:  request.TokenPresented,
 		MaxAgeMillis:    int64(request.MaxAge),
 		Strong:          request.Strong,
@@ -77,7 +75,6 @@
 	// id identifies the unit on the stream; replies with another id are late.
 	id       uint64
 	sequence uint32
-	request  dfunit.Request
 	// open is sent with the first batch and nil afterwards.
 	open *dfproto.RelayOpen
 	// busy is true from the send of a batch until its end arrived.
@@ -212,20 +209,6 @@
 	return request
 }
 
-func encodePosition(position dfposition.Position) *dfproto.Position {
-	if position.IsZero() {
-		return nil
-	}
-	return &dfproto.Position{Term: uint64(position.Term), Offset: uint64(position.Offset)}
-}
-
-func decodePosition(position *dfproto.Position) dfposition.Position {
-	return dfposition.Position{
-		Term:   dfposition.Term(position.GetTerm()),
-		Offset: dfposition.Offset(position.GetOffset()),
-	}
-}
-
 func decodeError(failure *dfproto.RelayError) error {
 	err := &dfresult.Error{Code: dfresult.Code(failure.Code), Detail: failure.Detail}
 	return err.WithRetryAfter(dfclock.Millis(failure.RetryAfterMillis))
@@ -236,7 +219,7 @@
 		Status:   byte(result.Status),
 		CopyIn:   result.CopyIn,
 		Pinned:   result.Pinned,
-		Position: decodePosition(result.Position),
+		Position: dfproto.DecodePosition(result.Position),
 		Upstream: dfgroup.UpstreamID(result.Upstream),
 		Replica:  result.Replica,
 		Local:    result.Local,
