--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -42,6 +42,7 @@
 	LogLevel string `help:"Lowest level of log lines: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
 
 	Host    HostCommand    `cmd:"" help:"Run a host."`
+	Edge    EdgeCommand    `cmd:"" help:"Run a host on a machine of the platform; its settings file tells the rest."`
 	Demo    DemoCommand    `cmd:"" help:"Run hosts and stand-ins in one process, under load and faults."`
 	Publish PublishCommand `cmd:"" help:"Put service files in force."`
 	Status  StatusCommand  `cmd:"" help:"Show hosts, services, upstreams, slots and versions."`
--- /dev/null
+++ b/dfcli/edge.go
@@ -0,0 +1,63 @@
+package dfcli
+
+import (
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"dragonflygrade/dfedge"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/platform"
+)
+
+// Limits of the process on a machine of the platform.
+const (
+	// memoryShare is the part of the machine's memory that the Go runtime may
+	// use, in percent; the rest is for the binary and socket buffers.
+	memoryShare = 70
+	// logQueue bounds the lines that wait for the output; more are dropped.
+	logQueue = 512
+)
+
+// EdgeCommand runs one host on a machine of the platform until SIGTERM.
+type EdgeCommand struct {
+	Settings    string `help:"Path of the platform's settings file." env:"DRAGONFLYGRADE_BOOT" required:""`
+	MetricsPort int    `help:"Port for metrics on the machine's address; 0 serves none." default:"9180"`
+	Level       string `help:"Lowest level of log lines: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+}
+
+// Run runs the host.
+func (c *EdgeCommand) Run(env *environment) error {
+	settings, err := platform.ReadSettings(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	debug.SetMemoryLimit(settings.MemoryLimit * memoryShare / 100)
+	writer := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	defer func() { _ = writer.Close() }()
+	logger := &log.Logger{Level: log.ParseLevel(c.Level), TimeFormat: time.RFC3339Nano, Writer: writer}
+	options := dfedge.Options{
+		Self:          dfmember.Host{ID: settings.Host, DataCentre: settings.DataCentre, Address: settings.NeighbourAddress},
+		CallerAddress: settings.CallerAddress,
+		ReadyAddress:  settings.ReadyAddress,
+		Seeds:         settings.Seeds,
+		DrainTimeout:  settings.DrainTimeout,
+		GracePeriod:   settings.GracePeriod,
+		Platform:      platform.NewClient(settings.StoreAddress, settings.OrdersAddress),
+		Dialect:       platform.Dialect{},
+		Dial:          platform.Dial,
+		Now:           dfedge.BootTime,
+	}
+	if c.MetricsPort > 0 {
+		options.MetricsAddress = net.JoinHostPort(settings.IP, strconv.Itoa(c.MetricsPort))
+	}
+	edge, err := dfedge.New(options, logger)
+	if err != nil {
+		return usageError{err}
+	}
+	return edge.Run(env.ctx)
+}
--- /dev/null
+++ b/dfconnection/pool.go
@@ -0,0 +1,237 @@
+package dfconnection
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/phuslu/log"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfpool"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfstatement"
+)
+
+const (
+	// idleClose frees a share of the upstream's limit that other hosts may need.
+	idleClose = 8 * dfclock.Second
+	// reopenFirst and reopenCap pace openings after a failure. The first is
+	// several times the time that an opening takes.
+	reopenFirst = 100 * dfclock.Millisecond
+	reopenCap   = 800 * dfclock.Millisecond
+	// waiters bounds the requests that wait for one upstream at one host.
+	waiters = 256
+)
+
+// Opener opens a connection. A refusal by the upstream is a *dfresult.Error.
+type Opener func(ctx context.Context, upstream dffleet.Upstream) (*Conn, error)
+
+// Clock returns the present instant.
+type Clock func() dfclock.Millis
+
+// Observer learns how openings end.
+type Observer func(upstream dffleet.ID, err error)
+
+// grant is the end of a wait.
+type grant struct {
+	conn *Conn
+	err  *dfresult.Error
+}
+
+// Pool runs the decisions of dfpool for one upstream. It is safe for concurrent
+// use.
+type Pool struct {
+	upstream dffleet.Upstream
+	open     Opener
+	clock    Clock
+	observe  Observer
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu       sync.Mutex
+	decision *dfpool.Pool
+	conns    map[dfpool.ConnID]*Conn
+	waiting  map[dfpool.WaiterID]chan grant
+	last     dfpool.WaiterID
+	opened   int
+}
+
+// NewPool returns a pool without connections.
+func NewPool(upstream dffleet.Upstream, limit int, clock Clock, open Opener, observe Observer, source *rand.Rand) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	config := dfpool.Config{
+		Limit: limit, Waiters: waiters,
+		IdleClose: idleClose, ReopenFirst: reopenFirst, ReopenCap: reopenCap,
+	}
+	return &Pool{
+		upstream: upstream, open: open, clock: clock, observe: observe, ctx: ctx, cancel: cancel,
+		decision: dfpool.New(config, source),
+		conns:    map[dfpool.ConnID]*Conn{},
+		waiting:  map[dfpool.WaiterID]chan grant{},
+	}
+}
+
+// Upstream returns the entry that the pool was made for.
+func (p *Pool) Upstream() dffleet.Upstream {
+	return p.upstream
+}
+
+// Acquire returns a connection, or an error with the outcome not run.
+func (p *Pool) Acquire(priority int, deadline dfclock.Millis) (*Conn, error) {
+	for {
+		conn, err := p.acquire(priority, deadline)
+		if err != nil {
+			return nil, err
+		}
+		if !conn.Closed() {
+			return conn, nil
+		}
+		p.handle(dfpool.Closed{Conn: conn.id})
+		p.drop(conn)
+	}
+}
+
+func (p *Pool) acquire(priority int, deadline dfclock.Millis) (*Conn, error) {
+	answer := make(chan grant, 1)
+	p.mu.Lock()
+	p.last++
+	p.waiting[p.last] = answer
+	p.run(p.decision.Handle(p.clock(), dfpool.Want{Waiter: p.last, Priority: priority, Deadline: deadline}))
+	p.mu.Unlock()
+	got := <-answer
+	if got.err != nil {
+		return nil, got.err
+	}
+	return got.conn, nil
+}
+
+// Release gives a connection back. Reusable is false if it is in doubt.
+func (p *Pool) Release(conn *Conn, reusable bool) {
+	p.handle(dfpool.Returned{Conn: conn.id, Idle: reusable})
+}
+
+// Silent closes a connection that did not answer in time. Connections of its
+// age are probed before they are used again.
+func (p *Pool) Silent(conn *Conn) {
+	p.handle(dfpool.Silent{Conn: conn.id})
+}
+
+// Tick lets waiters expire and unused connections close.
+func (p *Pool) Tick(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	if limit != p.decision.Stats().Limit {
+		p.run(p.decision.Handle(now, dfpool.LimitChanged{Limit: limit}))
+		return
+	}
+	if now.Reached(p.decision.Wake()) {
+		p.run(p.decision.Handle(now, dfpool.Tick{}))
+	}
+}
+
+// Stats counts connections and waiters.
+func (p *Pool) Stats() dfpool.Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.decision.Stats()
+}
+
+// Reachable tells the pool what probes say of the upstream.
+func (p *Pool) Reachable(up bool) {
+	p.handle(dfpool.Reachable{Up: up})
+}
+
+// Close closes idle connections and refuses waiters; held ones close when they
+// are released.
+func (p *Pool) Close() {
+	p.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.run(p.decision.Handle(p.clock(), dfpool.LimitChanged{Limit: 0}))
+}
+
+func (p *Pool) handle(event dfpool.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.run(p.decision.Handle(p.clock(), event))
+}
+
+// run carries actions out. Actions of further events are appended, because the
+// decision reuses its slice.
+func (p *Pool) run(actions []dfpool.Action) {
+	queue := append([]dfpool.Action(nil), actions...)
+	for len(queue) > 0 {
+		action := queue[0]
+		queue = queue[1:]
+		switch a := action.(type) {
+		case dfpool.Give:
+			p.give(a)
+		case dfpool.Open:
+			go p.opening(a.Conn)
+		case dfpool.Probe:
+			go p.probe(p.conns[a.Conn])
+		case dfpool.Close:
+			if conn := p.conns[a.Conn]; conn != nil {
+				delete(p.conns, a.Conn)
+				closeWire(conn)
+			}
+			queue = append(queue, p.decision.Handle(p.clock(), dfpool.Closed{Conn: a.Conn})...)
+		case dfpool.Refuse:
+			err := dfresult.NewError(a.Code, "upstream %s", p.upstream.ID).WithRetryAfter(a.RetryAfter)
+			p.end(a.Waiter, grant{err: err})
+		case dfpool.Violated:
+			log.Error().Str("upstream", string(p.upstream.ID)).Str("invariant", a.Text).Msg("pool: invariant failed")
+		}
+	}
+}
+
+func (p *Pool) give(a dfpool.Give) {
+	p.end(a.Waiter, grant{conn: p.conns[a.Conn]})
+}
+
+func (p *Pool) end(waiter dfpool.WaiterID, result grant) {
+	if answer := p.waiting[waiter]; answer != nil {
+		delete(p.waiting, waiter)
+		answer <- result
+	}
+}
+
+// opening opens one connection.
+func (p *Pool) opening(id dfpool.ConnID) {
+	conn, err := p.open(p.ctx, p.upstream)
+	p.observe(p.upstream.ID, err)
+	if err != nil {
+		p.handle(dfpool.OpenFailed{Conn: id})
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.id = id
+	p.opened++
+	p.conns[id] = conn
+	p.run(p.decision.Handle(p.clock(), dfpool.Opened{Conn: id}))
+}
+
+// probe asks a suspect connection for an answer. Values that it carries stay.
+func (p *Pool) probe(conn *Conn) {
+	if conn == nil {
+		return
+	}
+	_, _, err := conn.Exchange(nil, deadlineAfter(probeTimeout), dfstatement.Call{Statement: dfstatement.Status{}})
+	p.handle(dfpool.ProbeAnswered{Conn: conn.id, OK: err == nil})
+}
+
+func (p *Pool) drop(conn *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn.id)
+	closeWire(conn)
+}
+
+// closeWire closes a connection; an error would tell only that it is closed.
+func closeWire(conn *Conn) {
+	_ = conn.wire.Close()
+}
--- /dev/null
+++ b/dfedge/edge.go
@@ -0,0 +1,295 @@
+package dfedge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfcatalog"
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconnection"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dffresh"
+	"dragonflygrade/dfneighbour"
+	"dragonflygrade/dfplace"
+	"dragonflygrade/dfsuccession"
+)
+
+// Edge is one host.
+type Edge struct {
+	options  Options
+	log      *log.Logger
+	counters *counters
+
+	mu sync.Mutex
+	// catalog never falls back to a lower version.
+	catalog  dfcatalog.Catalog
+	document []byte
+	// catalogLost is true while the platform does not tell new versions.
+	catalogLost bool
+	fleet       *dffleet.Fleet
+	fleetRead   bool
+	services    map[string]*service
+	circle      *dfneighbour.Circle
+	// changed is closed and replaced when something is learned that a waiting
+	// statement may need.
+	changed  chan struct{}
+	sessions map[*session]struct{}
+	// unreadySince is when the host stopped being ready, or Never.
+	unreadySince dfclock.Millis
+	// stoppingAt is when the host was told to stop, or Never.
+	stoppingAt dfclock.Millis
+	source     *rand.Rand
+	// poke asks the links to neighbours for an exchange at once.
+	poke  map[string]chan struct{}
+	links sync.WaitGroup
+}
+
+// service is what the host knows of one group of upstreams.
+type service struct {
+	name      string
+	timeline  dffresh.Timeline
+	placer    *dfplace.Placer
+	successor *dfsuccession.Successor
+	pools     map[dffleet.ID]*dfconnection.Pool
+	// leader is the one that proofs and waiting statements are about.
+	leader dffleet.ID
+	// waiting counts statements that wait for or run on the leader.
+	waiting int
+	// readAt is when the last read arrived.
+	readAt  dfclock.Millis
+	proving bool
+	// claimSeen is the version of the last claim that was read, and since when.
+	claimSeen   uint64
+	claimSeenAt dfclock.Millis
+}
+
+// New returns a host that has not started.
+func New(options Options, logger *log.Logger) (*Edge, error) {
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	return &Edge{
+		options:      options,
+		log:          logger,
+		counters:     newCounters(),
+		fleet:        dffleet.New(),
+		services:     map[string]*service{},
+		circle:       dfneighbour.NewCircle(options.Self),
+		changed:      make(chan struct{}),
+		sessions:     map[*session]struct{}{},
+		unreadySince: dfclock.Never,
+		stoppingAt:   dfclock.Never,
+		source:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		poke:         map[string]chan struct{}{},
+	}, nil
+}
+
+// Run serves callers until the context ends and the sessions are over.
+func (e *Edge) Run(ctx context.Context) error {
+	e.log.Info().Str("Host", e.options.Self.ID).Str("DataCentre", e.options.Self.DataCentre).Msg("edge: start")
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	listener, err := e.listen(work)
+	if err != nil {
+		return err
+	}
+	go e.watchCatalog(work)
+	go e.watchFleet(work)
+	go e.watchMembers(work)
+	go e.beat(work)
+	go e.accept(listener)
+	<-ctx.Done()
+	e.drain(listener)
+	e.log.Info().Str("Host", e.options.Self.ID).Msg("edge: stop")
+	return nil
+}
+
+// beat takes the decisions that depend on time.
+func (e *Edge) beat(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.step(ctx)
+		}
+	}
+}
+
+func (e *Edge) step(ctx context.Context) {
+	e.mu.Lock()
+	now := e.options.Now()
+	if gone := e.fleet.Expire(now); len(gone) > 0 {
+		e.log.Info().Int("Gone", len(gone)).Msg("fleet: upstreams left the list")
+		e.reconcile()
+	}
+	var actions []func()
+	for _, s := range e.services {
+		e.follow(now, s)
+		if action := e.stepService(ctx, now, s); action != nil {
+			actions = append(actions, action)
+		}
+		for id, pool := range s.pools {
+			pool.Tick(e.connectionLimit(now, s, id))
+		}
+	}
+	e.stepReadiness(now)
+	e.mu.Unlock()
+	for _, action := range actions {
+		go action()
+	}
+}
+
+// connectionLimit is this host's part of an upstream's limit: what the others
+// leave, but at least an equal share.
+func (e *Edge) connectionLimit(now dfclock.Millis, s *service, id dffleet.ID) int {
+	known, ok := e.catalog.Service(s.name)
+	if !ok {
+		return 0
+	}
+	hosts := len(e.circle.Live(now))
+	usable := max(1, known.ConnectionLimit-connectionReserve)
+	share := max(1, usable/hosts)
+	return max(share, usable-e.circle.Connections(now, s.name, id))
+}
+
+// reconcile makes services and pools follow the list of upstreams.
+func (e *Edge) reconcile() {
+	now := e.options.Now()
+	for _, name := range e.catalog.Services() {
+		s := e.services[name]
+		if s == nil {
+			s = &service{
+				name: name, placer: dfplace.New(), successor: dfsuccession.New(now),
+				pools: map[dffleet.ID]*dfconnection.Pool{},
+			}
+			e.services[name] = s
+		}
+		listed := map[dffleet.ID]bool{}
+		for _, upstream := range e.fleet.Of(name) {
+			listed[upstream.ID] = true
+			e.keepPool(now, s, upstream)
+		}
+		for id, pool := range s.pools {
+			if !listed[id] {
+				pool.Close()
+				delete(s.pools, id)
+				s.placer.Forget(id)
+			}
+		}
+		e.follow(now, s)
+	}
+	e.wake()
+}
+
+func (e *Edge) keepPool(now dfclock.Millis, s *service, upstream dffleet.Upstream) {
+	pool := s.pools[upstream.ID]
+	if pool != nil && (pool.Upstream().Born != upstream.Born || pool.Upstream().Address != upstream.Address) {
+		pool.Close()
+		s.placer.Forget(upstream.ID)
+		pool = nil
+	}
+	s.placer.Keep(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
+	if pool == nil {
+		source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
+		limit := e.connectionLimit(now, s, upstream.ID)
+		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, e.options.Now, e.open, e.opened, source)
+	}
+}
+
+// follow notes a change of a service's leader.
+func (e *Edge) follow(now dfclock.Millis, s *service) {
+	leader, ok := e.fleet.Leader(now, s.name)
+	if !ok || leader.ID == s.leader {
+		return
+	}
+	e.log.Info().Str("Service", s.name).Str("Before", string(s.leader)).Str("Leader", string(leader.ID)).
+		Uint64("Entry", leader.Version).Msg("fleet: another upstream leads")
+	s.leader = leader.ID
+	s.timeline.Discard()
+	e.counters.leaderChanges.Inc()
+	e.wake()
+}
+
+// wake lets waiting statements look again.
+func (e *Edge) wake() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// await returns when something was learned, or at an instant.
+func (e *Edge) await(changed chan struct{}, until dfclock.Millis) {
+	span := until - e.options.Now()
+	if span <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(span) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// open opens a connection for a pool.
+func (e *Edge) open(ctx context.Context, upstream dffleet.Upstream) (*dfconnection.Conn, error) {
+	return e.dial(ctx, upstream, connectTimeout)
+}
+
+func (e *Edge) dial(ctx context.Context, upstream dffleet.Upstream, timeout dfclock.Millis) (*dfconnection.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(timeout)*time.Millisecond)
+	defer cancel()
+	raw, err := e.options.Dial(ctx, upstream.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "edge: connect to %s", upstream.ID)
+	}
+	deadline, _ := ctx.Deadline()
+	if err := raw.SetDeadline(deadline); err != nil {
+		return nil, eris.Wrap(closed(raw, err), "edge: deadline")
+	}
+	wire, err := e.options.Dialect.Open(raw, upstream.Service, e.options.Self.ID, string(upstream.ID))
+	if err != nil {
+		return nil, closed(raw, err)
+	}
+	e.counters.opened.Inc()
+	return dfconnection.New(upstream.ID, wire, raw), nil
+}
+
+// closed closes a connection that failed and returns the failure.
+func closed(closer interface{ Close() error }, err error) error {
+	_ = closer.Close()
+	return err
+}
+
+// opened learns how an opening ended.
+func (e *Edge) opened(id dffleet.ID, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	upstream, ok := e.fleet.Find(id)
+	if !ok {
+		return
+	}
+	s := e.services[upstream.Service]
+	if s == nil {
+		return
+	}
+	if err == nil {
+		s.successor.Handle(now, dfsuccession.Answered{ID: id})
+		return
+	}
+	e.counters.openFailures.Inc()
+	e.log.Warn().Str("Service", s.name).Str("Upstream", string(id)).Err(err).Msg("pool: opening failed")
+	if isConnectionLimit(err) {
+		return
+	}
+	s.placer.Failed(now, id)
+	s.successor.Handle(now, dfsuccession.Troubled{ID: id})
+}
--- /dev/null
+++ b/dfedge/execute.go
@@ -0,0 +1,219 @@
+package dfedge
+
+import (
+	"errors"
+	"time"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconnection"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfstatement"
+)
+
+// attempt is one sending of calls to an upstream.
+type attempt struct {
+	target
+	conn   *dfconnection.Conn
+	sentAt dfclock.Millis
+	// sent is true if bytes may have reached the upstream.
+	sent bool
+	// led is true if the attempt was counted as one at the leader.
+	led bool
+}
+
+// acquire takes a connection for an attempt.
+func (e *Edge) acquire(n *need, to target, priority int) (*attempt, error) {
+	now := e.options.Now()
+	conn, err := to.pool.Acquire(priority, min(n.deadline, now.Add(to.patience)))
+	if err != nil {
+		return nil, err
+	}
+	a := &attempt{target: to, conn: conn}
+	e.mu.Lock()
+	a.led = to.upstream == n.service.leader
+	e.mu.Unlock()
+	e.began(n.service, to.upstream)
+	return a, nil
+}
+
+// send sends calls and waits for their answers.
+func (e *Edge) send(n *need, a *attempt, context *dfconnection.Context, calls ...dfstatement.Call) ([]dfstatement.Answer, error) {
+	a.sentAt = e.options.Now()
+	wait := min(a.silence, n.deadline-a.sentAt)
+	deadline := time.Now().Add(time.Duration(max(wait, dfclock.Millisecond)) * time.Millisecond)
+	answers, sent, err := a.conn.Exchange(context, deadline, calls...)
+	a.sent = sent
+	return answers, err
+}
+
+// release ends an attempt whose connection can be used again.
+func (e *Edge) release(n *need, a *attempt) {
+	a.pool.Release(a.conn, a.conn.State() == dfstatement.Idle)
+	e.ended(n.service, a.upstream, a.led)
+}
+
+// abandon ends an attempt whose connection is in doubt.
+func (e *Edge) abandon(n *need, a *attempt, err error) {
+	if isTimeout(err) {
+		a.pool.Silent(a.conn)
+	} else {
+		a.pool.Release(a.conn, false)
+	}
+	e.ended(n.service, a.upstream, a.led)
+	e.failed(n.service, a.upstream)
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// refusal translates why no connection was had.
+func refusal(err error) *dfresult.Error {
+	var failure *dfresult.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return dfresult.NewError(dfresult.NoConnection, "%v", err)
+}
+
+// read runs a read outside of a transaction.
+func (e *Edge) read(x *session, n *need, call dfstatement.Call) dfstatement.Answer {
+	last := dfresult.NewError(dfresult.NoFreshUpstream, "service %s", n.service.name)
+	for try := 0; try < maxTries; {
+		var to target
+		switch next := e.planRead(n).(type) {
+		case pause:
+			e.await(next.changed, next.until)
+			continue
+		case refuse:
+			return x.refused(call, next.err, last)
+		case goTo:
+			to = next.target
+		}
+		try++
+		answer, err := e.readOnce(x, n, to, call)
+		if err == nil {
+			return answer
+		}
+		last = refusal(err)
+		e.counters.retries.Inc()
+		x.retried(call, to.upstream, last)
+		if to.proof {
+			e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
+		} else {
+			n.avoid = append(n.avoid, to.upstream)
+		}
+	}
+	return x.refused(call, last, last)
+}
+
+// readOnce sends a read to one upstream. An error means that the read may be
+// sent elsewhere.
+func (e *Edge) readOnce(x *session, n *need, to target, call dfstatement.Call) (dfstatement.Answer, error) {
+	a, err := e.acquire(n, to, 2*x.route.Priority+1)
+	if err != nil {
+		return dfstatement.Answer{}, err
+	}
+	if to.proof {
+		return e.readProved(x, n, a, call)
+	}
+	call.After = to.after
+	answers, err := e.send(n, a, x.context, call)
+	if err != nil {
+		e.abandon(n, a, err)
+		return dfstatement.Answer{}, err
+	}
+	answer := answers[0]
+	e.release(n, a)
+	e.learned(n.service, a.upstream, a.sentAt, answer, false)
+	if answer.Code == dfresult.NoFreshUpstream && e.leads(n.service, a.upstream) {
+		// The leader lacks the position for good; the next try asks it for proof.
+		n.discarded = true
+	}
+	return answer, repeatable(answer)
+}
+
+func (e *Edge) leads(s *service, id dffleet.ID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.leader == id
+}
+
+// readProved runs a read inside a transaction that only the leader grants. A
+// replaced leader refuses every statement of it.
+func (e *Edge) readProved(x *session, n *need, a *attempt, call dfstatement.Call) (dfstatement.Answer, error) {
+	answers, err := e.send(n, a, x.context,
+		dfstatement.Call{Statement: dfstatement.Begin{}}, call, dfstatement.Call{Statement: dfstatement.Rollback{}})
+	if err != nil {
+		e.abandon(n, a, err)
+		return dfstatement.Answer{}, err
+	}
+	begun, answer := answers[0], answers[1]
+	e.release(n, a)
+	if !begun.OK() {
+		e.learned(n.service, a.upstream, a.sentAt, begun, false)
+		return dfstatement.Answer{}, dfresult.NewError(begun.Code, "%s", begun.Detail)
+	}
+	e.learned(n.service, a.upstream, a.sentAt, answer, answer.OK())
+	return answer.WithState(dfstatement.Idle), repeatable(answer)
+}
+
+// repeatable returns an error if a read with this answer is worth another try.
+func repeatable(answer dfstatement.Answer) error {
+	switch answer.Code {
+	case dfresult.OK, dfresult.ProtocolViolation:
+		return nil
+	}
+	return dfresult.NewError(answer.Code, "%s", answer.Detail)
+}
+
+// write runs a single write. It is sent again only after a promise that it did
+// not run.
+func (e *Edge) write(x *session, n *need, call dfstatement.Call) dfstatement.Answer {
+	last := dfresult.NewError(dfresult.NoPrimary, "service %s", n.service.name)
+	for try := 0; try < maxTries; {
+		var to target
+		switch next := e.planWrite(n).(type) {
+		case pause:
+			e.await(next.changed, next.until)
+			continue
+		case refuse:
+			return x.refused(call, next.err, last)
+		case goTo:
+			to = next.target
+		}
+		try++
+		a, err := e.acquire(n, to, 2*x.route.Priority)
+		if err != nil {
+			last = refusal(err)
+			e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
+			continue
+		}
+		answers, err := e.send(n, a, x.context, call)
+		if err != nil {
+			e.abandon(n, a, err)
+			if a.sent {
+				return x.doubted(call, a.upstream, err)
+			}
+			last = dfresult.NewError(dfresult.NoConnection, "%v", err)
+			continue
+		}
+		answer := answers[0]
+		e.release(n, a)
+		e.learned(n.service, a.upstream, a.sentAt, answer, answer.OK())
+		if answer.OK() {
+			x.wrote(answer.Position, e.options.Now())
+			return answer
+		}
+		if answer.Code.Outcome() != dfresult.NotRun {
+			return x.failedAt(call, a.upstream, answer)
+		}
+		last = dfresult.NewError(answer.Code, "%s", answer.Detail)
+		e.counters.retries.Inc()
+		x.retried(call, a.upstream, last)
+		e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
+	}
+	return x.refused(call, last, last)
+}
--- /dev/null
+++ b/dfedge/options.go
@@ -0,0 +1,128 @@
+// Package dfedge runs one host on machines whose platform carries out the
+// promotions: it accepts callers, runs their statements on the upstreams of a
+// service, and takes part in changing a service's leader.
+package dfedge
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconnection"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfstatement"
+)
+
+const (
+	// tick paces the decisions that depend on time alone. Detection of a dead
+	// leader adds at most one tick.
+	tick = 50 * time.Millisecond
+	// exchangePeriod paces exchanges with neighbours: a third of the silence
+	// after which a neighbour counts as out of reach.
+	exchangePeriod = 500 * dfclock.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// feedWait is the longest wait of a feed; the platform allows 30 s. Silent
+	// connections are found by keep-alive probes.
+	feedWait = 20 * dfclock.Second
+	// feedRetry is the pause after a failed call to the platform.
+	feedRetry = 250 * time.Millisecond
+	// membersPeriod paces reads of the table of hosts, which only helps hosts
+	// whose seeds are all gone.
+	membersPeriod = 20 * time.Second
+	// proofAge is the age of the newest proof at which a leader is asked for
+	// another one. It is half of the shortest staleness of the two users.
+	proofAge = 700 * dfclock.Millisecond
+	// demandSpan is how long after its last read a service is kept fresh.
+	demandSpan = 2 * dfclock.Second
+	// statusTimeout bounds a status question to a replica.
+	statusTimeout = 350 * dfclock.Millisecond
+	// connectTimeout bounds an opening: a lost packet is sent again after 1 s.
+	connectTimeout = 1200 * dfclock.Millisecond
+	// connectionReserve is kept free at each upstream for probes of all hosts.
+	connectionReserve = 2
+	// silenceFactor times the expected wait is the time after which an
+	// unanswered read is sent elsewhere, but at least silenceFloor.
+	silenceFactor = 6
+	silenceFloor  = 300 * dfclock.Millisecond
+	// refusePause is the pause before a statement that an upstream refused
+	// without running it is sent again.
+	refusePause = 15 * dfclock.Millisecond
+	// maxTries bounds the upstreams that one statement is sent to.
+	maxTries = 6
+	// startupTimeout bounds the first message of a caller.
+	startupTimeout = 5 * time.Second
+	// noticeSpan is the time until the entry has noticed that a host is not
+	// ready: two questions, one a second, and their answers.
+	noticeSpan = 2200 * dfclock.Millisecond
+	// exitReserve is the end of the grace period that is left for the exit.
+	exitReserve = 400 * dfclock.Millisecond
+)
+
+// Caller is the codec of a session that faces the caller.
+type Caller interface {
+	ReadStartup() (database string, err error)
+	ReadCall() (call dfstatement.Call, ended bool, err error)
+	// Pending reports whether part of a further message has arrived.
+	Pending() bool
+	WriteReady() error
+	WriteRefusal(code dfresult.Code, detail string) error
+	WriteAnswer(answer dfstatement.Answer) error
+	SetReadDeadline(at time.Time) error
+	Close() error
+}
+
+// Dialect makes the codecs of connections.
+type Dialect interface {
+	Accept(conn net.Conn) Caller
+	// Open begins a session with an upstream. A refusal is a *dfresult.Error.
+	Open(conn net.Conn, service, host, id string) (dfconnection.Wire, error)
+}
+
+// Platform is what the host uses of the machines' services.
+type Platform interface {
+	dfplatform.Table
+	dfplatform.Feeds
+	dfplatform.Orders
+}
+
+// Options are the checked settings of a host.
+type Options struct {
+	// Self has the address for neighbours.
+	Self dfmember.Host
+	// CallerAddress, ReadyAddress and MetricsAddress are "ip:port"; an empty
+	// metrics address serves none.
+	CallerAddress  string
+	ReadyAddress   string
+	MetricsAddress string
+	Seeds          []string
+	// DrainTimeout bounds new work at an upstream after its leaving is known.
+	DrainTimeout dfclock.Millis
+	// GracePeriod is the time from the request to stop until the process is killed.
+	GracePeriod dfclock.Millis
+	Platform    Platform
+	Dialect     Dialect
+	// Dial opens a network connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Now returns an instant that counts the time in which the machine stood still.
+	Now dfconnection.Clock
+}
+
+func (o Options) check() error {
+	switch {
+	case o.Self.ID == "" || o.Self.DataCentre == "":
+		return eris.New("edge: a host needs a name and a data centre")
+	case o.CallerAddress == "" || o.ReadyAddress == "":
+		return eris.New("edge: addresses for callers and for readiness are required")
+	case o.Platform == nil || o.Dialect == nil || o.Dial == nil || o.Now == nil:
+		return eris.New("edge: platform, dialect, dial and clock are required")
+	case o.GracePeriod <= 0:
+		return eris.New("edge: the grace period must be positive")
+	}
+	return nil
+}
--- /dev/null
+++ b/dfedge/route.go
@@ -0,0 +1,229 @@
+package dfedge
+
+import (
+	"errors"
+
+	"dragonflygrade/dfcatalog"
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconnection"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dffresh"
+	"dragonflygrade/dfplace"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfstatement"
+	"dragonflygrade/dfsuccession"
+)
+
+// target is where a statement goes.
+type target struct {
+	pool     *dfconnection.Pool
+	upstream dffleet.ID
+	// after is the position that the log must have, or zero.
+	after dfposition.Position
+	// proof is true if the statement must come with a proof of the lead.
+	proof bool
+	// patience is how long the statement may wait for a connection there.
+	patience dfclock.Millis
+	// silence is how long an answer may take before it counts as lost.
+	silence dfclock.Millis
+}
+
+// need is what a statement asks of its upstream.
+type need struct {
+	service   *service
+	freshness dfcatalog.Freshness
+	// arrivedAt is when the statement, or its transaction, arrived.
+	arrivedAt dfclock.Millis
+	deadline  dfclock.Millis
+	// own is the newest commit of the session, and when it was acknowledged.
+	own   dfposition.Position
+	ownAt dfclock.Millis
+	// unsafeOwn is true once a leader said that it lacks own: a promotion
+	// discarded it.
+	discarded bool
+	// avoid has upstreams that failed the statement.
+	avoid []dffleet.ID
+}
+
+// step is the next thing to do for a statement: go, pause or refuse.
+type step interface{ step() }
+
+// goTo sends the statement.
+type goTo struct{ target }
+
+// pause waits for news until an instant.
+type pause struct {
+	changed chan struct{}
+	until   dfclock.Millis
+}
+
+// refuse ends the statement without running it.
+type refuse struct{ err *dfresult.Error }
+
+func (goTo) step()   {}
+func (pause) step()  {}
+func (refuse) step() {}
+
+// planWrite decides where a statement runs that needs the leader.
+func (e *Edge) planWrite(n *need) step {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.planLeader(e.options.Now(), n)
+}
+
+func (e *Edge) planLeader(now dfclock.Millis, n *need) step {
+	s := n.service
+	if now >= n.deadline {
+		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s", s.name)}
+	}
+	leader, ok := e.fleet.Leader(now, s.name)
+	if ok && e.mayUse(now, leader) && !s.successor.Suspected() {
+		pool := s.pools[leader.ID]
+		if pool != nil && (s.placer.Open(now, leader.ID) || pool.Stats().Idle > 0) {
+			return goTo{target{
+				pool: pool, upstream: leader.ID, proof: true,
+				patience: n.deadline - now, silence: n.deadline - now,
+			}}
+		}
+		// The last opening failed; the next one is under way soon.
+		return pause{e.changed, min(n.deadline, now.Add(refusePause))}
+	}
+	back := s.successor.BackAt(now)
+	if told := e.circle.BackAt(now, s.name); told > 0 && (back == 0 || told < back) {
+		back = told
+	}
+	if back >= n.deadline {
+		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s has no leader", s.name).WithRetryAfter(back - now)}
+	}
+	return pause{e.changed, min(n.deadline, now.Add(10*refusePause))}
+}
+
+// mayUse reports whether an upstream may get new work: one that leaves gets
+// none a while before the bound of the drain.
+func (e *Edge) mayUse(now dfclock.Millis, upstream dffleet.Upstream) bool {
+	since := e.fleet.LeavingSince(upstream.ID)
+	return since == dfclock.Never || now-since < e.options.DrainTimeout*7/10
+}
+
+// planRead decides where a read outside of the leader's transactions runs.
+func (e *Edge) planRead(n *need) step {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	s := n.service
+	s.readAt = now
+	var age dfclock.Millis
+	switch f := n.freshness.(type) {
+	case dfcatalog.Bounded:
+		age = f.MaxAge
+	case dfcatalog.OwnWrites:
+		age = f.MaxAge
+	default:
+		return e.planLeader(now, n)
+	}
+	if now >= n.deadline {
+		return refuse{dfresult.NewError(dfresult.DeadlinePassed, "read of service %s", s.name)}
+	}
+	proof, ok := s.timeline.Need(n.arrivedAt, age)
+	if !ok || n.discarded {
+		return e.planLeader(now, n)
+	}
+	wanted := dfplace.Need{Position: proof.Position, At: proof.At}
+	if wanted.Position.Less(n.own) {
+		wanted = dfplace.Need{Position: n.own, At: n.ownAt}
+	}
+	id, ok := s.placer.Read(now, wanted, e.usable(now, s), s.leader, n.avoid)
+	if !ok {
+		n.avoid = nil
+		return pause{e.changed, min(n.deadline, now.Add(refusePause))}
+	}
+	silence := min(n.deadline-now, max(silenceFloor, silenceFactor*s.placer.Wait(now, id)))
+	return goTo{target{
+		pool: s.pools[id], upstream: id, after: wanted.Position,
+		patience: min(n.deadline-now, silenceFloor), silence: silence,
+	}}
+}
+
+// usable are the upstreams that reads may go to. Draining ones are left out
+// while others are there.
+func (e *Edge) usable(now dfclock.Millis, s *service) []dffleet.Upstream {
+	var staying, leaving []dffleet.Upstream
+	for _, upstream := range e.fleet.Of(s.name) {
+		switch {
+		case s.pools[upstream.ID] == nil || !e.mayUse(now, upstream):
+		case e.fleet.LeavingSince(upstream.ID) == dfclock.Never:
+			staying = append(staying, upstream)
+		default:
+			leaving = append(leaving, upstream)
+		}
+	}
+	if len(staying) > 0 {
+		return staying
+	}
+	return leaving
+}
+
+// began counts a statement at an upstream.
+func (e *Edge) began(s *service, id dffleet.ID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.placer.Started(id)
+	if id == s.leader {
+		s.waiting++
+	}
+}
+
+// ended takes it off the count.
+func (e *Edge) ended(s *service, id dffleet.ID, led bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.placer.Ended(id)
+	if led && s.waiting > 0 {
+		s.waiting--
+	}
+}
+
+// learned takes what an answer tells of its upstream. proved is true if the
+// upstream led its service when the statement ran.
+func (e *Edge) learned(s *service, id dffleet.ID, sentAt dfclock.Millis, answer dfstatement.Answer, proved bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	s.successor.Handle(now, dfsuccession.Answered{ID: id})
+	if proved {
+		e.fleet.Led(id, sentAt)
+		if id == s.leader && !answer.Position.IsZero() {
+			s.timeline.Add(dffresh.Proof{At: sentAt, Position: answer.Position})
+		}
+	}
+	if !answer.Position.IsZero() {
+		lag := now - s.timeline.CoveredAt(answer.Position)
+		s.placer.Reached(id, answer.Position, lag)
+	}
+	switch answer.Code {
+	case dfresult.OK:
+		s.placer.Answered(now, id, now-sentAt)
+	case dfresult.NoFreshUpstream:
+		s.placer.Lagged(now, id)
+	case dfresult.NeedsPrimary:
+		e.fleet.Refuted(now, id)
+		e.follow(now, s)
+	case dfresult.WrongUpstream, dfresult.QueueFull:
+		s.placer.Failed(now, id)
+	}
+}
+
+// failed takes a connection that broke or went silent.
+func (e *Edge) failed(s *service, id dffleet.ID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	s.placer.Failed(now, id)
+	s.successor.Handle(now, dfsuccession.Troubled{ID: id})
+}
+
+func isConnectionLimit(err error) bool {
+	var failure *dfresult.Error
+	return errors.As(err, &failure) && failure.Code == dfresult.ConnectionLimit
+}
--- /dev/null
+++ b/dfedge/succession.go
@@ -0,0 +1,303 @@
+package dfedge
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dffresh"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfstatement"
+	"dragonflygrade/dfsuccession"
+)
+
+// claimsTable has the newest claim of each service. The version of its row is
+// the epoch of the promotion that the claim stands for.
+const claimsTable = "Claims/"
+
+// claimHold is how long another host's claim against the same leader is given
+// to take effect. It is longer than the slowest promotion.
+const claimHold = 2500 * dfclock.Millisecond
+
+// claim is the row's content.
+type claim struct {
+	Holder   string
+	Replaced dffleet.ID
+	Target   dffleet.ID
+}
+
+// stepService takes a service's decisions of this moment. The mutex is held;
+// the returned function runs without it.
+func (e *Edge) stepService(ctx context.Context, now dfclock.Millis, s *service) func() {
+	suspected := s.successor.Suspected()
+	action := s.successor.Step(now, e.situation(now, s))
+	if s.successor.Suspected() != suspected {
+		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Bool("Suspected", !suspected).
+			Int64("SilentMillis", int64(now-s.successor.HeardAt())).Msg("succession: suspicion changed")
+		e.pokeAll()
+		e.wake()
+	}
+	switch a := action.(type) {
+	case dfsuccession.Probe:
+		return func() { e.probe(ctx, s, a.ID) }
+	case dfsuccession.AskAll:
+		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Msg("succession: asking the replicas")
+		return func() { e.askAll(ctx, s) }
+	case dfsuccession.Claim:
+		return func() { e.claim(ctx, s, a.Target) }
+	case dfsuccession.Order:
+		return func() { e.order(ctx, s, a) }
+	}
+	if e.needsProof(now, s) {
+		s.proving = true
+		return func() { e.prove(ctx, s) }
+	}
+	return nil
+}
+
+// situation is what the host sees of a service.
+func (e *Edge) situation(now dfclock.Millis, s *service) dfsuccession.Situation {
+	situation := dfsuccession.Situation{Busy: s.waiting > 0}
+	upstreams := e.fleet.Of(s.name)
+	situation.Members = len(upstreams)
+	for _, upstream := range upstreams {
+		if e.fleet.LeavingSince(upstream.ID) == dfclock.Never {
+			situation.Listed = append(situation.Listed, upstream.ID)
+		}
+	}
+	if leader, ok := e.fleet.Leader(now, s.name); ok {
+		situation.Leader = leader.ID
+		situation.LeaderLeaving = e.fleet.LeavingSince(leader.ID) != dfclock.Never
+	}
+	situation.Rank = max(0, dfmember.RankOf(s.name, e.circle.Live(now), e.options.Self.ID))
+	situation.Alive, situation.Dead = e.circle.Votes(now, s.name, situation.Leader, s.successor.HeardAt())
+	return situation
+}
+
+// tell passes the result of an action on.
+func (e *Edge) tell(s *service, event dfsuccession.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.successor.Handle(e.options.Now(), event)
+}
+
+// status asks an upstream over a fresh connection.
+func (e *Edge) status(ctx context.Context, s *service, upstream dffleet.Upstream, timeout dfclock.Millis) (dfstatement.Report, error) {
+	startedAt := e.options.Now()
+	deadline := time.Now().Add(time.Duration(timeout) * time.Millisecond)
+	conn, err := e.dial(ctx, upstream, timeout)
+	if err != nil {
+		return dfstatement.Report{}, err
+	}
+	defer conn.Close()
+	answers, _, err := conn.Exchange(nil, deadline, dfstatement.Call{Statement: dfstatement.Status{}})
+	if err != nil {
+		return dfstatement.Report{}, err
+	}
+	if !answers[0].OK() {
+		return dfstatement.Report{}, eris.Errorf("edge: status of %s: %s", upstream.ID, answers[0].Detail)
+	}
+	report, err := conn.Report(answers[0])
+	if err != nil {
+		return dfstatement.Report{}, err
+	}
+	e.takeStatus(s, upstream.ID, startedAt, report, answers[0])
+	return report, nil
+}
+
+// takeStatus learns from a report that was asked for at an instant.
+func (e *Edge) takeStatus(s *service, id dffleet.ID, askedAt dfclock.Millis, report dfstatement.Report, answer dfstatement.Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	if report.Primary {
+		e.fleet.Led(id, askedAt)
+		e.follow(now, s)
+		if id == s.leader {
+			s.timeline.Add(dffresh.Proof{At: askedAt, Position: answer.Position})
+		}
+	} else if leader, ok := e.fleet.Leader(now, s.name); ok && leader.ID == id {
+		e.fleet.Refuted(now, id)
+		e.follow(now, s)
+	}
+	s.placer.Reached(id, answer.Position, now-s.timeline.CoveredAt(answer.Position))
+	s.successor.Handle(now, dfsuccession.Reported{
+		ID: id, Primary: report.Primary, Term: report.Term, Received: report.Received,
+	})
+}
+
+func (e *Edge) probe(ctx context.Context, s *service, id dffleet.ID) {
+	e.mu.Lock()
+	upstream, ok := e.fleet.Find(id)
+	e.mu.Unlock()
+	if !ok {
+		e.tell(s, dfsuccession.ProbeFailed{ID: id})
+		return
+	}
+	if _, err := e.status(ctx, s, upstream, dfsuccession.ProbeTimeout); err != nil {
+		e.counters.probesFailed.Inc()
+		e.log.Warn().Str("Service", s.name).Str("Upstream", string(id)).Err(err).Msg("succession: probe failed")
+		if isConnectionLimit(err) {
+			// An upstream that counts its connections is alive.
+			e.tell(s, dfsuccession.Answered{ID: id})
+		}
+		e.tell(s, dfsuccession.ProbeFailed{ID: id})
+	}
+}
+
+func (e *Edge) askAll(ctx context.Context, s *service) {
+	e.mu.Lock()
+	upstreams := e.fleet.Of(s.name)
+	e.mu.Unlock()
+	var all sync.WaitGroup
+	for _, upstream := range upstreams {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			report, err := e.status(ctx, s, upstream, statusTimeout)
+			e.log.Info().Str("Service", s.name).Str("Upstream", string(upstream.ID)).Bool("Primary", report.Primary).
+				Str("Received", report.Received.String()).Err(err).Msg("succession: upstream asked")
+		}()
+	}
+	all.Wait()
+	e.tell(s, dfsuccession.AskEnded{})
+}
+
+// claim takes an epoch from the table by a conditional write.
+func (e *Edge) claim(ctx context.Context, s *service, target dffleet.ID) {
+	epoch, err := e.takeEpoch(ctx, s, target)
+	if err != nil {
+		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Err(err).Msg("succession: no epoch")
+		e.tell(s, dfsuccession.ClaimLost{})
+		return
+	}
+	e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Uint64("Epoch", epoch).Msg("succession: epoch taken")
+	e.tell(s, dfsuccession.Claimed{Epoch: epoch})
+}
+
+func (e *Edge) takeEpoch(ctx context.Context, s *service, target dffleet.ID) (uint64, error) {
+	key := claimsTable + s.name
+	platform := e.options.Platform
+	row, err := platform.Get(ctx, key)
+	if err != nil && !eris.Is(err, dfplatform.ErrNotFound) {
+		return 0, err
+	}
+	var last claim
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &last); err != nil {
+			return 0, eris.Wrap(err, "succession: decode claim")
+		}
+	}
+	if e.pending(s, row.Version, last) {
+		return 0, eris.Errorf("succession: %s has just claimed %s", last.Holder, last.Target)
+	}
+	e.mu.Lock()
+	value, err := json.Marshal(claim{Holder: e.options.Self.ID, Replaced: s.leader, Target: target})
+	source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
+	e.mu.Unlock()
+	if err != nil {
+		return 0, eris.Wrap(err, "succession: encode claim")
+	}
+	attempt := dfplatform.NewAttempts(e.options.Self.ID, source).Next()
+	settler := dfplatform.NewSettler(platform, claimBackoff, source, pauseFor)
+	err = settler.Commit(ctx, attempt, dfplatform.Write{Key: key, IfVersion: row.Version, Value: value})
+	if err != nil {
+		return 0, err
+	}
+	row, err = platform.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	if row.Attempt != attempt {
+		return 0, eris.New("succession: another claim followed")
+	}
+	return row.Version, nil
+}
+
+// claimBackoff bounds the repeats of a claim: a new decision is better than an
+// old one after a second.
+var claimBackoff = dfplatform.Backoff{First: 50 * dfclock.Millisecond, Max: 200 * dfclock.Millisecond, Tries: 3}
+
+func pauseFor(ctx context.Context, span dfclock.Millis) error {
+	sleep(ctx, time.Duration(span)*time.Millisecond)
+	return ctx.Err()
+}
+
+// pending reports whether another host's claim against the same leader may
+// still take effect.
+func (e *Edge) pending(s *service, version uint64, last claim) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	if s.claimSeen != version {
+		s.claimSeen, s.claimSeenAt = version, now
+	}
+	if version == 0 || last.Holder == e.options.Self.ID || last.Replaced != s.leader {
+		return false
+	}
+	return now-s.claimSeenAt < claimHold
+}
+
+func (e *Edge) order(ctx context.Context, s *service, order dfsuccession.Order) {
+	err := e.options.Platform.Promote(ctx, s.name, order.Target, e.options.Self.ID, order.Epoch)
+	e.counters.orders.Inc()
+	e.log.Warn().Str("Service", s.name).Str("Target", string(order.Target)).Uint64("Epoch", order.Epoch).Err(err).
+		Msg("succession: promotion ordered")
+	switch {
+	case err == nil:
+		e.tell(s, dfsuccession.Ordered{})
+	case eris.Is(err, dfplatform.ErrSuperseded):
+		e.tell(s, dfsuccession.OrderRefused{})
+	default:
+		sleep(ctx, feedRetry/2)
+		e.tell(s, dfsuccession.OrderLost{})
+	}
+}
+
+// needsProof tells whether reads will soon lack a proof that is recent enough.
+func (e *Edge) needsProof(now dfclock.Millis, s *service) bool {
+	if s.proving || s.leader == "" || s.successor.Suspected() || now-s.readAt >= demandSpan {
+		return false
+	}
+	proof, ok := s.timeline.Newest()
+	return !ok || now-proof.At >= proofAge
+}
+
+// prove asks the leader for its position over a pooled connection.
+func (e *Edge) prove(ctx context.Context, s *service) {
+	defer func() {
+		e.mu.Lock()
+		s.proving = false
+		e.mu.Unlock()
+	}()
+	n := &need{service: s, deadline: e.options.Now().Add(2 * statusTimeout)}
+	next, ok := e.planWrite(n).(goTo)
+	if !ok {
+		sleep(ctx, tick)
+		return
+	}
+	a, err := e.acquire(n, next.target, 0)
+	if err != nil {
+		sleep(ctx, tick)
+		return
+	}
+	answers, err := e.send(n, a, nil, dfstatement.Call{Statement: dfstatement.Status{}})
+	if err != nil {
+		e.abandon(n, a, err)
+		return
+	}
+	report, err := a.conn.Report(answers[0])
+	e.release(n, a)
+	if err != nil {
+		e.log.Warn().Str("Service", s.name).Str("Upstream", string(a.upstream)).Err(err).Msg("proof: status is unreadable")
+		return
+	}
+	e.takeStatus(s, a.upstream, a.sentAt, report, answers[0])
+}
--- /dev/null
+++ b/dfplace/place.go
@@ -0,0 +1,224 @@
+// Package dfplace chooses the upstream that a statement runs on, by the expected
+// wait. It answers loads at which upstreams differ: a replica that lags, a slow
+// upstream, a primary busy with writes, and a data centre that is far away.
+package dfplace
+
+import (
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfposition"
+)
+
+const (
+	// usualWork is the expected time of a statement before any was measured. It
+	// lies between the shortest and the longest kind of the two users.
+	usualWork = 25 * dfclock.Millisecond
+	// smoothing is the weight of the newest of so many samples, as in TCP.
+	smoothing = 8
+	// forgetSpan is how long a measured time counts; afterwards the usual one
+	// does, so that an upstream that was slow is tried again.
+	forgetSpan = dfclock.Second
+	// lagTrust is how long a replica that lacked a position is passed over.
+	lagTrust = 250 * dfclock.Millisecond
+	// failureSpan is how long an upstream that failed is passed over while
+	// others can serve. It doubles with each failure in a row up to failureCap.
+	failureSpan = 200 * dfclock.Millisecond
+	failureCap  = 2 * dfclock.Second
+	// primaryPenalty keeps reads off the primary's slots, which writes need,
+	// until a replica's wait is longer by this factor, in percent.
+	primaryPenalty = 180
+	// remotePenalty is the cost of a round trip to another data centre and of
+	// its bytes, as a wait.
+	remotePenalty = 14 * dfclock.Millisecond
+)
+
+// Need is what a read asks of a log.
+type Need struct {
+	Position dfposition.Position
+	// At is the instant that the position covers; logs that are not further
+	// behind than it lies back are likely to have the position.
+	At dfclock.Millis
+}
+
+// Candidate is what is known of one upstream.
+type Candidate struct {
+	id    dffleet.ID
+	local bool
+	slots int
+	// work is the smoothed time of a statement in sixteenths of a millisecond.
+	work       dfclock.Millis
+	measuredAt dfclock.Millis
+	// outstanding counts this host's statements that wait or run there.
+	outstanding int
+	// position is the end of its log when it last answered.
+	position dfposition.Position
+	// lag is how far behind it was then.
+	lag      dfclock.Millis
+	laggedAt dfclock.Millis
+	failures int
+	// openAfter is the instant before which it is passed over.
+	openAfter dfclock.Millis
+}
+
+const scale = 16
+
+// Placer has the candidates of one service. It is not safe for concurrent use.
+type Placer struct {
+	candidates map[dffleet.ID]*Candidate
+}
+
+// New returns a placer without candidates.
+func New() *Placer {
+	return &Placer{candidates: map[dffleet.ID]*Candidate{}}
+}
+
+// Keep adds an upstream or updates what the list says of it.
+func (p *Placer) Keep(id dffleet.ID, local bool, slots int) {
+	c := p.candidates[id]
+	if c == nil {
+		c = &Candidate{id: id, work: usualWork * scale, measuredAt: -forgetSpan}
+		p.candidates[id] = c
+	}
+	c.local, c.slots = local, max(1, slots)
+}
+
+// Forget drops an upstream.
+func (p *Placer) Forget(id dffleet.ID) {
+	delete(p.candidates, id)
+}
+
+// Started counts a statement that waits for or runs on an upstream.
+func (p *Placer) Started(id dffleet.ID) {
+	if c := p.candidates[id]; c != nil {
+		c.outstanding++
+	}
+}
+
+// Ended takes a statement off the count.
+func (p *Placer) Ended(id dffleet.ID) {
+	if c := p.candidates[id]; c != nil && c.outstanding > 0 {
+		c.outstanding--
+	}
+}
+
+// Answered records an answer that took a span.
+func (p *Placer) Answered(now dfclock.Millis, id dffleet.ID, span dfclock.Millis) {
+	c := p.candidates[id]
+	if c == nil {
+		return
+	}
+	c.work = c.expected(now)
+	c.work += (span*scale - c.work) / smoothing
+	c.measuredAt = now
+	c.failures = 0
+	c.openAfter = 0
+}
+
+// Reached records the end of an upstream's log, and how far behind that was.
+func (p *Placer) Reached(id dffleet.ID, position dfposition.Position, lag dfclock.Millis) {
+	if c := p.candidates[id]; c != nil {
+		c.position, c.lag = position, lag
+	}
+}
+
+// Lagged records that an upstream lacked a position.
+func (p *Placer) Lagged(now dfclock.Millis, id dffleet.ID) {
+	if c := p.candidates[id]; c != nil {
+		c.laggedAt = now
+	}
+}
+
+// Failed records a connection or statement that failed for no reason of its own.
+func (p *Placer) Failed(now dfclock.Millis, id dffleet.ID) {
+	c := p.candidates[id]
+	if c == nil {
+		return
+	}
+	c.openAfter = now.Add(min(failureCap, failureSpan<<min(c.failures, 4)))
+	c.failures++
+}
+
+// expected is the measured time, which fades to the usual one.
+func (c *Candidate) expected(now dfclock.Millis) dfclock.Millis {
+	age := now - c.measuredAt
+	if age >= forgetSpan {
+		return usualWork * scale
+	}
+	return c.work + (usualWork*scale-c.work)*age/forgetSpan
+}
+
+// wait estimates when a further statement would be answered.
+func (c *Candidate) wait(now dfclock.Millis) dfclock.Millis {
+	expected := c.expected(now)
+	wait := expected + expected*dfclock.Millis(c.outstanding)/dfclock.Millis(c.slots)
+	if !c.local {
+		wait += remotePenalty * scale
+	}
+	return wait
+}
+
+// covers tells whether the log is likely to have what the read needs.
+func (c *Candidate) covers(now dfclock.Millis, need Need) bool {
+	if !c.position.Less(need.Position) {
+		return true
+	}
+	if now.Before(c.laggedAt.Add(lagTrust)) && c.laggedAt > 0 {
+		return false
+	}
+	return need.At <= now-c.lag
+}
+
+// Read chooses where a read runs. Upstreams in avoid were tried already. ok is
+// false if none is open and likely to have the position; the leader always has
+// it and is chosen if no replica is better.
+func (p *Placer) Read(now dfclock.Millis, need Need, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID) (dffleet.ID, bool) {
+	var best *Candidate
+	var bestWait dfclock.Millis
+	for _, upstream := range usable {
+		c := p.candidates[upstream.ID]
+		if c == nil || now.Before(c.openAfter) || contains(avoid, c.id) {
+			continue
+		}
+		if c.id != leader && !c.covers(now, need) {
+			continue
+		}
+		wait := c.wait(now)
+		if c.id == leader {
+			wait = wait * primaryPenalty / 100
+		}
+		if upstream.Draining {
+			wait *= 4
+		}
+		if best == nil || wait < bestWait {
+			best, bestWait = c, wait
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.id, true
+}
+
+// Open reports whether an upstream is not passed over.
+func (p *Placer) Open(now dfclock.Millis, id dffleet.ID) bool {
+	c := p.candidates[id]
+	return c != nil && !now.Before(c.openAfter)
+}
+
+// Wait estimates when a statement on an upstream would be answered.
+func (p *Placer) Wait(now dfclock.Millis, id dffleet.ID) dfclock.Millis {
+	c := p.candidates[id]
+	if c == nil {
+		return dfclock.Never
+	}
+	return c.wait(now) / scale
+}
+
+func contains(ids []dffleet.ID, id dffleet.ID) bool {
+	for _, known := range ids {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dfplatform/feed.go
@@ -0,0 +1,53 @@
+package dfplatform
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfcatalog"
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+)
+
+// Errors of feeds and orders, possibly wrapped.
+var (
+	// ErrHistoryLost means that changes can no longer be told one by one.
+	ErrHistoryLost = eris.New("platform: history is gone")
+	// ErrSuperseded means that an order was refused: a higher epoch was used, or
+	// the upstream that it names does not run.
+	ErrSuperseded = eris.New("platform: order refused")
+)
+
+// Changes is what a read or a feed of the platform told.
+type Changes struct {
+	// Version orders reads and feeds of all tables.
+	Version uint64
+	// Catalog is the newest document of the desired state, or nil.
+	Catalog []byte
+	// Upstreams changed, and Lapsed vanished.
+	Upstreams []dffleet.Upstream
+	Lapsed    []dffleet.ID
+	// Unreadable are entries that name no upstream to use.
+	Unreadable []dffleet.ID
+}
+
+// Feeds tells the desired state and the list of upstreams.
+type Feeds interface {
+	// Catalog and Upstreams read everything.
+	Catalog(ctx context.Context) (Changes, error)
+	Upstreams(ctx context.Context) (Changes, error)
+	// WaitCatalog and WaitUpstreams return as soon as something is newer than
+	// the version, or after the wait. ErrHistoryLost asks for a read of everything.
+	WaitCatalog(ctx context.Context, after uint64, wait dfclock.Millis) (Changes, error)
+	WaitUpstreams(ctx context.Context, after uint64, wait dfclock.Millis) (Changes, error)
+	// DecodeCatalog reads a document of the desired state.
+	DecodeCatalog(document []byte) (dfcatalog.Catalog, error)
+}
+
+// Orders carries out promotions.
+type Orders interface {
+	// Promote orders that an upstream leads its service. The epoch is a fencing
+	// token: the platform refuses one that is below the highest it has seen.
+	Promote(ctx context.Context, service string, id dffleet.ID, holder string, epoch uint64) error
+}
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -51,6 +51,8 @@
 	HostDraining    Code = 1007
 	PeerUnreachable Code = 1008
 	NeedsPrimary    Code = 1009
+	ConnectionLimit Code = 1010
+	WrongUpstream   Code = 1011
 
 	CommitUnknown     Code = 1101
 	ConnectionLost    Code = 1102
@@ -61,6 +63,9 @@
 	PrimaryChanged    Code = 1107
 	UpstreamRefused   Code = 1108
 	IdempotencyReplay Code = 1109
+	StatementTimeout  Code = 1110
+	StatementFailed   Code = 1111
+	StatementUnknown  Code = 1112
 
 	TokenMalformed    Code = 2001
 	TokenSignature    Code = 2002
@@ -106,6 +111,8 @@
 	HostDraining:          {NotRun, "57P01", "the host is shutting down"},
 	PeerUnreachable:       {NotRun, "57P03", "the peer host could not be reached"},
 	NeedsPrimary:          {NotRun, "25006", "the statement writes and a replica refused it"},
+	ConnectionLimit:       {NotRun, "53300", "the upstream has reached its limit of connections"},
+	WrongUpstream:         {NotRun, "57P03", "another upstream answers at the address"},
 	CommitUnknown:         {Unknown, "40003", "the commit was sent and its result is not known"},
 	ConnectionLost:        {Unknown, "08007", "the connection to the upstream was lost during the request"},
 	TransactionLost:       {NotRun, "40001", "the transaction was rolled back because its connection was lost"},
@@ -115,6 +122,9 @@
 	PrimaryChanged:        {Unknown, "40003", "the primary changed during the commit"},
 	UpstreamRefused:       {NotRun, "57P03", "the upstream refused the connection"},
 	IdempotencyReplay:     {Done, "00000", "the request ran before; the first result is returned"},
+	StatementTimeout:      {Unknown, "57014", "the statement did not end in time"},
+	StatementFailed:       {Unknown, "58000", "the statement ran and failed"},
+	StatementUnknown:      {NotRun, "26000", "no statement is prepared under the name"},
 	TokenMalformed:        {NotRun, "22023", "the session token is malformed"},
 	TokenSignature:        {NotRun, "22023", "the session token's signature is wrong"},
 	TokenKeyUnknown:       {NotRun, "22023", "the session token was signed with a key that is not in force"},
--- /dev/null
+++ b/dfsuccession/succession.go
@@ -0,0 +1,435 @@
+// Package dfsuccession decides when a service needs another leader and which
+// upstream it is, on platforms that carry out promotions on order. The order is
+// fenced by an epoch that comes from a row of the platform's table, so that of
+// two hosts that act at once only one takes effect.
+package dfsuccession
+
+import (
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfposition"
+)
+
+const (
+	// quietSpan is the silence of a leader with open requests after which it is
+	// probed. It is several times the work of the longest usual statement.
+	quietSpan = 250 * dfclock.Millisecond
+	// ProbeTimeout bounds a probe: a fresh connection behind a full queue of the
+	// upstream's slots.
+	ProbeTimeout = 350 * dfclock.Millisecond
+	// probeGap is the pause between two probes, so that one lost packet or one
+	// restart of a listener does not cost a leader its lead.
+	probeGap = 100 * dfclock.Millisecond
+	// probesFailed is the number of probes in a row that make a leader suspect.
+	probesFailed = 2
+	// rankDelay is the time that a host of the next rank waits for the others.
+	rankDelay = 250 * dfclock.Millisecond
+	// missingSpan is how long a service may be without a leader in the list
+	// before a promotion: the time of a change that is under way.
+	missingSpan = 1500 * dfclock.Millisecond
+	// askSpan bounds the questions to the replicas.
+	askSpan = 400 * dfclock.Millisecond
+	// usualPromotion is the time that a promotion takes before any was measured;
+	// PromotionSpan of the pages' longest deployment.
+	usualPromotion = dfclock.Second
+	// settleSpan is how long an ordered promotion may take to show.
+	settleSpan = 2500 * dfclock.Millisecond
+	// orderTries bounds repeats of an order without an answer.
+	orderTries = 4
+	// standDown is the pause after another host acted.
+	standDown = 1500 * dfclock.Millisecond
+)
+
+// Action is what the owner of a Successor has to do. Results come back as events.
+type Action interface{ action() }
+
+// Rest asks for nothing.
+type Rest struct{}
+
+// Probe asks for a status over a fresh connection.
+type Probe struct{ ID dffleet.ID }
+
+// AskAll asks for the status of all upstreams of the service.
+type AskAll struct{}
+
+// Claim asks for an epoch from the platform's table.
+type Claim struct{ Target dffleet.ID }
+
+// Order asks the platform to promote.
+type Order struct {
+	Target dffleet.ID
+	Epoch  uint64
+}
+
+func (Rest) action()   {}
+func (Probe) action()  {}
+func (AskAll) action() {}
+func (Claim) action()  {}
+func (Order) action()  {}
+
+// Event is the result of an action, or news of the leader.
+type Event interface{ event() }
+
+// Answered tells that an upstream answered on any connection.
+type Answered struct{ ID dffleet.ID }
+
+// Troubled tells that a connection to an upstream failed.
+type Troubled struct{ ID dffleet.ID }
+
+// ProbeFailed ends a Probe without an answer.
+type ProbeFailed struct{ ID dffleet.ID }
+
+// Reported is one answer to AskAll or Probe.
+type Reported struct {
+	ID       dffleet.ID
+	Primary  bool
+	Term     dfposition.Term
+	Received dfposition.Position
+}
+
+// AskEnded tells that no further answers to AskAll come.
+type AskEnded struct{}
+
+// Claimed ends a Claim with an epoch.
+type Claimed struct{ Epoch uint64 }
+
+// ClaimLost ends a Claim: another host acts, or the platform does not answer.
+type ClaimLost struct{}
+
+// Ordered ends an Order that the platform accepted.
+type Ordered struct{}
+
+// OrderRefused ends an Order that was fenced or named a dead upstream.
+type OrderRefused struct{}
+
+// OrderLost ends an Order without an answer.
+type OrderLost struct{}
+
+func (Answered) event()     {}
+func (Troubled) event()     {}
+func (ProbeFailed) event()  {}
+func (Reported) event()     {}
+func (AskEnded) event()     {}
+func (Claimed) event()      {}
+func (ClaimLost) event()    {}
+func (Ordered) event()      {}
+func (OrderRefused) event() {}
+func (OrderLost) event()    {}
+
+// Situation is what the host sees at a step.
+type Situation struct {
+	// Leader is empty if no upstream is believed to lead.
+	Leader dffleet.ID
+	// LeaderLeaving is true if it drains or vanished from the list.
+	LeaderLeaving bool
+	// Busy is true while requests wait for the leader.
+	Busy bool
+	// Listed are the upstreams that may lead, without draining ones.
+	Listed []dffleet.ID
+	// Members counts all upstreams in the list.
+	Members int
+	// Rank is this host's place among the live hosts for the service.
+	Rank int
+	// Alive and Dead count hosts, this one left out, that heard from the leader
+	// lately and that suspect it.
+	Alive, Dead int
+}
+
+type phase int
+
+const (
+	watching phase = iota
+	asking
+	claiming
+	ordering
+	settling
+)
+
+// Successor watches one service at one host. It is not safe for concurrent use.
+type Successor struct {
+	phase phase
+	// since is when the phase began.
+	since dfclock.Millis
+	// leader is the upstream that the watch is about.
+	leader     dffleet.ID
+	answeredAt dfclock.Millis
+	// troubledAt is the newest trouble; it counts only after answeredAt.
+	troubledAt dfclock.Millis
+	probing    bool
+	probedAt   dfclock.Millis
+	failures   int
+	// suspectAt is when the leader became suspect, or Never.
+	suspectAt dfclock.Millis
+	// missingAt is since when no leader is known, or Never.
+	missingAt dfclock.Millis
+	// leavingAt is since when the leader leaves, or Never.
+	leavingAt dfclock.Millis
+	reports   []Reported
+	askEnded  bool
+	target    dffleet.ID
+	epoch     uint64
+	tries     int
+	// sent is true while an order waits for its answer.
+	sent bool
+	// restUntil is the instant before which nothing is decided.
+	restUntil dfclock.Millis
+	orderedAt dfclock.Millis
+	// promotion is the measured time of a promotion.
+	promotion dfclock.Millis
+}
+
+// New returns the state of a host that knows nothing yet.
+func New(now dfclock.Millis) *Successor {
+	return &Successor{
+		since: now, answeredAt: now, suspectAt: dfclock.Never,
+		missingAt: dfclock.Never, leavingAt: dfclock.Never, promotion: usualPromotion,
+	}
+}
+
+// Suspected reports whether the leader does not answer this host.
+func (s *Successor) Suspected() bool {
+	return s.suspectAt != dfclock.Never
+}
+
+// HeardAt returns when the leader answered last.
+func (s *Successor) HeardAt() dfclock.Millis {
+	return s.answeredAt
+}
+
+// Acting reports whether this host is changing the leader.
+func (s *Successor) Acting() bool {
+	return s.phase != watching
+}
+
+// BackAt estimates when the service has a leader again. It is in the past if
+// there is one.
+func (s *Successor) BackAt(now dfclock.Millis) dfclock.Millis {
+	switch {
+	case s.phase == settling:
+		return s.orderedAt.Add(s.promotion)
+	case s.phase != watching:
+		return now.Add(s.promotion)
+	case s.Suspected() || s.missingAt != dfclock.Never:
+		return now.Add(s.promotion)
+	}
+	return 0
+}
+
+// Handle takes an event.
+func (s *Successor) Handle(now dfclock.Millis, event Event) {
+	switch e := event.(type) {
+	case Answered:
+		if e.ID == s.leader {
+			s.heard(now)
+		}
+	case Troubled:
+		if e.ID == s.leader {
+			s.troubledAt = now
+		}
+	case ProbeFailed:
+		s.probing = false
+		if e.ID == s.leader {
+			s.failures++
+			if s.failures >= probesFailed && !s.Suspected() {
+				s.suspectAt = now
+			}
+		}
+	case Reported:
+		s.reported(now, e)
+	case AskEnded:
+		s.askEnded = true
+	case Claimed:
+		if s.phase == claiming {
+			s.epoch, s.tries, s.sent = e.Epoch, 0, false
+			s.enter(now, ordering)
+		}
+	case ClaimLost:
+		s.giveUp(now, standDown)
+	case Ordered:
+		if s.phase == ordering {
+			s.orderedAt = now
+			s.enter(now, settling)
+		}
+	case OrderRefused:
+		s.giveUp(now, probeGap)
+	case OrderLost:
+		if s.phase == ordering {
+			s.sent = false
+			s.tries++
+			if s.tries >= orderTries {
+				s.giveUp(now, standDown)
+			}
+		}
+	}
+}
+
+func (s *Successor) heard(now dfclock.Millis) {
+	s.answeredAt = now
+	s.failures = 0
+	s.suspectAt = dfclock.Never
+}
+
+func (s *Successor) reported(now dfclock.Millis, report Reported) {
+	s.probing = false
+	if s.phase == asking {
+		s.reports = append(s.reports, report)
+	}
+	if report.ID == s.leader {
+		s.heard(now)
+	}
+}
+
+func (s *Successor) enter(now dfclock.Millis, next phase) {
+	s.phase, s.since = next, now
+}
+
+// giveUp returns to the watch and decides nothing for a while.
+func (s *Successor) giveUp(now, rest dfclock.Millis) {
+	s.enter(now, watching)
+	s.restUntil = now.Add(rest)
+}
+
+// Step returns what to do now. It is called several times a second.
+func (s *Successor) Step(now dfclock.Millis, situation Situation) Action {
+	s.observe(now, situation)
+	switch s.phase {
+	case watching:
+		return s.watch(now, situation)
+	case asking:
+		return s.choose(now, situation)
+	case settling:
+		return s.settle(now, situation)
+	case ordering:
+		return s.order(now)
+	}
+	return Rest{}
+}
+
+// order repeats an order whose answer was lost. Repeats carry the same epoch
+// and target, so that a late first try changes nothing.
+func (s *Successor) order(now dfclock.Millis) Action {
+	if now-s.since >= settleSpan {
+		s.giveUp(now, probeGap)
+		return Rest{}
+	}
+	if s.sent {
+		return Rest{}
+	}
+	s.sent = true
+	return Order{Target: s.target, Epoch: s.epoch}
+}
+
+// observe follows changes of the leader.
+func (s *Successor) observe(now dfclock.Millis, situation Situation) {
+	if situation.Leader != s.leader {
+		s.leader = situation.Leader
+		s.heard(now)
+		s.troubledAt = 0
+		s.leavingAt = dfclock.Never
+	}
+	s.missingAt = since(now, s.missingAt, situation.Leader == "")
+	s.leavingAt = since(now, s.leavingAt, situation.LeaderLeaving)
+}
+
+func since(now, known dfclock.Millis, holds bool) dfclock.Millis {
+	if !holds {
+		return dfclock.Never
+	}
+	return min(known, now)
+}
+
+func (s *Successor) watch(now dfclock.Millis, situation Situation) Action {
+	if now < s.restUntil {
+		return Rest{}
+	}
+	delay := dfclock.Millis(situation.Rank) * rankDelay
+	if s.due(now, situation, delay) {
+		s.reports, s.askEnded = nil, false
+		s.enter(now, asking)
+		return AskAll{}
+	}
+	if situation.Leader == "" || s.probing || now-s.probedAt < probeGap {
+		return Rest{}
+	}
+	quiet := situation.Busy && now-s.answeredAt >= quietSpan
+	troubled := s.troubledAt > s.answeredAt
+	if quiet || troubled || s.failures > 0 {
+		s.probing, s.probedAt = true, now
+		return Probe{ID: situation.Leader}
+	}
+	return Rest{}
+}
+
+// due tells whether it is time for this host to change the leader. Hosts of a
+// higher rank wait longer, so that usually one acts.
+func (s *Successor) due(now dfclock.Millis, situation Situation, delay dfclock.Millis) bool {
+	if len(situation.Listed) == 0 {
+		return false
+	}
+	switch {
+	case situation.Leader == "":
+		return now-s.missingAt >= missingSpan+delay
+	case s.Suspected():
+		return now-s.suspectAt >= delay && situation.Dead+1 > situation.Alive
+	case s.leavingAt != dfclock.Never:
+		return now-s.leavingAt >= delay
+	}
+	return false
+}
+
+// choose claims an epoch for the upstream with the longest log, once a majority
+// of the upstreams answered: the side of a partition that has fewer of them
+// leaves the leader to the other side.
+func (s *Successor) choose(now dfclock.Millis, situation Situation) Action {
+	if !s.askEnded && now-s.since < askSpan && len(s.reports) < situation.Members {
+		return Rest{}
+	}
+	var best *Reported
+	for i := range s.reports {
+		report := &s.reports[i]
+		if report.ID == s.leader && report.Primary && !situation.LeaderLeaving {
+			s.giveUp(now, probeGap)
+			return Rest{}
+		}
+		if report.ID == s.leader || !listed(situation.Listed, report.ID) {
+			continue
+		}
+		if best == nil || best.Received.Less(report.Received) {
+			best = report
+		}
+	}
+	if best == nil || len(s.reports)*2 <= situation.Members {
+		s.giveUp(now, probeGap)
+		return Rest{}
+	}
+	s.target = best.ID
+	s.enter(now, claiming)
+	return Claim{Target: best.ID}
+}
+
+func listed(ids []dffleet.ID, id dffleet.ID) bool {
+	for _, known := range ids {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
+
+// settle waits until the target leads.
+func (s *Successor) settle(now dfclock.Millis, situation Situation) Action {
+	if situation.Leader == s.target {
+		s.promotion = max(dfclock.Millisecond, now-s.orderedAt)
+		s.giveUp(now, 0)
+		return Rest{}
+	}
+	if now-s.orderedAt >= settleSpan {
+		s.giveUp(now, probeGap)
+		return Rest{}
+	}
+	if !s.probing && now-s.probedAt >= probeGap && now-s.orderedAt >= s.promotion/2 {
+		s.probing, s.probedAt = true, now
+		return Probe{ID: s.target}
+	}
+	return Rest{}
+}
