--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -1,10 +1,13 @@
 package dfcli
 
 import (
+	"context"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -21,6 +24,8 @@
 	memoryShare = 70
 	// logQueue bounds the lines that wait for the output; more are dropped.
 	logQueue = 512
+	// settingsPeriod is how often the settings file is checked for a change.
+	settingsPeriod = 5 * time.Second
 )
 
 // EdgeCommand runs one host on a machine of the platform until SIGTERM.
@@ -59,5 +64,43 @@
 	if err != nil {
 		return usageError{err}
 	}
+	go c.reload(env.ctx, edge, logger)
 	return edge.Run(env.ctx)
 }
+
+// reload reads the settings again on SIGHUP, and when the file has changed
+// without a signal.
+func (c *EdgeCommand) reload(ctx context.Context, edge *dfedge.Edge, logger *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	last := modified(c.Settings)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-ticker.C:
+			if modified(c.Settings).Equal(last) {
+				continue
+			}
+		}
+		last = modified(c.Settings)
+		settings, err := platform.ReadSettings(c.Settings)
+		if err != nil {
+			logger.Error().Err(err).Msg("edge: changed settings refused, the earlier ones stay in force")
+			continue
+		}
+		edge.Reload(ctx, settings.Seeds, settings.DrainTimeout, settings.GracePeriod)
+	}
+}
+
+// modified returns when a file was written, or the zero time if it can't be read.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -14,6 +14,7 @@
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dffresh"
+	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfsuccession"
@@ -109,6 +110,19 @@
 	return nil
 }
 
+// Reload puts changed settings in force: the seeds and the bounds of shutdown
+// and drain. Addresses stay as they were at the start.
+func (e *Edge) Reload(ctx context.Context, seeds []string, drainTimeout, gracePeriod dfclock.Millis) {
+	e.mu.Lock()
+	changed := e.options.DrainTimeout != drainTimeout || e.options.GracePeriod != gracePeriod
+	e.options.Seeds, e.options.DrainTimeout, e.options.GracePeriod = seeds, drainTimeout, gracePeriod
+	e.mu.Unlock()
+	for _, seed := range seeds {
+		e.learn(ctx, dfmember.Host{Address: seed})
+	}
+	e.log.Info().Bool("BoundsChanged", changed).Strs("Seeds", seeds).Msg("edge: settings read again")
+}
+
 // beat takes the decisions that depend on time.
 func (e *Edge) beat(ctx context.Context) {
 	ticker := time.NewTicker(tick)
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -89,7 +89,7 @@
 }
 
 // status asks an upstream over a fresh connection.
-func (e *Edge) status(ctx context.Context, s *service, upstream dffleet.Upstream, timeout dfclock.Millis) (dfstatement.Report, error) {
+func (e *Edge) status(ctx context.Context, s *service, upstream dffleet.Upstream, timeout dfclock.Millis, probe bool) (dfstatement.Report, error) {
 	startedAt := e.options.Now()
 	deadline := time.Now().Add(time.Duration(timeout) * time.Millisecond)
 	conn, err := e.dial(ctx, upstream, timeout)
@@ -108,12 +108,12 @@
 	if err != nil {
 		return dfstatement.Report{}, err
 	}
-	e.takeStatus(s, upstream.ID, startedAt, report, answers[0])
+	e.takeStatus(s, upstream.ID, startedAt, report, answers[0], probe)
 	return report, nil
 }
 
 // takeStatus learns from a report that was asked for at an instant.
-func (e *Edge) takeStatus(s *service, id dffleet.ID, askedAt dfclock.Millis, report dfstatement.Report, answer dfstatement.Answer) {
+func (e *Edge) takeStatus(s *service, id dffleet.ID, askedAt dfclock.Millis, report dfstatement.Report, answer dfstatement.Answer, probe bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
@@ -129,7 +129,7 @@
 	}
 	s.placer.Reached(id, answer.Position, now-s.timeline.CoveredAt(answer.Position))
 	s.successor.Handle(now, dfsuccession.Reported{
-		ID: id, Primary: report.Primary, Term: report.Term, Received: report.Received,
+		ID: id, Primary: report.Primary, Term: report.Term, Received: report.Received, Probe: probe,
 	})
 }
 
@@ -141,7 +141,7 @@
 		e.tell(s, dfsuccession.ProbeFailed{ID: id})
 		return
 	}
-	if _, err := e.status(ctx, s, upstream, dfsuccession.ProbeTimeout); err != nil {
+	if _, err := e.status(ctx, s, upstream, dfsuccession.ProbeTimeout, true); err != nil {
 		e.counters.probesFailed.Inc()
 		e.log.Warn().Str("Service", s.name).Str("Upstream", string(id)).Err(err).Msg("succession: probe failed")
 		if isConnectionLimit(err) {
@@ -161,7 +161,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			report, err := e.status(ctx, s, upstream, statusTimeout)
+			report, err := e.status(ctx, s, upstream, statusTimeout, false)
 			e.log.Info().Str("Service", s.name).Str("Upstream", string(upstream.ID)).Bool("Primary", report.Primary).
 				Str("Received", report.Received.String()).Err(err).Msg("succession: upstream asked")
 		}()
@@ -299,5 +299,5 @@
 		e.log.Warn().Str("Service", s.name).Str("Upstream", string(a.upstream)).Err(err).Msg("proof: status is unreadable")
 		return
 	}
-	e.takeStatus(s, a.upstream, a.sentAt, report, answers[0])
+	e.takeStatus(s, a.upstream, a.sentAt, report, answers[0], false)
 }
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -172,20 +172,29 @@
 	if err != nil {
 		return dfstatement.Answer{}, err
 	}
-	answers, err := e.send(t.need, a, x.context, t.opening(to), call)
+	// The statement is sent once the transaction is open: behind a refused
+	// opening it would run outside of any transaction.
+	begun, err := e.send(t.need, a, nil, t.opening(to))
 	if err != nil {
 		e.abandon(t.need, a, err)
 		return dfstatement.Answer{}, err
 	}
-	begun, answer := answers[0], answers[1]
-	if !begun.OK() {
-		e.learned(t.need.service, a.upstream, a.sentAt, begun, false)
-		t.need.discarded = t.need.discarded || begun.Code == dfresult.NoFreshUpstream && e.leads(t.need.service, a.upstream)
+	if !begun[0].OK() {
+		e.learned(t.need.service, a.upstream, a.sentAt, begun[0], false)
+		if begun[0].Code == dfresult.NoFreshUpstream && e.leads(t.need.service, a.upstream) {
+			t.need.discarded = true
+		}
 		t.undo(a)
-		return dfstatement.Answer{}, dfresult.NewError(begun.Code, "%s", begun.Detail)
+		return dfstatement.Answer{}, dfresult.NewError(begun[0].Code, "%s", begun[0].Detail)
+	}
+	answers, err := e.send(t.need, a, x.context, call)
+	if err != nil {
+		e.abandon(t.need, a, err)
+		return dfstatement.Answer{}, err
 	}
+	answer := answers[0]
 	t.proved = to.proof
-	if answer.Code.Outcome() == dfresult.NotRun && !answer.OK() {
+	if !answer.OK() && answer.Code.Outcome() == dfresult.NotRun {
 		t.took(a, call, answer)
 		t.undo(a)
 		return dfstatement.Answer{}, dfresult.NewError(answer.Code, "%s", answer.Detail)
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -118,14 +118,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
-	if whole {
-		e.fleet.Replace(now, changes.Upstreams, changes.Version)
-		e.fleetRead = true
-	}
 	for _, upstream := range changes.Upstreams {
+		before, known := e.fleet.Find(upstream.ID)
 		e.fleet.Put(now, upstream)
+		if known && before == upstream {
+			continue
+		}
 		e.log.Info().Str("Service", upstream.Service).Str("Upstream", string(upstream.ID)).
-			Bool("Primary", upstream.Primary).Bool("Draining", upstream.Draining).
+			Str("DataCentre", upstream.DataCentre).Bool("Primary", upstream.Primary).Bool("Draining", upstream.Draining).
 			Uint64("Entry", upstream.Version).Msg("fleet: entry changed")
 	}
 	for _, id := range changes.Lapsed {
@@ -136,6 +136,10 @@
 		e.fleet.Lapse(now, id, changes.Version)
 		e.log.Warn().Str("Upstream", string(id)).Uint64("Entry", changes.Version).Msg("fleet: entry is unreadable")
 	}
+	if whole {
+		e.fleet.Replace(now, changes.Upstreams, changes.Version)
+		e.fleetRead = true
+	}
 	e.reconcile()
 }
 
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -85,6 +85,8 @@
 	Primary  bool
 	Term     dfposition.Term
 	Received dfposition.Position
+	// Probe is true for the answer to a Probe.
+	Probe bool
 }
 
 // AskEnded tells that no further answers to AskAll come.
@@ -155,9 +157,10 @@
 	answeredAt dfclock.Millis
 	// troubledAt is the newest trouble; it counts only after answeredAt.
 	troubledAt dfclock.Millis
-	probing    bool
-	probedAt   dfclock.Millis
-	failures   int
+	// probing counts probes under way.
+	probing  int
+	probedAt dfclock.Millis
+	failures int
 	// suspectAt is when the leader became suspect, or Never.
 	suspectAt dfclock.Millis
 	// missingAt is since when no leader is known, or Never.
@@ -227,7 +230,7 @@
 			s.troubledAt = now
 		}
 	case ProbeFailed:
-		s.probing = false
+		s.probing--
 		if e.ID == s.leader {
 			s.failures++
 			if s.failures >= probesFailed && !s.Suspected() {
@@ -270,7 +273,9 @@
 }
 
 func (s *Successor) reported(now dfclock.Millis, report Reported) {
-	s.probing = false
+	if report.Probe {
+		s.probing--
+	}
 	if s.phase == asking {
 		s.reports = append(s.reports, report)
 	}
@@ -322,6 +327,10 @@
 // observe follows changes of the leader.
 func (s *Successor) observe(now dfclock.Millis, situation Situation) {
 	if situation.Leader != s.leader {
+		if s.phase != watching && s.phase != settling {
+			// The decision was about another leader.
+			s.giveUp(now, standDown)
+		}
 		s.leader = situation.Leader
 		s.heard(now)
 		s.troubledAt = 0
@@ -348,13 +357,13 @@
 		s.enter(now, asking)
 		return AskAll{}
 	}
-	if situation.Leader == "" || s.probing || now-s.probedAt < probeGap {
+	if situation.Leader == "" || s.probing >= probesFailed || now-s.probedAt < probeGap {
 		return Rest{}
 	}
 	quiet := situation.Busy && now-s.answeredAt >= quietSpan
 	troubled := s.troubledAt > s.answeredAt
 	if quiet || troubled || s.failures > 0 {
-		s.probing, s.probedAt = true, now
+		s.probing, s.probedAt = s.probing+1, now
 		return Probe{ID: situation.Leader}
 	}
 	return Rest{}
@@ -381,7 +390,7 @@
 // of the upstreams answered: the side of a partition that has fewer of them
 // leaves the leader to the other side.
 func (s *Successor) choose(now dfclock.Millis, situation Situation) Action {
-	if !s.askEnded && now-s.since < askSpan && len(s.reports) < situation.Members {
+	if !s.askEnded && now-s.since < askSpan && s.unanswered(situation) {
 		return Rest{}
 	}
 	var best *Reported
@@ -407,6 +416,29 @@
 	return Claim{Target: best.ID}
 }
 
+// unanswered tells whether an upstream that matters has not reported yet. A
+// suspect leader is not waited for.
+func (s *Successor) unanswered(situation Situation) bool {
+	for _, id := range situation.Listed {
+		if id == s.leader && s.Suspected() {
+			continue
+		}
+		if !s.hasReport(id) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Successor) hasReport(id dffleet.ID) bool {
+	for _, report := range s.reports {
+		if report.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 func listed(ids []dffleet.ID, id dffleet.ID) bool {
 	for _, known := range ids {
 		if known == id {
@@ -427,8 +459,8 @@
 		s.giveUp(now, probeGap)
 		return Rest{}
 	}
-	if !s.probing && now-s.probedAt >= probeGap && now-s.orderedAt >= s.promotion/2 {
-		s.probing, s.probedAt = true, now
+	if s.probing == 0 && now-s.probedAt >= probeGap && now-s.orderedAt >= s.promotion/2 {
+		s.probing, s.probedAt = s.probing+1, now
 		return Probe{ID: s.target}
 	}
 	return Rest{}
