Refuse statements that would be late; try lagging replicas again

Promotions: a list whose entries lapsed together while the store was away made its leaders look as if they left; claims were not bound to the leader that the decision was about. Ruled out: connection shares (16 refused openings in 14 s). Change: lag is trusted for 250 ms, then one read tries the replica; a statement whose expected wait exceeds the aim of its route is refused at once with the time to come back; vanished upstreams keep a lead for 2.2 s; a candidate of an older term is never promoted.

--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -22,18 +22,17 @@
 	led bool
 }
 
-// acquire takes a connection for an attempt.
+// acquire takes a connection for an attempt. Attempts that wait for one count
+// as load of the upstream.
 func (e *Edge) acquire(n *need, to target, priority int) (*attempt, error) {
+	a := &attempt{target: to, led: e.began(n.service, to.upstream)}
 	now := e.options.Now()
 	conn, err := to.pool.Acquire(priority, min(n.deadline, now.Add(to.patience)))
 	if err != nil {
+		e.ended(n.service, to.upstream, a.led)
 		return nil, err
 	}
-	a := &attempt{target: to, conn: conn}
-	e.mu.Lock()
-	a.led = to.upstream == n.service.leader
-	e.mu.Unlock()
-	e.began(n.service, to.upstream)
+	a.conn = conn
 	return a, nil
 }
 
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -36,6 +36,8 @@
 	// arrivedAt is when the statement, or its transaction, arrived.
 	arrivedAt dfclock.Millis
 	deadline  dfclock.Millis
+	// aim is the latency that the caller expects, or zero.
+	aim dfclock.Millis
 	// own is the newest commit of the session, and when it was acknowledged.
 	own   dfposition.Position
 	ownAt dfclock.Millis
@@ -81,6 +83,9 @@
 	if ok && e.mayUse(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
 		if pool != nil && (s.placer.Open(now, leader.ID) || pool.Stats().Idle > 0) {
+			if err := overload(now, n, s.placer.Wait(now, leader.ID)); err != nil {
+				return refuse{err}
+			}
 			return goTo{target{
 				pool: pool, upstream: leader.ID, proof: true,
 				patience: n.deadline - now, silence: n.deadline - now,
@@ -99,6 +104,21 @@
 	return pause{e.changed, min(n.deadline, now.Add(10*refusePause))}
 }
 
+// overload refuses a statement that would be answered later than its caller
+// expects. It answers loads above the capacity of the upstreams: whoever is let
+// in is served in time, and the rest learns at once when to come back.
+func overload(now dfclock.Millis, n *need, wait dfclock.Millis) *dfresult.Error {
+	patience := n.deadline - now
+	if n.aim > 0 {
+		patience = min(patience, n.aim)
+	}
+	if wait <= patience {
+		return nil
+	}
+	return dfresult.NewError(dfresult.QueueFull, "service %s: expected wait %s, patience %s", n.service.name, wait, patience).
+		WithRetryAfter(wait - patience)
+}
+
 // mayUse reports whether an upstream may get new work: one that leaves gets
 // none a while before the bound of the drain.
 func (e *Edge) mayUse(now dfclock.Millis, upstream dffleet.Upstream) bool {
@@ -138,6 +158,9 @@
 		n.avoid = nil
 		return pause{e.changed, min(n.deadline, now.Add(refusePause))}
 	}
+	if err := overload(now, n, s.placer.Wait(now, id)); err != nil {
+		return refuse{err}
+	}
 	silence := min(n.deadline-now, max(silenceFloor, silenceFactor*s.placer.Wait(now, id)))
 	return goTo{target{
 		pool: s.pools[id], upstream: id, after: wanted.Position,
@@ -164,14 +187,16 @@
 	return leaving
 }
 
-// began counts a statement at an upstream.
-func (e *Edge) began(s *service, id dffleet.ID) {
+// began counts a statement at an upstream, and tells whether that one leads.
+func (e *Edge) began(s *service, id dffleet.ID) (led bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.placer.Started(id)
-	if id == s.leader {
+	led = id == s.leader
+	if led {
 		s.waiting++
 	}
+	return led
 }
 
 // ended takes it off the count.
@@ -199,13 +224,11 @@
 	}
 	if !answer.Position.IsZero() {
 		lag := now - s.timeline.CoveredAt(answer.Position)
-		s.placer.Reached(id, answer.Position, lag)
+		s.placer.Reached(now, id, answer.Position, lag)
 	}
 	switch answer.Code {
 	case dfresult.OK:
 		s.placer.Answered(now, id, now-sentAt)
-	case dfresult.NoFreshUpstream:
-		s.placer.Lagged(now, id)
 	case dfresult.NeedsPrimary:
 		e.fleet.Refuted(now, id)
 		e.follow(now, s)
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -238,6 +238,7 @@
 		freshness: x.route.Freshness,
 		arrivedAt: began,
 		deadline:  now.Add(x.route.Timeout),
+		aim:       x.route.Aim,
 	}
 	if _, own := x.route.Freshness.(dfcatalog.OwnWrites); own {
 		n.own, n.ownAt = x.own, x.ownAt
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -51,7 +51,7 @@
 		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Msg("succession: asking the replicas")
 		return func() { e.askAll(ctx, s) }
 	case dfsuccession.Claim:
-		return func() { e.claim(ctx, s, a.Target) }
+		return func() { e.claim(ctx, s, a) }
 	case dfsuccession.Order:
 		return func() { e.order(ctx, s, a) }
 	}
@@ -68,13 +68,13 @@
 	upstreams := e.fleet.Of(s.name)
 	situation.Members = len(upstreams)
 	for _, upstream := range upstreams {
-		if e.fleet.LeavingSince(upstream.ID) == dfclock.Never {
+		if !e.fleet.Departing(now, upstream.ID) {
 			situation.Listed = append(situation.Listed, upstream.ID)
 		}
 	}
 	if leader, ok := e.fleet.Leader(now, s.name); ok {
 		situation.Leader = leader.ID
-		situation.LeaderLeaving = e.fleet.LeavingSince(leader.ID) != dfclock.Never
+		situation.LeaderLeaving = e.fleet.Departing(now, leader.ID)
 	}
 	situation.Rank = max(0, dfmember.RankOf(s.name, e.circle.Live(now), e.options.Self.ID))
 	situation.Alive, situation.Dead = e.circle.Votes(now, s.name, situation.Leader, s.successor.HeardAt())
@@ -127,7 +127,7 @@
 		e.fleet.Refuted(now, id)
 		e.follow(now, s)
 	}
-	s.placer.Reached(id, answer.Position, now-s.timeline.CoveredAt(answer.Position))
+	s.placer.Reached(now, id, answer.Position, now-s.timeline.CoveredAt(answer.Position))
 	s.successor.Handle(now, dfsuccession.Reported{
 		ID: id, Primary: report.Primary, Term: report.Term, Received: report.Received, Probe: probe,
 	})
@@ -171,8 +171,9 @@
 }
 
 // claim takes an epoch from the table by a conditional write.
-func (e *Edge) claim(ctx context.Context, s *service, target dffleet.ID) {
-	epoch, err := e.takeEpoch(ctx, s, target)
+func (e *Edge) claim(ctx context.Context, s *service, wanted dfsuccession.Claim) {
+	target := wanted.Target
+	epoch, err := e.takeEpoch(ctx, s, wanted)
 	if err != nil {
 		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Err(err).Msg("succession: no epoch")
 		e.tell(s, dfsuccession.ClaimLost{})
@@ -182,7 +183,7 @@
 	e.tell(s, dfsuccession.Claimed{Epoch: epoch})
 }
 
-func (e *Edge) takeEpoch(ctx context.Context, s *service, target dffleet.ID) (uint64, error) {
+func (e *Edge) takeEpoch(ctx context.Context, s *service, wanted dfsuccession.Claim) (uint64, error) {
 	key := claimsTable + s.name
 	platform := e.options.Platform
 	row, err := platform.Get(ctx, key)
@@ -195,11 +196,11 @@
 			return 0, eris.Wrap(err, "succession: decode claim")
 		}
 	}
-	if e.pending(s, row.Version, last) {
+	if e.pending(s, row.Version, last, wanted) {
 		return 0, eris.Errorf("succession: %s has just claimed %s", last.Holder, last.Target)
 	}
 	e.mu.Lock()
-	value, err := json.Marshal(claim{Holder: e.options.Self.ID, Replaced: s.leader, Target: target})
+	value, err := json.Marshal(claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target})
 	source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
 	e.mu.Unlock()
 	if err != nil {
@@ -230,16 +231,20 @@
 	return ctx.Err()
 }
 
-// pending reports whether another host's claim against the same leader may
-// still take effect.
-func (e *Edge) pending(s *service, version uint64, last claim) bool {
+// pending reports whether an earlier claim may still take effect, or has taken
+// effect without this host's knowledge.
+func (e *Edge) pending(s *service, version uint64, last claim, wanted dfsuccession.Claim) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
 	if s.claimSeen != version {
 		s.claimSeen, s.claimSeenAt = version, now
 	}
-	if version == 0 || last.Holder == e.options.Self.ID || last.Replaced != s.leader {
+	if version == 0 || last == (claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target}) {
+		return false
+	}
+	// A leader that follows from the claim itself was learned after it.
+	if last.Target == wanted.Replaced {
 		return false
 	}
 	return now-s.claimSeenAt < claimHold
--- a/dffleet/fleet.go
+++ b/dffleet/fleet.go
@@ -13,6 +13,10 @@
 	// be used. Upstreams that live return to the list within 2 s after an outage
 	// of the platform; the rest is for the list's delay.
 	LapseGrace = 3 * dfclock.Second
+	// ReturnSpan is how long an upstream that vanished from the list is given to
+	// come back before another one takes its lead. After an outage of the
+	// platform upstreams that live are back within 2 s.
+	ReturnSpan = 2200 * dfclock.Millisecond
 	// RefutedSpan is how long a refuted lead is disbelieved without newer news.
 	// It is longer than a promotion takes.
 	RefutedSpan = 2500 * dfclock.Millisecond
@@ -229,6 +233,17 @@
 	return m.upstream.ID < other.upstream.ID
 }
 
+// Departing reports whether an upstream drains, or vanished for so long that it
+// does not come back.
+func (f *Fleet) Departing(now dfclock.Millis, id ID) bool {
+	known := f.members[id]
+	if known == nil {
+		return true
+	}
+	return known.drainingAt != dfclock.Never ||
+		known.lapsedAt != dfclock.Never && now.Reached(known.lapsedAt.Add(ReturnSpan))
+}
+
 // LeavingSince returns when a host learned that an upstream is draining or has
 // vanished, or Never.
 func (f *Fleet) LeavingSince(id ID) dfclock.Millis {
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -18,7 +18,8 @@
 	// forgetSpan is how long a measured time counts; afterwards the usual one
 	// does, so that an upstream that was slow is tried again.
 	forgetSpan = dfclock.Second
-	// lagTrust is how long a replica that lacked a position is passed over.
+	// lagTrust is how long a replica that was behind is passed over. Then one
+	// read tries it again, which costs it nothing if it is still behind.
 	lagTrust = 250 * dfclock.Millisecond
 	// failureSpan is how long an upstream that failed is passed over while
 	// others can serve. It doubles with each failure in a row up to failureCap.
@@ -53,8 +54,9 @@
 	// position is the end of its log when it last answered.
 	position dfposition.Position
 	// lag is how far behind it was then.
-	lag      dfclock.Millis
-	laggedAt dfclock.Millis
+	lag dfclock.Millis
+	// seenAt is when lag was learned, or when a read was sent to learn it.
+	seenAt   dfclock.Millis
 	failures int
 	// openAfter is the instant before which it is passed over.
 	openAfter dfclock.Millis
@@ -115,16 +117,9 @@
 }
 
 // Reached records the end of an upstream's log, and how far behind that was.
-func (p *Placer) Reached(id dffleet.ID, position dfposition.Position, lag dfclock.Millis) {
+func (p *Placer) Reached(now dfclock.Millis, id dffleet.ID, position dfposition.Position, lag dfclock.Millis) {
 	if c := p.candidates[id]; c != nil {
-		c.position, c.lag = position, lag
-	}
-}
-
-// Lagged records that an upstream lacked a position.
-func (p *Placer) Lagged(now dfclock.Millis, id dffleet.ID) {
-	if c := p.candidates[id]; c != nil {
-		c.laggedAt = now
+		c.position, c.lag, c.seenAt = position, lag, now
 	}
 }
 
@@ -157,15 +152,14 @@
 	return wait
 }
 
-// covers tells whether the log is likely to have what the read needs.
-func (c *Candidate) covers(now dfclock.Millis, need Need) bool {
-	if !c.position.Less(need.Position) {
-		return true
-	}
-	if now.Before(c.laggedAt.Add(lagTrust)) && c.laggedAt > 0 {
-		return false
+// covers tells whether the log is likely to have what the read needs. trial is
+// true if only a read can tell.
+func (c *Candidate) covers(now dfclock.Millis, need Need) (covers, trial bool) {
+	if !c.position.Less(need.Position) || need.At <= now-c.lag {
+		return true, false
 	}
-	return need.At <= now-c.lag
+	trial = now >= c.seenAt.Add(lagTrust)
+	return trial, trial
 }
 
 // Read chooses where a read runs. Upstreams in avoid were tried already. ok is
@@ -174,12 +168,14 @@
 func (p *Placer) Read(now dfclock.Millis, need Need, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID) (dffleet.ID, bool) {
 	var best *Candidate
 	var bestWait dfclock.Millis
+	bestTrial := false
 	for _, upstream := range usable {
 		c := p.candidates[upstream.ID]
 		if c == nil || now.Before(c.openAfter) || contains(avoid, c.id) {
 			continue
 		}
-		if c.id != leader && !c.covers(now, need) {
+		covers, trial := c.covers(now, need)
+		if c.id != leader && !covers {
 			continue
 		}
 		wait := c.wait(now)
@@ -190,12 +186,15 @@
 			wait *= 4
 		}
 		if best == nil || wait < bestWait {
-			best, bestWait = c, wait
+			best, bestWait, bestTrial = c, wait, trial
 		}
 	}
 	if best == nil {
 		return "", false
 	}
+	if bestTrial {
+		best.seenAt = now
+	}
 	return best.id, true
 }
 
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -52,8 +52,9 @@
 // AskAll asks for the status of all upstreams of the service.
 type AskAll struct{}
 
-// Claim asks for an epoch from the platform's table.
-type Claim struct{ Target dffleet.ID }
+// Claim asks for an epoch from the platform's table. It holds only against the
+// leader that the decision was about.
+type Claim struct{ Target, Replaced dffleet.ID }
 
 // Order asks the platform to promote.
 type Order struct {
@@ -396,7 +397,8 @@
 	var best *Reported
 	for i := range s.reports {
 		report := &s.reports[i]
-		if report.ID == s.leader && report.Primary && !situation.LeaderLeaving {
+		if report.Primary && (report.ID != s.leader || !situation.LeaderLeaving) {
+			// The service has a leader that answers.
 			s.giveUp(now, probeGap)
 			return Rest{}
 		}
@@ -407,13 +409,24 @@
 			best = report
 		}
 	}
-	if best == nil || len(s.reports)*2 <= situation.Members {
+	if best == nil || len(s.reports)*2 <= situation.Members || s.outranked(best) {
 		s.giveUp(now, probeGap)
 		return Rest{}
 	}
 	s.target = best.ID
 	s.enter(now, claiming)
-	return Claim{Target: best.ID}
+	return Claim{Target: best.ID, Replaced: s.leader}
+}
+
+// outranked tells whether some upstream has seen a newer term than the
+// candidate. Promoting it would bring back what that term discarded.
+func (s *Successor) outranked(candidate *Reported) bool {
+	for i := range s.reports {
+		if s.reports[i].Received.Term > candidate.Received.Term {
+			return true
+		}
+	}
+	return false
 }
 
 // unanswered tells whether an upstream that matters has not reported yet. A
