--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -140,6 +140,7 @@
 func (e *Edge) step(ctx context.Context) {
 	e.mu.Lock()
 	now := e.options.Now()
+	e.link(ctx)
 	if gone := e.fleet.Expire(now); len(gone) > 0 {
 		e.log.Info().Int("Gone", len(gone)).Msg("fleet: upstreams left the list")
 		e.reconcile()
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -86,24 +86,36 @@
 
 // exchange asks one neighbour and returns the connection for the next time.
 func (e *Edge) exchange(ctx context.Context, address string, conn net.Conn) (net.Conn, error) {
+	next, err := e.ask(ctx, address, conn)
+	if err != nil {
+		e.mu.Lock()
+		e.circle.Failed(e.options.Now(), address)
+		e.mu.Unlock()
+	}
+	return next, err
+}
+
+func (e *Edge) ask(ctx context.Context, address string, conn net.Conn) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	question := e.question()
 	if conn == nil {
 		opened, err := e.options.Dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		conn = opened
+		question.Host = e.options.Self
 	}
 	deadline, _ := ctx.Deadline()
 	askedAt := e.options.Now()
 	if err := conn.SetDeadline(deadline); err != nil {
 		return nil, closed(conn, err)
 	}
-	if err := dfneighbour.WriteFrame(conn, e.report()); err != nil {
+	if err := dfneighbour.WriteQuestion(conn, question); err != nil {
 		return nil, closed(conn, err)
 	}
-	answer, err := dfneighbour.ReadFrame(conn)
+	answer, err := dfneighbour.ReadReport(conn)
 	if err != nil {
 		return nil, closed(conn, err)
 	}
@@ -111,49 +123,49 @@
 	return conn, nil
 }
 
+func (e *Edge) question() dfneighbour.Question {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return dfneighbour.Question{Catalog: e.catalog.Version(), Fleet: e.fleet.Version(), Circle: e.circle.Digest()}
+}
+
 // serveNeighbour answers one neighbour until it goes silent.
 func (e *Edge) serveNeighbour(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	var host dfmember.Host
 	for {
 		if err := conn.SetDeadline(time.Now().Add(20 * time.Duration(exchangePeriod) * time.Millisecond)); err != nil {
 			return
 		}
-		asked, err := dfneighbour.ReadFrame(conn)
+		question, err := dfneighbour.ReadQuestion(conn)
 		if err != nil {
 			return
 		}
-		answer := e.report()
-		e.mu.Lock()
-		// The asker's ages count from an unknown instant before now, so only its
-		// presence is noted. Its proofs arrive with this host's own question.
-		e.circle.Met(e.options.Now(), asked.Host)
-		if asked.Catalog < e.catalog.Version() {
-			answer.Document = e.document
-		}
-		if asked.Fleet < e.fleet.Version() {
-			answer.Upstreams = e.fleet.All()
+		if question.Host.ID != "" {
+			host = question.Host
 		}
-		e.mu.Unlock()
-		if err := dfneighbour.WriteFrame(conn, answer); err != nil {
+		if err := dfneighbour.WriteReport(conn, e.report(question, host)); err != nil {
 			return
 		}
 	}
 }
 
-// report is what this host tells now.
-func (e *Edge) report() dfneighbour.Report {
+// report answers a question. Ages that a neighbour asks for count from its
+// question, so this host learns only that the asker is there.
+func (e *Edge) report(question dfneighbour.Question, asker dfmember.Host) dfneighbour.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
-	report := dfneighbour.Report{
-		Host:    e.options.Self,
-		Catalog: e.catalog.Version(),
-		Fleet:   e.fleet.Version(),
-	}
-	for _, host := range e.circle.Live(now) {
-		if host.Address != e.options.Self.Address {
-			report.Hosts = append(report.Hosts, host)
-		}
+	e.circle.Met(now, asker)
+	report := dfneighbour.Report{Host: e.options.Self, Catalog: e.catalog.Version(), Fleet: e.fleet.Version()}
+	if question.Circle != e.circle.Digest() {
+		report.Hosts = e.circle.Hosts()
+	}
+	if question.Catalog < report.Catalog {
+		report.Document = e.document
+	}
+	if question.Fleet < report.Fleet {
+		report.Upstreams = e.fleet.All()
 	}
 	for _, s := range e.services {
 		report.Leads = append(report.Leads, e.lead(now, s))
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -24,7 +24,7 @@
 	tick = 50 * time.Millisecond
 	// exchangePeriod paces exchanges with neighbours: a third of the silence
 	// after which a neighbour counts as out of reach.
-	exchangePeriod = 500 * dfclock.Millisecond
+	exchangePeriod = dfclock.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// feedWait is the longest wait of a feed; the platform allows 30 s. Silent
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -5,10 +5,11 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"io"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"dragonflygrade/dfclock"
@@ -21,46 +22,82 @@
 	// maxFrame bounds one message; the desired state is the largest content.
 	maxFrame = 4 << 20
 	// AliveSpan is the silence after which a neighbour counts as out of reach:
-	// three rounds of exchange.
-	AliveSpan = 1600 * dfclock.Millisecond
+	// three rounds of exchange. A failed question counts at once.
+	AliveSpan = 3200 * dfclock.Millisecond
 	// forgetSpan is how long an unreachable neighbour is still tried.
 	forgetSpan = 90 * dfclock.Second
 )
 
-// Lead is what a host knows of a service's leader.
+// Lead is what a host knows of a service's leader. Fields are encoded by place,
+// because these messages are most of what hosts send each other.
 type Lead struct {
+	_       struct{} `cbor:",toarray"`
 	Service string
 	Leader  dffleet.ID
 	// HeardAgo is the time since the leader answered the host.
 	HeardAgo dfclock.Millis
 	// Suspected is true if the leader does not answer the host's probes.
-	Suspected bool `json:",omitempty"`
+	Suspected bool
 	// ProvedAgo is the age of Position, or negative if there is none.
 	ProvedAgo dfclock.Millis
 	Position  dfposition.Position
 	// BackIn is when the host that changes the leader expects the next one, or zero.
-	BackIn dfclock.Millis `json:",omitempty"`
+	BackIn dfclock.Millis
 	// Connections counts the host's connections to each upstream.
-	Connections map[dffleet.ID]int `json:",omitempty"`
+	Connections map[dffleet.ID]int
 }
 
-// Report is what one host tells another.
-type Report struct {
+// Question asks a neighbour for its report.
+type Question struct {
+	_ struct{} `cbor:",toarray"`
+	// Host is the asker; it is empty behind the first question of a connection.
 	Host dfmember.Host
-	// Catalog and Fleet are the versions that the host has.
+	// Catalog and Fleet are the versions that the asker has.
+	Catalog uint64
+	Fleet   uint64
+	// Circle is the digest of the hosts that the asker knows.
+	Circle uint64
+}
+
+// Report answers a question.
+type Report struct {
+	_       struct{} `cbor:",toarray"`
+	Host    dfmember.Host
 	Catalog uint64
 	Fleet   uint64
 	Leads   []Lead
-	// Hosts are the neighbours that the host heard from lately.
+	// Hosts are those that the host knows, if the asker knows others.
 	Hosts []dfmember.Host
-	// Document and Upstreams are sent to a host whose versions are lower.
-	Document  []byte             `json:",omitempty"`
-	Upstreams []dffleet.Upstream `json:",omitempty"`
+	// Document and Upstreams are sent to an asker whose versions are lower.
+	Document  []byte
+	Upstreams []dffleet.Upstream
+}
+
+// WriteQuestion sends a question.
+func WriteQuestion(w io.Writer, question Question) error {
+	return writeFrame(w, question)
+}
+
+// ReadQuestion receives a question.
+func ReadQuestion(r io.Reader) (Question, error) {
+	var question Question
+	return question, readFrame(r, &question)
+}
+
+// WriteReport sends a report.
+func WriteReport(w io.Writer, report Report) error {
+	return writeFrame(w, report)
+}
+
+// ReadReport receives a report.
+func ReadReport(r io.Reader) (Report, error) {
+	var report Report
+	return report, readFrame(r, &report)
 }
 
-// WriteFrame sends a report.
-func WriteFrame(w io.Writer, report Report) error {
-	data, err := json.Marshal(report)
+// writeFrame sends the length of a message and the message.
+func writeFrame(w io.Writer, message any) error {
+	data, err := cbor.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "neighbour: encode")
 	}
@@ -70,25 +107,20 @@
 	return err
 }
 
-// ReadFrame receives a report.
-func ReadFrame(r io.Reader) (Report, error) {
+func readFrame(r io.Reader, message any) error {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
-		return Report{}, err
+		return err
 	}
 	length := binary.BigEndian.Uint32(size[:])
 	if length > maxFrame {
-		return Report{}, eris.Errorf("neighbour: frame of %d bytes", length)
+		return eris.Errorf("neighbour: frame of %d bytes", length)
 	}
 	data := make([]byte, length)
 	if _, err := io.ReadFull(r, data); err != nil {
-		return Report{}, err
-	}
-	var report Report
-	if err := json.Unmarshal(data, &report); err != nil {
-		return Report{}, eris.Wrap(err, "neighbour: decode")
+		return err
 	}
-	return report, nil
+	return eris.Wrap(cbor.Unmarshal(data, message), "neighbour: decode")
 }
 
 // neighbour is one other host.
@@ -96,6 +128,8 @@
 	host dfmember.Host
 	// heardAt is when it answered or asked last, or negative.
 	heardAt dfclock.Millis
+	// failedAt is when a question to it failed last, or negative.
+	failedAt dfclock.Millis
 	// knownAt is when it was first named.
 	knownAt dfclock.Millis
 	leads   map[string]told
@@ -130,7 +164,7 @@
 		}
 		return false
 	}
-	c.neighbours[host.Address] = &neighbour{host: host, heardAt: -1, knownAt: now}
+	c.neighbours[host.Address] = &neighbour{host: host, heardAt: -1, failedAt: -1, knownAt: now}
 	return true
 }
 
@@ -152,6 +186,33 @@
 	}
 }
 
+// Failed notes that a question to an address had no answer.
+func (c *Circle) Failed(now dfclock.Millis, address string) {
+	if known := c.neighbours[address]; known != nil {
+		known.failedAt = now
+	}
+}
+
+// Digest tells apart circles of different hosts.
+func (c *Circle) Digest() uint64 {
+	var digest uint64
+	for address := range c.neighbours {
+		digest += xxhash.Sum64String(address)
+	}
+	return digest + xxhash.Sum64String(c.self.Address)
+}
+
+// Hosts returns the hosts that were heard at some time.
+func (c *Circle) Hosts() []dfmember.Host {
+	var hosts []dfmember.Host
+	for _, known := range c.neighbours {
+		if known.heardAt >= 0 {
+			hosts = append(hosts, known.host)
+		}
+	}
+	return hosts
+}
+
 // Met notes that a host asked this one.
 func (c *Circle) Met(now dfclock.Millis, host dfmember.Host) {
 	c.Learn(now, host)
@@ -186,7 +247,7 @@
 }
 
 func (n *neighbour) alive(now dfclock.Millis) bool {
-	return n.heardAt >= 0 && now-n.heardAt < AliveSpan
+	return n.heardAt > n.failedAt && now-n.heardAt < AliveSpan
 }
 
 // Votes counts live neighbours that suspect a leader and those that heard from
