Notice dead leaders sooner; hand callers of a cut data centre over

Cause: hosts of a cut data centre counted replaced leaders as reachable and stayed ready; probes of a silent leader took 1 s to decide. Change: a leader that denied the lead counts as unreachable for readiness; quiet span 200 ms, probes 250 ms, rank delay 100 ms; idle connections close after 2 s, since connections of hosts that lost power fill an upstream's limit for 3 s.

--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -16,11 +16,11 @@
 
 const (
 	// idleClose frees a share of the upstream's limit that other hosts may need.
-	idleClose = 8 * dfclock.Second
+	idleClose = 2 * dfclock.Second
 	// reopenFirst and reopenCap pace openings after a failure. The first is
 	// several times the time that an opening takes.
 	reopenFirst = 100 * dfclock.Millisecond
-	reopenCap   = 800 * dfclock.Millisecond
+	reopenCap   = 300 * dfclock.Millisecond
 	// waiters bounds the requests that wait for one upstream at one host.
 	waiters = 256
 )
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -123,7 +123,7 @@
 	}
 	unreachable := 0
 	for _, s := range e.services {
-		if s.leader == "" || s.successor.Suspected() {
+		if _, ok := e.fleet.Leader(now, s.name); !ok || s.successor.Suspected() {
 			unreachable++
 		}
 	}
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -13,17 +13,17 @@
 const (
 	// quietSpan is the silence of a leader with open requests after which it is
 	// probed. It is several times the work of the longest usual statement.
-	quietSpan = 250 * dfclock.Millisecond
+	quietSpan = 200 * dfclock.Millisecond
 	// ProbeTimeout bounds a probe: a fresh connection behind a full queue of the
 	// upstream's slots.
-	ProbeTimeout = 350 * dfclock.Millisecond
+	ProbeTimeout = 250 * dfclock.Millisecond
 	// probeGap is the pause between two probes, so that one lost packet or one
 	// restart of a listener does not cost a leader its lead.
 	probeGap = 100 * dfclock.Millisecond
 	// probesFailed is the number of probes in a row that make a leader suspect.
 	probesFailed = 2
 	// rankDelay is the time that a host of the next rank waits for the others.
-	rankDelay = 250 * dfclock.Millisecond
+	rankDelay = 100 * dfclock.Millisecond
 	// missingSpan is how long a service may be without a leader in the list
 	// before a promotion: the time of a change that is under way.
 	missingSpan = 1500 * dfclock.Millisecond
