Leave the leader's slots to what only it can run under overload

Change: measured times hold the upstream's queue, only this host's queue is added; such reads wait at the leader for 40 % of their aim.

--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -29,10 +29,13 @@
 	now := e.options.Now()
 	conn, err := to.pool.Acquire(priority, min(n.deadline, now.Add(to.patience)))
 	if err != nil {
-		e.ended(n.service, to.upstream, a.led)
+		e.ended(n.service, to.upstream, a.led, false)
 		return nil, err
 	}
 	a.conn = conn
+	e.mu.Lock()
+	n.service.placer.Sent(to.upstream)
+	e.mu.Unlock()
 	return a, nil
 }
 
@@ -49,7 +52,7 @@
 // release ends an attempt whose connection can be used again.
 func (e *Edge) release(n *need, a *attempt) {
 	a.pool.Release(a.conn, a.conn.State() == dfstatement.Idle)
-	e.ended(n.service, a.upstream, a.led)
+	e.ended(n.service, a.upstream, a.led, true)
 }
 
 // abandon ends an attempt whose connection is in doubt.
@@ -59,7 +62,7 @@
 	} else {
 		a.pool.Release(a.conn, false)
 	}
-	e.ended(n.service, a.upstream, a.led)
+	e.ended(n.service, a.upstream, a.led, true)
 	e.failed(n.service, a.upstream)
 }
 
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -50,6 +50,10 @@
 	// unanswered read is sent elsewhere, but at least silenceFloor.
 	silenceFactor = 6
 	silenceFloor  = 300 * dfclock.Millisecond
+	// leaderPatience is the part of their aim, in percent, that reads wait for
+	// the leader which replicas serve as a rule. Under overload they leave its
+	// slots to statements that only the leader can run.
+	leaderPatience = 40
 	// refusePause is the pause before a statement that an upstream refused
 	// without running it is sent again.
 	refusePause = 15 * dfclock.Millisecond
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -83,7 +83,7 @@
 	if ok && e.mayUse(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
 		if pool != nil && (s.placer.Open(now, leader.ID) || pool.Stats().Idle > 0) {
-			if err := overload(now, n, s.placer.Wait(now, leader.ID)); err != nil {
+			if err := overload(now, n, n.aim, s.placer.Wait(now, leader.ID)); err != nil {
 				return refuse{err}
 			}
 			return goTo{target{
@@ -107,10 +107,9 @@
 // overload refuses a statement that would be answered later than its caller
 // expects. It answers loads above the capacity of the upstreams: whoever is let
 // in is served in time, and the rest learns at once when to come back.
-func overload(now dfclock.Millis, n *need, wait dfclock.Millis) *dfresult.Error {
-	patience := n.deadline - now
-	if n.aim > 0 {
-		patience = min(patience, n.aim)
+func overload(now dfclock.Millis, n *need, patience, wait dfclock.Millis) *dfresult.Error {
+	if patience <= 0 || patience > n.deadline-now {
+		patience = n.deadline - now
 	}
 	if wait <= patience {
 		return nil
@@ -158,7 +157,11 @@
 		n.avoid = nil
 		return pause{e.changed, min(n.deadline, now.Add(refusePause))}
 	}
-	if err := overload(now, n, s.placer.Wait(now, id)); err != nil {
+	patience := n.aim
+	if id == s.leader {
+		patience = n.aim * leaderPatience / 100
+	}
+	if err := overload(now, n, patience, s.placer.Wait(now, id)); err != nil {
 		return refuse{err}
 	}
 	silence := min(n.deadline-now, max(silenceFloor, silenceFactor*s.placer.Wait(now, id)))
@@ -191,7 +194,7 @@
 func (e *Edge) began(s *service, id dffleet.ID) (led bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.placer.Started(id)
+	s.placer.Waits(id)
 	led = id == s.leader
 	if led {
 		s.waiting++
@@ -199,11 +202,15 @@
 	return led
 }
 
-// ended takes it off the count.
-func (e *Edge) ended(s *service, id dffleet.ID, led bool) {
+// ended takes it off the count. Sent is true if it had a connection.
+func (e *Edge) ended(s *service, id dffleet.ID, led, sent bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.placer.Ended(id)
+	if sent {
+		s.placer.Ended(id)
+	} else {
+		s.placer.Left(id)
+	}
 	if led && s.waiting > 0 {
 		s.waiting--
 	}
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -299,7 +299,7 @@
 	}
 	e := t.session.edge
 	t.attempt.pool.Release(t.attempt.conn, false)
-	e.ended(t.need.service, t.attempt.upstream, t.attempt.led)
+	e.ended(t.need.service, t.attempt.upstream, t.attempt.led, true)
 	t.attempt = nil
 }
 
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -49,8 +49,10 @@
 	// work is the smoothed time of a statement in sixteenths of a millisecond.
 	work       dfclock.Millis
 	measuredAt dfclock.Millis
-	// outstanding counts this host's statements that wait or run there.
-	outstanding int
+	// waiting counts this host's statements without a connection, and running
+	// those that were sent.
+	waiting int
+	running int
 	// position is the end of its log when it last answered.
 	position dfposition.Position
 	// lag is how far behind it was then.
@@ -89,17 +91,32 @@
 	delete(p.candidates, id)
 }
 
-// Started counts a statement that waits for or runs on an upstream.
-func (p *Placer) Started(id dffleet.ID) {
+// Waits counts a statement that waits for a connection.
+func (p *Placer) Waits(id dffleet.ID) {
 	if c := p.candidates[id]; c != nil {
-		c.outstanding++
+		c.waiting++
 	}
 }
 
-// Ended takes a statement off the count.
+// Sent counts a statement that got its connection.
+func (p *Placer) Sent(id dffleet.ID) {
+	if c := p.candidates[id]; c != nil {
+		c.waiting = max(0, c.waiting-1)
+		c.running++
+	}
+}
+
+// Left takes a statement off the count that got no connection.
+func (p *Placer) Left(id dffleet.ID) {
+	if c := p.candidates[id]; c != nil {
+		c.waiting = max(0, c.waiting-1)
+	}
+}
+
+// Ended takes a statement off the count that was sent.
 func (p *Placer) Ended(id dffleet.ID) {
-	if c := p.candidates[id]; c != nil && c.outstanding > 0 {
-		c.outstanding--
+	if c := p.candidates[id]; c != nil {
+		c.running = max(0, c.running-1)
 	}
 }
 
@@ -142,16 +159,23 @@
 	return c.work + (usualWork*scale-c.work)*age/forgetSpan
 }
 
-// wait estimates when a further statement would be answered.
+// wait estimates when a further statement would be answered. Measured times
+// contain the queue at the upstream; this host's own queue comes on top.
 func (c *Candidate) wait(now dfclock.Millis) dfclock.Millis {
 	expected := c.expected(now)
-	wait := expected + expected*dfclock.Millis(c.outstanding)/dfclock.Millis(c.slots)
+	wait := expected + expected*dfclock.Millis(c.waiting)/dfclock.Millis(max(1, c.running))
 	if !c.local {
 		wait += remotePenalty * scale
 	}
 	return wait
 }
 
+// score is the wait with the load that this host just added, which measured
+// times do not show yet.
+func (c *Candidate) score(now dfclock.Millis) dfclock.Millis {
+	return c.wait(now) + c.expected(now)*dfclock.Millis(c.running)/dfclock.Millis(c.slots)
+}
+
 // covers tells whether the log is likely to have what the read needs. trial is
 // true if only a read can tell.
 func (c *Candidate) covers(now dfclock.Millis, need Need) (covers, trial bool) {
@@ -178,7 +202,7 @@
 		if c.id != leader && !covers {
 			continue
 		}
-		wait := c.wait(now)
+		wait := c.score(now)
 		if c.id == leader {
 			wait = wait * primaryPenalty / 100
 		}
