--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -170,7 +170,7 @@
 		return 0
 	}
 	hosts := len(e.circle.Live(now))
-	usable := max(1, known.ConnectionLimit-connectionReserve)
+	usable := max(hosts, known.ConnectionLimit*connectionShare/100)
 	share := max(1, usable/hosts)
 	return max(share, usable-e.circle.Connections(now, s.name, id))
 }
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -44,8 +44,10 @@
 	statusTimeout = 350 * dfclock.Millisecond
 	// connectTimeout bounds an opening: a lost packet is sent again after 1 s.
 	connectTimeout = 1200 * dfclock.Millisecond
-	// connectionReserve is kept free at each upstream for probes of all hosts.
-	connectionReserve = 2
+	// connectionShare is the part of an upstream's limit, in percent, that all
+	// hosts use together. Connections of hosts that lost power count for 3 s
+	// longer, and the restarted hosts need the rest meanwhile.
+	connectionShare = 60
 	// silenceFactor times the expected wait is the time after which an
 	// unanswered read is sent elsewhere, but at least silenceFloor.
 	silenceFactor = 6
@@ -61,6 +63,9 @@
 	maxTries = 6
 	// startupTimeout bounds the first message of a caller.
 	startupTimeout = 5 * time.Second
+	// routePatience bounds the wait of a new session for the desired state.
+	// Callers give up an answer to their startup after 2 s.
+	routePatience = 1200 * dfclock.Millisecond
 	// noticeSpan is the time until the entry has noticed that a host is not
 	// ready: two questions, one a second, and their answers.
 	noticeSpan = 2200 * dfclock.Millisecond
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	x.database = database
-	if failure := x.findRoute(); failure != nil {
+	if failure := x.awaitRoute(); failure != nil {
 		x.edge.log.Warn().Str("Database", database).Int("Code", int(failure.Code)).Str("Why", failure.Error()).
 			Msg("session: startup refused")
 		_ = x.caller.WriteRefusal(failure.Code, failure.Error())
@@ -83,6 +83,23 @@
 	return x.caller.WriteReady() == nil
 }
 
+// awaitRoute finds the caller's route. A host that has just started, or that
+// may have missed a version, gives the platform and its neighbours a moment.
+func (x *session) awaitRoute() *dfresult.Error {
+	e := x.edge
+	until := e.options.Now().Add(routePatience)
+	for {
+		e.mu.Lock()
+		changed := e.changed
+		e.mu.Unlock()
+		failure := x.findRoute()
+		if failure == nil || failure.Code != dfresult.ConfigurationAbsent || e.options.Now() >= until {
+			return failure
+		}
+		e.await(changed, until)
+	}
+}
+
 // findRoute takes the route in force for the next statement or transaction. A
 // host that may have missed a version does not say that a name is unknown.
 func (x *session) findRoute() *dfresult.Error {
--- /dev/null
+++ b/dffleet/fleet_test.go
@@ -0,0 +1,95 @@
+package dffleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+)
+
+func entry(id ID, version uint64, primary bool) Upstream {
+	return Upstream{ID: id, Born: 1, Service: "orders", Address: string(id) + ":1", Version: version, Primary: primary}
+}
+
+func leader(t *testing.T, f *Fleet, now dfclock.Millis) ID {
+	t.Helper()
+	upstream, ok := f.Leader(now, "orders")
+	if !ok {
+		return ""
+	}
+	return upstream.ID
+}
+
+// Guards against a replaced leader that is believed because its entry could not
+// be updated while it was cut off.
+func TestNewestEvidenceLeads(t *testing.T) {
+	f := New()
+	f.Put(10, entry("a", 1, true))
+	f.Put(10, entry("b", 2, false))
+	require.Equal(t, ID("a"), leader(t, f, 20))
+	f.Put(100, entry("b", 5, true))
+	require.Equal(t, ID("b"), leader(t, f, 110), "a still claims the lead")
+	f.Led("a", 50)
+	require.Equal(t, ID("b"), leader(t, f, 120), "proof from before the change")
+}
+
+// Guards against statements that go back to an upstream that denied the lead.
+func TestRefutedLeaderIsLeft(t *testing.T) {
+	f := New()
+	f.Put(10, entry("a", 1, true))
+	f.Refuted(50, "a")
+	require.Empty(t, leader(t, f, 60))
+	f.Led("a", 40)
+	require.Empty(t, leader(t, f, 60), "a proof that is older than the denial")
+	f.Led("a", 70)
+	require.Equal(t, ID("a"), leader(t, f, 80))
+}
+
+// Guards against a promotion away from a live leader whose entry lapsed while
+// the platform's store was away.
+func TestLapsedLeaderKeepsItsLead(t *testing.T) {
+	f := New()
+	f.Put(10, entry("a", 1, true))
+	f.Lapse(1000, "a", 7)
+	require.Equal(t, ID("a"), leader(t, f, 1001))
+	require.False(t, f.Departing(1000+ReturnSpan-1, "a"))
+	f.Put(2500, entry("a", 9, true))
+	require.False(t, f.Departing(9000, "a"))
+	f.Lapse(10_000, "a", 11)
+	require.True(t, f.Departing(10_000+ReturnSpan, "a"))
+	require.Equal(t, []ID{"a"}, f.Expire(10_000+LapseGrace))
+}
+
+// Guards against old news: a late answer of the store must not undo newer news.
+func TestOlderVersionsChangeNothing(t *testing.T) {
+	f := New()
+	f.Put(10, entry("a", 5, true))
+	f.Put(20, entry("a", 3, false))
+	f.Lapse(30, "a", 4)
+	require.Equal(t, ID("a"), leader(t, f, 40))
+	require.False(t, f.Departing(9000, "a"))
+}
+
+// Guards against knowledge that outlives its upstream: an ID may come back with
+// an empty log.
+func TestRebornUpstreamStartsAnew(t *testing.T) {
+	f := New()
+	f.Put(10, entry("a", 1, false))
+	f.Led("a", 20)
+	again := entry("a", 4, false)
+	again.Born = 2
+	require.True(t, f.Put(30, again))
+	require.Empty(t, leader(t, f, 40))
+}
+
+// Guards against entries that a whole list no longer names.
+func TestReplaceLapsesWhatIsMissing(t *testing.T) {
+	f := New()
+	f.Put(10, entry("a", 1, true))
+	f.Put(10, entry("b", 2, false))
+	f.Replace(100, []Upstream{entry("a", 1, true)}, 9)
+	require.Equal(t, dfclock.Never, f.LeavingSince("a"))
+	require.Equal(t, dfclock.Millis(100), f.LeavingSince("b"))
+	require.Len(t, f.All(), 1)
+}
