Let one host of each data centre speak with the others

Change: a speaker of each data centre, chosen by rendezvous hashing among the hosts that answer, follows the feeds, asks the speakers elsewhere, proves positions of leaders beside it and acts first in a succession; other hosts ask their speaker. A host that its neighbours do not keep current for 1.5 s follows the feeds itself and does not call a name unknown. Limits of connections grow while the upstream accepts them, in place of exchanged counts.

--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -92,7 +92,7 @@
 			logger.Error().Err(err).Msg("edge: changed settings refused, the earlier ones stay in force")
 			continue
 		}
-		edge.Reload(ctx, settings.Seeds, settings.DrainTimeout, settings.GracePeriod)
+		edge.Reload(settings.Seeds, settings.DrainTimeout, settings.GracePeriod)
 	}
 }
 
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -46,8 +46,12 @@
 	stoppingAt dfclock.Millis
 	source     *rand.Rand
 	// poke asks the links to neighbours for an exchange at once.
-	poke  map[string]chan struct{}
-	links sync.WaitGroup
+	poke     map[string]chan struct{}
+	linkedAt dfclock.Millis
+	// following is true while this host follows the platform's feeds itself, and
+	// lostAt is when it was current for the last time.
+	following bool
+	lostAt    dfclock.Millis
 }
 
 // service is what the host knows of one group of upstreams.
@@ -57,6 +61,8 @@
 	placer    *dfplace.Placer
 	successor *dfsuccession.Successor
 	pools     map[dffleet.ID]*dfconnection.Pool
+	// fullAt is when an upstream refused a connection because of its limit.
+	fullAt map[dffleet.ID]dfclock.Millis
 	// leader is the one that proofs and waiting statements are about.
 	leader dffleet.ID
 	// waiting counts statements that wait for or run on the leader.
@@ -112,13 +118,13 @@
 
 // Reload puts changed settings in force: the seeds and the bounds of shutdown
 // and drain. Addresses stay as they were at the start.
-func (e *Edge) Reload(ctx context.Context, seeds []string, drainTimeout, gracePeriod dfclock.Millis) {
+func (e *Edge) Reload(seeds []string, drainTimeout, gracePeriod dfclock.Millis) {
 	e.mu.Lock()
 	changed := e.options.DrainTimeout != drainTimeout || e.options.GracePeriod != gracePeriod
 	e.options.Seeds, e.options.DrainTimeout, e.options.GracePeriod = seeds, drainTimeout, gracePeriod
 	e.mu.Unlock()
 	for _, seed := range seeds {
-		e.learn(ctx, dfmember.Host{Address: seed})
+		e.learn(dfmember.Host{Address: seed})
 	}
 	e.log.Info().Bool("BoundsChanged", changed).Strs("Seeds", seeds).Msg("edge: settings read again")
 }
@@ -140,7 +146,10 @@
 func (e *Edge) step(ctx context.Context) {
 	e.mu.Lock()
 	now := e.options.Now()
-	e.link(ctx)
+	if now-e.linkedAt >= linkPeriod {
+		e.linkedAt = now
+		e.link(ctx, now)
+	}
 	if gone := e.fleet.Expire(now); len(gone) > 0 {
 		e.log.Info().Int("Gone", len(gone)).Msg("fleet: upstreams left the list")
 		e.reconcile()
@@ -162,17 +171,20 @@
 	}
 }
 
-// connectionLimit is this host's part of an upstream's limit: what the others
-// leave, but at least an equal share.
+// connectionLimit is how many connections this host may hold to an upstream: up
+// to what one data centre needs while the upstream accepts them, else its equal
+// share.
 func (e *Edge) connectionLimit(now dfclock.Millis, s *service, id dffleet.ID) int {
 	known, ok := e.catalog.Service(s.name)
 	if !ok {
 		return 0
 	}
-	hosts := len(e.circle.Live(now))
-	usable := max(hosts, known.ConnectionLimit*connectionShare/100)
-	share := max(1, usable/hosts)
-	return max(share, usable-e.circle.Connections(now, s.name, id))
+	usable := max(1, known.ConnectionLimit*connectionShare/100)
+	share := max(1, usable/e.circle.Count(now))
+	if full, ok := s.fullAt[id]; ok && now-full < fullSpan {
+		return share
+	}
+	return max(share, usable/max(1, len(e.circle.Speakers(now)))+1)
 }
 
 // reconcile makes services and pools follow the list of upstreams.
@@ -183,7 +195,7 @@
 		if s == nil {
 			s = &service{
 				name: name, placer: dfplace.New(), successor: dfsuccession.New(now),
-				pools: map[dffleet.ID]*dfconnection.Pool{},
+				pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 			}
 			e.services[name] = s
 		}
@@ -197,6 +209,7 @@
 				pool.Close()
 				delete(s.pools, id)
 				s.placer.Forget(id)
+				delete(s.fullAt, id)
 			}
 		}
 		e.follow(now, s)
@@ -303,6 +316,7 @@
 	e.counters.openFailures.Inc()
 	e.log.Warn().Str("Service", s.name).Str("Upstream", string(id)).Err(err).Msg("pool: opening failed")
 	if isConnectionLimit(err) {
+		s.fullAt[id] = now
 		return
 	}
 	s.placer.Failed(now, id)
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -118,7 +118,7 @@
 // cutOff reports whether hosts of other data centres are out of reach together
 // with the leaders of at least half of the services.
 func (e *Edge) cutOff(now dfclock.Millis) bool {
-	if !e.circle.Isolated(now) || len(e.services) == 0 {
+	if e.circle.Remote(now) || len(e.services) == 0 {
 		return false
 	}
 	unreachable := 0
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -6,23 +6,22 @@
 	"time"
 
 	"dragonflygrade/dfclock"
-	"dragonflygrade/dffleet"
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
 )
 
-// learn adds a neighbour and starts the exchanges with it.
-func (e *Edge) learn(ctx context.Context, host dfmember.Host) {
+// learn adds a neighbour.
+func (e *Edge) learn(host dfmember.Host) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.circle.Learn(e.options.Now(), host)
-	e.link(ctx)
 }
 
-// link starts an exchange loop for each neighbour that has none.
-func (e *Edge) link(ctx context.Context) {
-	for _, address := range e.circle.Addresses(e.options.Now()) {
+// link starts an exchange loop for each host to ask that has none. The mutex is
+// held.
+func (e *Edge) link(ctx context.Context, now dfclock.Millis) {
+	for address := range e.circle.Targets(now) {
 		if e.poke[address] != nil {
 			continue
 		}
@@ -42,6 +41,7 @@
 	}
 }
 
+// exchangeLoop asks one host until it is no longer one to ask.
 func (e *Edge) exchangeLoop(ctx context.Context, address string, poke chan struct{}) {
 	var conn net.Conn
 	defer func() {
@@ -65,23 +65,24 @@
 			e.log.Info().Str("Neighbour", address).Bool("Heard", heard).Err(err).Msg("neighbour: contact changed")
 		}
 		conn = next
-		timer.Reset(time.Duration(exchangePeriod) * time.Millisecond)
-		if e.forgotten(address) {
+		period, ok := e.exchangePeriod(address)
+		if !ok {
 			return
 		}
+		timer.Reset(time.Duration(period) * time.Millisecond)
 	}
 }
 
-func (e *Edge) forgotten(address string) bool {
+// exchangePeriod returns when to ask a host again; ok is false if others are to
+// be asked instead.
+func (e *Edge) exchangePeriod(address string) (period dfclock.Millis, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, known := range e.circle.Addresses(e.options.Now()) {
-		if known == address {
-			return false
-		}
+	period, ok = e.circle.Targets(e.options.Now())[address]
+	if !ok {
+		delete(e.poke, address)
 	}
-	delete(e.poke, address)
-	return true
+	return period, ok
 }
 
 // exchange asks one neighbour and returns the connection for the next time.
@@ -98,7 +99,7 @@
 func (e *Edge) ask(ctx context.Context, address string, conn net.Conn) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	question := e.question()
+	question := e.question(address)
 	if conn == nil {
 		opened, err := e.options.Dial(ctx, address)
 		if err != nil {
@@ -123,10 +124,19 @@
 	return conn, nil
 }
 
-func (e *Edge) question() dfneighbour.Question {
+// question tells the speaker of the own data centre what this host sees of the
+// leaders; others get the versions only.
+func (e *Edge) question(address string) dfneighbour.Question {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return dfneighbour.Question{Catalog: e.catalog.Version(), Fleet: e.fleet.Version(), Circle: e.circle.Digest()}
+	now := e.options.Now()
+	question := dfneighbour.Question{Catalog: e.catalog.Version(), Fleet: e.fleet.Version(), Circle: e.circle.Digest()}
+	if e.circle.Speakers(now)[e.options.Self.DataCentre].Address == address {
+		for _, s := range e.services {
+			question.Leads = append(question.Leads, e.lead(now, s))
+		}
+	}
+	return question
 }
 
 // serveNeighbour answers one neighbour until it goes silent.
@@ -134,7 +144,7 @@
 	defer func() { _ = conn.Close() }()
 	var host dfmember.Host
 	for {
-		if err := conn.SetDeadline(time.Now().Add(20 * time.Duration(exchangePeriod) * time.Millisecond)); err != nil {
+		if err := conn.SetDeadline(time.Now().Add(neighbourSilence)); err != nil {
 			return
 		}
 		question, err := dfneighbour.ReadQuestion(conn)
@@ -150,16 +160,21 @@
 	}
 }
 
-// report answers a question. Ages that a neighbour asks for count from its
-// question, so this host learns only that the asker is there.
+// report answers a question.
 func (e *Edge) report(question dfneighbour.Question, asker dfmember.Host) dfneighbour.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
-	e.circle.Met(now, asker)
-	report := dfneighbour.Report{Host: e.options.Self, Catalog: e.catalog.Version(), Fleet: e.fleet.Version()}
+	e.circle.Met(now, asker, question.Leads)
+	report := dfneighbour.Report{
+		Host:       e.options.Self,
+		Catalog:    e.catalog.Version(),
+		Fleet:      e.fleet.Version(),
+		CurrentAgo: now - e.currentAt(now),
+		Remote:     e.circle.Remote(now),
+	}
 	if question.Circle != e.circle.Digest() {
-		report.Hosts = e.circle.Hosts()
+		report.Hosts = e.circle.Hosts(now)
 	}
 	if question.Catalog < report.Catalog {
 		report.Document = e.document
@@ -168,11 +183,33 @@
 		report.Upstreams = e.fleet.All()
 	}
 	for _, s := range e.services {
-		report.Leads = append(report.Leads, e.lead(now, s))
+		lead := e.lead(now, s)
+		lead.Alive, lead.Dead = e.circle.OwnVotes(now, s.name, s.leader, now-voteSpan)
+		if lead.Suspected {
+			lead.Dead++
+		} else if lead.HeardAgo <= voteSpan {
+			lead.Alive++
+		}
+		report.Leads = append(report.Leads, lead)
 	}
 	return report
 }
 
+// currentAt is the latest instant at which this host knew that it missed no
+// version of the desired state.
+func (e *Edge) currentAt(now dfclock.Millis) dfclock.Millis {
+	if e.following && !e.catalogLost {
+		return now
+	}
+	return max(e.lostAt, e.circle.CurrentAt())
+}
+
+// follows reports whether this host has to ask the platform itself: it speaks
+// for its data centre, or no neighbour keeps it current.
+func (e *Edge) follows(now dfclock.Millis) bool {
+	return e.circle.Speaks(now) || now-max(e.lostAt, e.circle.CurrentAt()) >= currentSpan
+}
+
 func (e *Edge) lead(now dfclock.Millis, s *service) dfneighbour.Lead {
 	lead := dfneighbour.Lead{
 		Service:   s.name,
@@ -187,12 +224,6 @@
 	if s.successor.Acting() {
 		lead.BackIn = max(dfclock.Millisecond, s.successor.BackAt(now)-now)
 	}
-	lead.Connections = make(map[dffleet.ID]int, len(s.pools))
-	for id, pool := range s.pools {
-		if total := pool.Stats().Total(); total > 0 {
-			lead.Connections[id] = total
-		}
-	}
 	return lead
 }
 
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -22,9 +22,18 @@
 	// tick paces the decisions that depend on time alone. Detection of a dead
 	// leader adds at most one tick.
 	tick = 50 * time.Millisecond
-	// exchangePeriod paces exchanges with neighbours: a third of the silence
-	// after which a neighbour counts as out of reach.
-	exchangePeriod = dfclock.Second
+	// linkPeriod paces the choice of the hosts to ask.
+	linkPeriod = 200 * dfclock.Millisecond
+	// neighbourSilence ends a connection whose other side asks no more.
+	neighbourSilence = 10 * time.Second
+	// voteSpan is how lately a host must have heard from a leader to vote for it.
+	voteSpan = 500 * dfclock.Millisecond
+	// currentSpan is how long a host relies on what neighbours told of versions.
+	// It leaves time within the 3 s in which a version must be in force.
+	currentSpan = 1500 * dfclock.Millisecond
+	// fullSpan is how long an upstream that was at its limit of connections is
+	// asked for no more than the equal share.
+	fullSpan = dfclock.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// feedWait is the longest wait of a feed; the platform allows 30 s. Silent
@@ -35,9 +44,11 @@
 	// membersPeriod paces reads of the table of hosts, which only helps hosts
 	// whose seeds are all gone.
 	membersPeriod = 20 * time.Second
-	// proofAge is the age of the newest proof at which a leader is asked for
-	// another one. It is half of the shortest staleness of the two users.
-	proofAge = 700 * dfclock.Millisecond
+	// speakerProofAge is the age of the newest proof at which the speaker beside
+	// a leader asks it for another one, for all hosts. Other hosts ask at
+	// proofAge, shortly before their reads would lack a proof of 1.5 s.
+	speakerProofAge = 300 * dfclock.Millisecond
+	proofAge        = 1200 * dfclock.Millisecond
 	// demandSpan is how long after its last read a service is kept fresh.
 	demandSpan = 2 * dfclock.Second
 	// statusTimeout bounds a status question to a replica.
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -111,7 +111,7 @@
 		x.route = route
 		return nil
 	}
-	if e.catalog.Version() == 0 || e.catalogLost {
+	if now := e.options.Now(); e.catalog.Version() == 0 || now-e.currentAt(now) >= currentSpan {
 		return dfresult.NewError(dfresult.ConfigurationAbsent, "version %d may be outdated", e.catalog.Version()).
 			WithRetryAfter(dfclock.Second)
 	}
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -76,7 +76,11 @@
 		situation.Leader = leader.ID
 		situation.LeaderLeaving = e.fleet.Departing(now, leader.ID)
 	}
-	situation.Rank = max(0, dfmember.RankOf(s.name, e.circle.Live(now), e.options.Self.ID))
+	actors := e.circle.Actors(now)
+	situation.Rank = max(0, dfmember.RankOf(s.name, actors, e.options.Self.ID))
+	if !e.circle.Speaks(now) {
+		situation.Rank = len(actors)
+	}
 	situation.Alive, situation.Dead = e.circle.Votes(now, s.name, situation.Leader, s.successor.HeardAt())
 	return situation
 }
@@ -268,11 +272,18 @@
 
 // needsProof tells whether reads will soon lack a proof that is recent enough.
 func (e *Edge) needsProof(now dfclock.Millis, s *service) bool {
-	if s.proving || s.leader == "" || s.successor.Suspected() || now-s.readAt >= demandSpan {
+	if s.proving || s.leader == "" || s.successor.Suspected() {
+		return false
+	}
+	age := proofAge
+	if leader, ok := e.fleet.Find(s.leader); ok && leader.DataCentre == e.options.Self.DataCentre && e.circle.Speaks(now) {
+		age = speakerProofAge
+	}
+	if age == proofAge && now-s.readAt >= demandSpan {
 		return false
 	}
 	proof, ok := s.timeline.Newest()
-	return !ok || now-proof.At >= proofAge
+	return !ok || now-proof.At >= age
 }
 
 // prove asks the leader for its position over a pooled connection.
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -24,8 +24,14 @@
 		take: func(changes dfplatform.Changes, _ bool) { e.takeDocument(changes.Catalog, "platform") },
 		lost: func(lost bool) {
 			e.mu.Lock()
-			e.catalogLost = lost
-			e.mu.Unlock()
+			defer e.mu.Unlock()
+			if !lost {
+				e.lostAt = e.options.Now()
+			} else if e.following && !e.catalogLost {
+				// The connection may have been silent for a while before it failed.
+				e.lostAt = e.options.Now() - currentSpan
+			}
+			e.catalogLost, e.following = lost, true
 		},
 	})
 }
@@ -52,6 +58,10 @@
 	var version uint64
 	whole, lost := true, false
 	for ctx.Err() == nil {
+		if !whole && !e.onDuty() {
+			sleep(ctx, feedRetry)
+			continue
+		}
 		var changes dfplatform.Changes
 		var err error
 		if whole {
@@ -84,6 +94,25 @@
 	}
 }
 
+// onDuty reports whether the host follows the feeds. One that its neighbours
+// keep current saves the platform the calls.
+func (e *Edge) onDuty() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	if e.follows(now) {
+		return true
+	}
+	if e.following {
+		e.lostAt = now
+		if e.catalogLost {
+			e.lostAt = max(0, e.circle.CurrentAt())
+		}
+		e.following = false
+	}
+	return false
+}
+
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
@@ -158,11 +187,15 @@
 // watchMembers keeps this host's row in the table of hosts and learns others.
 func (e *Edge) watchMembers(ctx context.Context) {
 	for _, seed := range e.options.Seeds {
-		e.learn(ctx, dfmember.Host{Address: seed})
+		e.learn(dfmember.Host{Address: seed})
 	}
-	announced := false
+	announced, listed := false, false
 	for ctx.Err() == nil {
 		pause := membersPeriod
+		if announced && listed && !e.onDuty() {
+			sleep(ctx, pause)
+			continue
+		}
 		if !announced {
 			if err := e.announce(ctx); err != nil {
 				e.log.Warn().Err(err).Msg("members: announcement failed")
@@ -174,14 +207,16 @@
 		rows, err := e.options.Platform.List(ctx, membersTable)
 		if err != nil {
 			e.log.Warn().Err(err).Msg("members: table of hosts not read")
+			pause = time.Second
 		}
+		listed = listed || err == nil
 		for _, row := range rows {
 			var host dfmember.Host
 			if err := json.Unmarshal(row.Value, &host); err != nil {
 				e.log.Warn().Str("Row", row.Key).Err(err).Msg("members: row is unreadable")
 				continue
 			}
-			e.learn(ctx, host)
+			e.learn(host)
 		}
 		sleep(ctx, pause)
 	}
--- /dev/null
+++ b/dfneighbour/circle.go
@@ -0,0 +1,315 @@
+package dfneighbour
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfmember"
+)
+
+// never stands for an instant before every other.
+const never dfclock.Millis = -1
+
+// neighbour is one other host.
+type neighbour struct {
+	// host has no ID before the host was heard or named by another one.
+	host dfmember.Host
+	// heardAt is when it answered last, and metAt when it asked last.
+	heardAt dfclock.Millis
+	metAt   dfclock.Millis
+	// failedAt is when a question to it failed last.
+	failedAt dfclock.Millis
+	// knownAt is when it was named last.
+	knownAt dfclock.Millis
+	// currentAt is when it knew that it missed no version of the desired state.
+	currentAt dfclock.Millis
+	// remote is what it said of other data centres.
+	remote bool
+	leads  map[string]told
+}
+
+// told is a lead with its ages as instants of this host.
+type told struct {
+	Lead
+	heardAt dfclock.Millis
+	backAt  dfclock.Millis
+}
+
+// answers reports whether the last question to the neighbour was answered.
+func (n *neighbour) answers(now dfclock.Millis) bool {
+	return n.heardAt > n.failedAt && now-n.heardAt < AliveSpan
+}
+
+// lives reports whether anything was heard of the neighbour lately.
+func (n *neighbour) lives(now dfclock.Millis) bool {
+	return n.answers(now) || n.metAt > n.failedAt && now-n.metAt < AliveSpan
+}
+
+// Circle has the neighbours of one host. It is not safe for concurrent use.
+type Circle struct {
+	self       dfmember.Host
+	neighbours map[string]*neighbour
+	// speakers are those of the instant chosenAt; they are chosen again when
+	// speakersSpan has passed or a host did not answer.
+	speakers map[string]dfmember.Host
+	chosenAt dfclock.Millis
+}
+
+// NewCircle returns the circle of a host that knows nobody.
+func NewCircle(self dfmember.Host) *Circle {
+	return &Circle{self: self, neighbours: map[string]*neighbour{}, chosenAt: never}
+}
+
+// Learn adds a host that somebody named.
+func (c *Circle) Learn(now dfclock.Millis, host dfmember.Host) {
+	if host.Address == c.self.Address || host.Address == "" {
+		return
+	}
+	known := c.neighbours[host.Address]
+	if known == nil {
+		known = &neighbour{heardAt: never, metAt: never, failedAt: never, currentAt: never}
+		c.neighbours[host.Address] = known
+	}
+	known.knownAt = now
+	if host.ID != "" {
+		known.host = host
+	}
+	known.host.Address = host.Address
+}
+
+// Heard takes the answer to a question of an instant. Ages in it count from
+// that instant, which makes them too high rather than too low.
+func (c *Circle) Heard(now, askedAt dfclock.Millis, report Report) {
+	c.Learn(now, report.Host)
+	known := c.neighbours[report.Host.Address]
+	if known == nil {
+		return
+	}
+	known.heardAt = now
+	known.currentAt = max(known.currentAt, askedAt-report.CurrentAgo)
+	known.remote = report.Remote
+	known.takeLeads(now, askedAt, report.Leads)
+	for _, host := range report.Hosts {
+		c.Learn(now, host)
+	}
+}
+
+// Met takes a question. Its ages count from an unknown earlier instant, so only
+// the votes in it are used.
+func (c *Circle) Met(now dfclock.Millis, host dfmember.Host, leads []Lead) {
+	c.Learn(now, host)
+	if known := c.neighbours[host.Address]; known != nil {
+		known.metAt = now
+		known.takeLeads(now, now, leads)
+	}
+}
+
+func (n *neighbour) takeLeads(now, askedAt dfclock.Millis, leads []Lead) {
+	n.leads = make(map[string]told, len(leads))
+	for _, lead := range leads {
+		next := told{Lead: lead, heardAt: askedAt - lead.HeardAgo}
+		if lead.BackIn > 0 {
+			next.backAt = now.Add(lead.BackIn)
+		}
+		n.leads[lead.Service] = next
+	}
+}
+
+// Failed notes that a question to an address had no answer.
+func (c *Circle) Failed(now dfclock.Millis, address string) {
+	if known := c.neighbours[address]; known != nil {
+		known.failedAt = now
+		c.chosenAt = never
+	}
+}
+
+// Digest tells apart circles of different hosts.
+func (c *Circle) Digest() uint64 {
+	digest := xxhash.Sum64String(c.self.Address)
+	for address, known := range c.neighbours {
+		if known.host.ID != "" {
+			digest += xxhash.Sum64String(address)
+		}
+	}
+	return digest
+}
+
+// Hosts returns the hosts that are named to others.
+func (c *Circle) Hosts(now dfclock.Millis) []dfmember.Host {
+	var hosts []dfmember.Host
+	for address, known := range c.neighbours {
+		if now-max(known.heardAt, known.metAt, known.knownAt) >= forgetSpan {
+			delete(c.neighbours, address)
+			continue
+		}
+		if known.host.ID != "" {
+			hosts = append(hosts, known.host)
+		}
+	}
+	return hosts
+}
+
+// Count returns the number of hosts that are taken to share the upstreams.
+func (c *Circle) Count(now dfclock.Millis) int {
+	count := 1
+	for _, known := range c.neighbours {
+		if known.host.ID != "" && !known.passedOver(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// passedOver reports whether a host did not answer lately.
+func (n *neighbour) passedOver(now dfclock.Millis) bool {
+	return n.failedAt > max(n.heardAt, n.metAt) && now-n.failedAt < passOverSpan
+}
+
+// Speakers returns the speaker of each data centre as this host sees it.
+func (c *Circle) Speakers(now dfclock.Millis) map[string]dfmember.Host {
+	if c.chosenAt != never && now-c.chosenAt < speakersSpan {
+		return c.speakers
+	}
+	hosts := []dfmember.Host{c.self}
+	for _, known := range c.neighbours {
+		if known.host.ID != "" && !known.passedOver(now) {
+			hosts = append(hosts, known.host)
+		}
+	}
+	speakers := map[string]dfmember.Host{}
+	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, hosts, 1) {
+		speakers[dataCentre] = chosen[0]
+	}
+	c.speakers, c.chosenAt = speakers, now
+	return speakers
+}
+
+// Speaks reports whether this host is the speaker of its data centre.
+func (c *Circle) Speaks(now dfclock.Millis) bool {
+	return c.Speakers(now)[c.self.DataCentre].Address == c.self.Address
+}
+
+// Targets returns the addresses to ask, with the pause between two questions.
+func (c *Circle) Targets(now dfclock.Millis) map[string]dfclock.Millis {
+	targets := map[string]dfclock.Millis{}
+	speakers := c.Speakers(now)
+	own := speakers[c.self.DataCentre]
+	if own.Address != c.self.Address {
+		targets[own.Address] = MemberPeriod
+	} else {
+		for _, speaker := range speakers {
+			if speaker.Address != c.self.Address {
+				targets[speaker.Address] = SpeakerPeriod
+			}
+		}
+	}
+	for _, address := range c.unnamed(now) {
+		targets[address] = dfclock.Second
+	}
+	return targets
+}
+
+// unnamed returns some addresses of which only the address is known.
+func (c *Circle) unnamed(now dfclock.Millis) []string {
+	var addresses []string
+	for address, known := range c.neighbours {
+		if known.host.ID == "" && !known.passedOver(now) {
+			addresses = append(addresses, address)
+		}
+	}
+	sort.Strings(addresses)
+	return addresses[:min(strangers, len(addresses))]
+}
+
+// Actors returns the hosts that change leaders: the speakers that live, and this
+// host itself.
+func (c *Circle) Actors(now dfclock.Millis) []dfmember.Host {
+	actors := []dfmember.Host{c.self}
+	for _, speaker := range c.Speakers(now) {
+		known := c.neighbours[speaker.Address]
+		if known != nil && known.lives(now) {
+			actors = append(actors, speaker)
+		}
+	}
+	return actors
+}
+
+// Votes counts hosts that heard from a leader since an instant and hosts that
+// suspect it. Speakers of other data centres answer for theirs.
+func (c *Circle) Votes(now dfclock.Millis, service string, leader dffleet.ID, since dfclock.Millis) (alive, dead int) {
+	alive, dead = c.OwnVotes(now, service, leader, since)
+	for _, known := range c.neighbours {
+		lead, ok := known.leads[service]
+		if !ok || !known.lives(now) || lead.Leader != leader || known.host.DataCentre == c.self.DataCentre {
+			continue
+		}
+		alive += lead.Alive
+		dead += lead.Dead
+	}
+	return alive, dead
+}
+
+// OwnVotes counts the votes of the other hosts of the own data centre.
+func (c *Circle) OwnVotes(now dfclock.Millis, service string, leader dffleet.ID, since dfclock.Millis) (alive, dead int) {
+	for _, known := range c.neighbours {
+		lead, ok := known.leads[service]
+		if !ok || !known.lives(now) || lead.Leader != leader || known.host.DataCentre != c.self.DataCentre {
+			continue
+		}
+		switch {
+		case lead.Suspected:
+			dead++
+		case lead.heardAt >= since:
+			alive++
+		}
+	}
+	return alive, dead
+}
+
+// CurrentAt returns the latest instant at which a neighbour knew that it missed
+// no version of the desired state.
+func (c *Circle) CurrentAt() dfclock.Millis {
+	current := never
+	for _, known := range c.neighbours {
+		current = max(current, known.currentAt)
+	}
+	return current
+}
+
+// Remote reports whether another data centre was heard lately, by this host or,
+// unless it speaks itself, by its speaker. It is true if no other one is known.
+func (c *Circle) Remote(now dfclock.Millis) bool {
+	if speaker := c.neighbours[c.Speakers(now)[c.self.DataCentre].Address]; speaker != nil && speaker.answers(now) {
+		return speaker.remote
+	}
+	known := false
+	for _, other := range c.neighbours {
+		if other.host.ID == "" || other.host.DataCentre == c.self.DataCentre {
+			continue
+		}
+		if other.answers(now) {
+			return true
+		}
+		known = known || other.heardAt != never || other.failedAt != never
+	}
+	return !known
+}
+
+// BackAt returns the earliest instant at which a neighbour that changes the
+// leader expects the next one, or zero.
+func (c *Circle) BackAt(now dfclock.Millis, service string) dfclock.Millis {
+	var back dfclock.Millis
+	for _, known := range c.neighbours {
+		lead := known.leads[service]
+		if !known.lives(now) || lead.backAt == 0 {
+			continue
+		}
+		if back == 0 || lead.backAt < back {
+			back = lead.backAt
+		}
+	}
+	return back
+}
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -1,14 +1,16 @@
 // Package dfneighbour lets hosts tell each other what they know: versions of the
 // desired state and of the list of upstreams, who leads, and proved log
 // positions. It keeps a host current that the platform turns away.
+//
+// Each data centre has a speaker, chosen by rendezvous hashing among the hosts
+// that answer. Hosts ask their speaker, and speakers ask each other, so that the
+// messages between data centres do not grow with the number of hosts.
 package dfneighbour
 
 import (
 	"encoding/binary"
 	"io"
-	"sort"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -22,10 +24,23 @@
 	// maxFrame bounds one message; the desired state is the largest content.
 	maxFrame = 4 << 20
 	// AliveSpan is the silence after which a neighbour counts as out of reach:
-	// three rounds of exchange. A failed question counts at once.
-	AliveSpan = 3200 * dfclock.Millisecond
-	// forgetSpan is how long an unreachable neighbour is still tried.
+	// several rounds of exchange. A failed question counts at once.
+	AliveSpan = 1600 * dfclock.Millisecond
+	// SpeakerPeriod and MemberPeriod pace the questions of speakers to each other
+	// and of other hosts to their speaker. Together they keep proofs of positions
+	// younger than the shortest staleness of the two users.
+	SpeakerPeriod = 400 * dfclock.Millisecond
+	MemberPeriod  = 500 * dfclock.Millisecond
+	// forgetSpan is how long an unreachable neighbour is still named and tried.
 	forgetSpan = 90 * dfclock.Second
+	// passOverSpan is how long a host that did not answer is no speaker.
+	passOverSpan = 4 * dfclock.Second
+	// speakersSpan is how long a choice of speakers is kept.
+	speakersSpan = 200 * dfclock.Millisecond
+	// strangers bounds the hosts of unknown name that are asked at once.
+	strangers = 3
+	// speakerKey makes the choice of speakers differ from other choices.
+	speakerKey = "speaker"
 )
 
 // Lead is what a host knows of a service's leader. Fields are encoded by place,
@@ -43,8 +58,9 @@
 	Position  dfposition.Position
 	// BackIn is when the host that changes the leader expects the next one, or zero.
 	BackIn dfclock.Millis
-	// Connections counts the host's connections to each upstream.
-	Connections map[dffleet.ID]int
+	// Alive and Dead count the hosts of the data centre that heard from the
+	// leader lately and that suspect it. Only speakers fill them in.
+	Alive, Dead int
 }
 
 // Question asks a neighbour for its report.
@@ -57,6 +73,8 @@
 	Fleet   uint64
 	// Circle is the digest of the hosts that the asker knows.
 	Circle uint64
+	// Leads are the asker's own, for the votes of its data centre.
+	Leads []Lead
 }
 
 // Report answers a question.
@@ -66,6 +84,11 @@
 	Catalog uint64
 	Fleet   uint64
 	Leads   []Lead
+	// CurrentAgo is the time since the host knew that it missed no version of
+	// the desired state.
+	CurrentAgo dfclock.Millis
+	// Remote is true if the host heard from other data centres lately.
+	Remote bool
 	// Hosts are those that the host knows, if the asker knows others.
 	Hosts []dfmember.Host
 	// Document and Upstreams are sent to an asker whose versions are lower.
@@ -122,191 +145,3 @@
 	}
 	return eris.Wrap(cbor.Unmarshal(data, message), "neighbour: decode")
 }
-
-// neighbour is one other host.
-type neighbour struct {
-	host dfmember.Host
-	// heardAt is when it answered or asked last, or negative.
-	heardAt dfclock.Millis
-	// failedAt is when a question to it failed last, or negative.
-	failedAt dfclock.Millis
-	// knownAt is when it was first named.
-	knownAt dfclock.Millis
-	leads   map[string]told
-}
-
-// told is a lead with its ages as instants of this host.
-type told struct {
-	Lead
-	heardAt dfclock.Millis
-}
-
-// Circle has the neighbours of one host. It is not safe for concurrent use.
-type Circle struct {
-	self       dfmember.Host
-	neighbours map[string]*neighbour
-}
-
-// NewCircle returns the circle of a host that knows nobody.
-func NewCircle(self dfmember.Host) *Circle {
-	return &Circle{self: self, neighbours: map[string]*neighbour{}}
-}
-
-// Learn adds a host that somebody named. It reports whether it is new.
-func (c *Circle) Learn(now dfclock.Millis, host dfmember.Host) bool {
-	if host.Address == c.self.Address || host.Address == "" {
-		return false
-	}
-	known := c.neighbours[host.Address]
-	if known != nil {
-		if known.host.ID == "" {
-			known.host = host
-		}
-		return false
-	}
-	c.neighbours[host.Address] = &neighbour{host: host, heardAt: -1, failedAt: -1, knownAt: now}
-	return true
-}
-
-// Heard takes a report that was asked for, or received, at an instant. Ages in
-// it count from that instant.
-func (c *Circle) Heard(now, since dfclock.Millis, report Report) {
-	c.Learn(now, report.Host)
-	known := c.neighbours[report.Host.Address]
-	if known == nil {
-		return
-	}
-	known.host, known.heardAt = report.Host, now
-	known.leads = make(map[string]told, len(report.Leads))
-	for _, lead := range report.Leads {
-		known.leads[lead.Service] = told{Lead: lead, heardAt: since - lead.HeardAgo}
-	}
-	for _, host := range report.Hosts {
-		c.Learn(now, host)
-	}
-}
-
-// Failed notes that a question to an address had no answer.
-func (c *Circle) Failed(now dfclock.Millis, address string) {
-	if known := c.neighbours[address]; known != nil {
-		known.failedAt = now
-	}
-}
-
-// Digest tells apart circles of different hosts.
-func (c *Circle) Digest() uint64 {
-	var digest uint64
-	for address := range c.neighbours {
-		digest += xxhash.Sum64String(address)
-	}
-	return digest + xxhash.Sum64String(c.self.Address)
-}
-
-// Hosts returns the hosts that were heard at some time.
-func (c *Circle) Hosts() []dfmember.Host {
-	var hosts []dfmember.Host
-	for _, known := range c.neighbours {
-		if known.heardAt >= 0 {
-			hosts = append(hosts, known.host)
-		}
-	}
-	return hosts
-}
-
-// Met notes that a host asked this one.
-func (c *Circle) Met(now dfclock.Millis, host dfmember.Host) {
-	c.Learn(now, host)
-	if known := c.neighbours[host.Address]; known != nil {
-		known.host, known.heardAt = host, now
-	}
-}
-
-// Addresses returns where to ask, and drops hosts that were silent for long.
-func (c *Circle) Addresses(now dfclock.Millis) []string {
-	var addresses []string
-	for address, known := range c.neighbours {
-		if now-max(known.heardAt, known.knownAt) >= forgetSpan {
-			delete(c.neighbours, address)
-			continue
-		}
-		addresses = append(addresses, address)
-	}
-	sort.Strings(addresses)
-	return addresses
-}
-
-// Live returns the hosts that were heard lately and this host itself.
-func (c *Circle) Live(now dfclock.Millis) []dfmember.Host {
-	live := []dfmember.Host{c.self}
-	for _, known := range c.neighbours {
-		if known.alive(now) {
-			live = append(live, known.host)
-		}
-	}
-	return live
-}
-
-func (n *neighbour) alive(now dfclock.Millis) bool {
-	return n.heardAt > n.failedAt && now-n.heardAt < AliveSpan
-}
-
-// Votes counts live neighbours that suspect a leader and those that heard from
-// it after an instant.
-func (c *Circle) Votes(now dfclock.Millis, service string, leader dffleet.ID, after dfclock.Millis) (alive, dead int) {
-	for _, known := range c.neighbours {
-		lead, ok := known.leads[service]
-		if !ok || !known.alive(now) || lead.Leader != leader {
-			continue
-		}
-		switch {
-		case lead.Suspected:
-			dead++
-		case lead.heardAt >= after:
-			alive++
-		}
-	}
-	return alive, dead
-}
-
-// Connections counts what live neighbours hold at an upstream.
-func (c *Circle) Connections(now dfclock.Millis, service string, id dffleet.ID) int {
-	total := 0
-	for _, known := range c.neighbours {
-		if known.alive(now) {
-			total += known.leads[service].Connections[id]
-		}
-	}
-	return total
-}
-
-// Isolated reports whether hosts of other data centres are known and none of
-// them is heard.
-func (c *Circle) Isolated(now dfclock.Millis) bool {
-	remote := false
-	for _, known := range c.neighbours {
-		if known.host.DataCentre == c.self.DataCentre || known.heardAt < 0 {
-			continue
-		}
-		if known.alive(now) {
-			return false
-		}
-		remote = true
-	}
-	return remote
-}
-
-// BackAt returns the earliest instant at which a neighbour that changes the
-// leader expects the next one, or zero.
-func (c *Circle) BackAt(now dfclock.Millis, service string) dfclock.Millis {
-	var back dfclock.Millis
-	for _, known := range c.neighbours {
-		lead := known.leads[service]
-		if !known.alive(now) || lead.BackIn <= 0 {
-			continue
-		}
-		if at := known.heardAt.Add(lead.BackIn); back == 0 || at < back {
-			back = at
-		}
-	}
-	return back
-}
