--- /dev/null
+++ b/dfneighbour/circle_test.go
@@ -0,0 +1,154 @@
+package dfneighbour
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/dfposition"
+)
+
+func host(dataCentre string, number int) dfmember.Host {
+	id := fmt.Sprintf("%s-%d", dataCentre, number)
+	return dfmember.Host{ID: id, DataCentre: dataCentre, Address: id + ":1"}
+}
+
+// circles returns the circles of hosts that know each other.
+func circles(now dfclock.Millis, hosts []dfmember.Host) map[string]*Circle {
+	all := map[string]*Circle{}
+	for _, self := range hosts {
+		circle := NewCircle(self)
+		for _, other := range hosts {
+			circle.Learn(now, other)
+		}
+		all[self.Address] = circle
+	}
+	return all
+}
+
+// Guards against messages between data centres that grow with the number of
+// hosts: at 90 hosts in 3 data centres only 3 of them may cross.
+func TestOnlySpeakersCross(t *testing.T) {
+	var hosts []dfmember.Host
+	for _, dataCentre := range []string{"a", "b", "c"} {
+		for i := range 30 {
+			hosts = append(hosts, host(dataCentre, i))
+		}
+	}
+	all := circles(0, hosts)
+	dataCentres := map[string]string{}
+	for _, h := range hosts {
+		dataCentres[h.Address] = h.DataCentre
+	}
+	crossing, speakers := 0, 0
+	for _, h := range hosts {
+		circle := all[h.Address]
+		if circle.Speaks(1) {
+			speakers++
+		}
+		targets := circle.Targets(1)
+		require.NotEmpty(t, targets)
+		for address := range targets {
+			if dataCentres[address] != h.DataCentre {
+				crossing++
+			}
+		}
+	}
+	require.Equal(t, 3, speakers)
+	require.Equal(t, 6, crossing)
+}
+
+// Guards against a data centre that hears nothing because its speaker is dead.
+func TestNextSpeaker(t *testing.T) {
+	hosts := []dfmember.Host{host("a", 1), host("a", 2), host("a", 3), host("b", 1)}
+	all := circles(0, hosts)
+	first := all[hosts[0].Address].Speakers(10)["a"]
+	for _, h := range hosts[:3] {
+		if h == first {
+			continue
+		}
+		circle := all[h.Address]
+		circle.Failed(20, first.Address)
+		next := circle.Speakers(20)["a"]
+		require.NotEqual(t, first, next)
+		circle.Met(30, first, nil)
+		require.Equal(t, first, circle.Speakers(300)["a"], "it asks again, so it lives")
+	}
+}
+
+// Guards against hosts of a cut data centre that go on asking for callers, and
+// against hosts of a single data centre that count as cut off.
+func TestRemote(t *testing.T) {
+	alone := NewCircle(host("a", 1))
+	alone.Learn(0, host("a", 2))
+	require.True(t, alone.Remote(10), "no other data centre is known")
+
+	circle := NewCircle(host("a", 1))
+	circle.Learn(0, host("b", 1))
+	circle.Heard(100, 90, Report{Host: host("b", 1)})
+	require.True(t, circle.Remote(110))
+	circle.Failed(200, host("b", 1).Address)
+	require.False(t, circle.Remote(210))
+	circle.Heard(300, 290, Report{Host: host("b", 1)})
+	require.True(t, circle.Remote(310))
+	require.False(t, circle.Remote(310+AliveSpan), "silence")
+}
+
+// Guards against a member that relies on its speaker's word for longer than the
+// speaker has it.
+func TestCurrentAtCountsFromTheQuestion(t *testing.T) {
+	circle := NewCircle(host("a", 1))
+	circle.Heard(1000, 900, Report{Host: host("a", 2), CurrentAgo: 300})
+	require.Equal(t, dfclock.Millis(600), circle.CurrentAt())
+	circle.Heard(1100, 1050, Report{Host: host("a", 2), CurrentAgo: 5000})
+	require.Equal(t, dfclock.Millis(600), circle.CurrentAt(), "older knowledge changes nothing")
+}
+
+// Guards against votes of another leader, of silent hosts, and against votes of
+// another data centre that are counted host by host.
+func TestVotes(t *testing.T) {
+	circle := NewCircle(host("a", 1))
+	lead := func(leader dffleet.ID, ago dfclock.Millis, suspected bool) []Lead {
+		return []Lead{{Service: "orders", Leader: leader, HeardAgo: ago, Suspected: suspected, Alive: 4, Dead: 2}}
+	}
+	circle.Met(1000, host("a", 2), lead("p", 10, false))
+	circle.Met(1000, host("a", 3), lead("p", 900, true))
+	circle.Met(1000, host("a", 4), lead("q", 10, false))
+	circle.Heard(1000, 995, Report{Host: host("b", 1), Leads: lead("p", 10, false)})
+	alive, dead := circle.Votes(1010, "orders", "p", 500)
+	require.Equal(t, 1+4, alive)
+	require.Equal(t, 1+2, dead)
+	alive, dead = circle.Votes(1010+AliveSpan, "orders", "p", 500)
+	require.Zero(t, alive+dead)
+}
+
+// Guards against messages that lose a field on the way.
+func TestFrames(t *testing.T) {
+	report := Report{
+		Host: host("a", 1), Catalog: 7, Fleet: 9, CurrentAgo: 3, Remote: true, Document: []byte("{}"),
+		Leads: []Lead{{
+			Service: "orders", Leader: "p", HeardAgo: 4, Suspected: true, ProvedAgo: -1,
+			Position: dfposition.Position{Term: 2, Offset: 5}, BackIn: 6, Alive: 1, Dead: 2,
+		}},
+		Hosts:     []dfmember.Host{host("b", 1)},
+		Upstreams: []dffleet.Upstream{{ID: "p", Born: 1, Service: "orders", Address: "x:1", Slots: 3, Primary: true, Version: 9}},
+	}
+	var wire bytes.Buffer
+	require.NoError(t, WriteReport(&wire, report))
+	got, err := ReadReport(&wire)
+	require.NoError(t, err)
+	require.Equal(t, report, got)
+	wire.Reset()
+	question := Question{Host: host("a", 2), Catalog: 1, Fleet: 2, Circle: 3}
+	require.NoError(t, WriteQuestion(&wire, question))
+	asked, err := ReadQuestion(&wire)
+	require.NoError(t, err)
+	require.Equal(t, question, asked)
+	_, err = ReadQuestion(bytes.NewReader([]byte{255, 255, 255, 255}))
+	require.Error(t, err, "a frame beyond the bound")
+}
--- /dev/null
+++ b/dfsuccession/script_test.go
@@ -0,0 +1,161 @@
+package dfsuccession
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfposition"
+)
+
+// script runs one case of the data file.
+type script struct {
+	now       dfclock.Millis
+	situation Situation
+	successor *Successor
+}
+
+// TestScripts runs every case of testdata/succession.txt. Each case says which
+// failure it guards against.
+func TestScripts(t *testing.T) {
+	file, err := os.Open("testdata/succession.txt")
+	require.NoError(t, err)
+	defer file.Close()
+	cases := map[string][]string{}
+	var names []string
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		line := strings.TrimSpace(scanner.Text())
+		switch name, is := strings.CutPrefix(line, "case "); {
+		case line == "" || strings.HasPrefix(line, "#") || strings.HasPrefix(line, "guards "):
+		case is:
+			names = append(names, name)
+		default:
+			require.NotEmpty(t, names, "a line before the first case: %s", line)
+			last := names[len(names)-1]
+			cases[last] = append(cases[last], line)
+		}
+	}
+	require.NoError(t, scanner.Err())
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			s := &script{successor: New(0)}
+			for _, line := range cases[name] {
+				s.run(t, line)
+			}
+		})
+	}
+}
+
+func (s *script) run(t *testing.T, line string) {
+	t.Helper()
+	fields := strings.Fields(line)
+	words, values := fields[1:], map[string]string{}
+	var plain []string
+	for _, word := range words {
+		if key, value, ok := strings.Cut(word, "="); ok {
+			values[key] = value
+			continue
+		}
+		plain = append(plain, word)
+		values[word] = "true"
+	}
+	switch fields[0] {
+	case "at":
+		s.now = dfclock.Millis(number(t, plain[0]))
+	case "see":
+		s.situation = situationOf(t, values)
+		s.successor.observe(s.now, s.situation)
+	case "step":
+		require.Equal(t, strings.Join(words, " "), describe(s.successor.Step(s.now, s.situation)), "at %s", s.now)
+	case "suspected":
+		require.Equal(t, plain[0], strconv.FormatBool(s.successor.Suspected()), "at %s", s.now)
+	default:
+		s.successor.Handle(s.now, eventOf(t, fields[0], plain, values))
+	}
+}
+
+func number(t *testing.T, text string) int {
+	t.Helper()
+	value, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return value
+}
+
+func situationOf(t *testing.T, values map[string]string) Situation {
+	t.Helper()
+	count := func(key string) int {
+		if values[key] == "" {
+			return 0
+		}
+		return number(t, values[key])
+	}
+	situation := Situation{
+		Leader: dffleet.ID(values["leader"]), LeaderLeaving: values["leaving"] != "", Busy: values["busy"] != "",
+		Members: count("members"), Rank: count("rank"), Alive: count("alive"), Dead: count("dead"),
+	}
+	for _, id := range strings.Split(values["listed"], ",") {
+		situation.Listed = append(situation.Listed, dffleet.ID(id))
+	}
+	return situation
+}
+
+func eventOf(t *testing.T, kind string, plain []string, values map[string]string) Event {
+	t.Helper()
+	var id dffleet.ID
+	if len(plain) > 0 {
+		id = dffleet.ID(plain[0])
+	}
+	switch kind {
+	case "answered":
+		return Answered{ID: id}
+	case "troubled":
+		return Troubled{ID: id}
+	case "probefailed":
+		return ProbeFailed{ID: id}
+	case "reported":
+		received, err := dfposition.ParsePosition(values["received"])
+		require.NoError(t, err)
+		return Reported{
+			ID: id, Primary: values["primary"] != "", Probe: values["probe"] != "",
+			Term: dfposition.Term(number(t, values["term"])), Received: received,
+		}
+	case "askended":
+		return AskEnded{}
+	case "claimed":
+		return Claimed{Epoch: uint64(number(t, plain[0]))}
+	case "claimlost":
+		return ClaimLost{}
+	case "ordered":
+		return Ordered{}
+	case "orderlost":
+		return OrderLost{}
+	case "orderrefused":
+		return OrderRefused{}
+	}
+	require.Failf(t, "unknown line", "%s", kind)
+	return nil
+}
+
+func describe(action Action) string {
+	switch a := action.(type) {
+	case Rest:
+		return "rest"
+	case Probe:
+		return "probe " + string(a.ID)
+	case AskAll:
+		return "askall"
+	case Claim:
+		return "claim " + string(a.Target)
+	case Order:
+		return fmt.Sprintf("order %s %d", a.Target, a.Epoch)
+	}
+	return "unknown"
+}
