Leave full queues alone and estimate lag from the first missing proof

Change: a full queue counts as a wait of 300 ms that fades, and is passed over for 60 ms; a refused probe is an answer; lag is the age of the first proof that a log lacks; the last connection stays 15 s where the limit has room for it; hosts use eight connections a slot at most.

--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -16,7 +16,10 @@
 
 const (
 	// idleClose frees a share of the upstream's limit that other hosts may need.
-	idleClose = 2 * dfclock.Second
+	// The last connection stays for lastIdleClose where each host may hold one,
+	// because an opening takes a slot for longer than many statements do.
+	idleClose     = 2 * dfclock.Second
+	lastIdleClose = 15 * dfclock.Second
 	// reopenFirst and reopenCap pace openings after a failure. The first is
 	// several times the time that an opening takes.
 	reopenFirst = 100 * dfclock.Millisecond
@@ -58,12 +61,16 @@
 	opened   int
 }
 
-// NewPool returns a pool without connections.
-func NewPool(upstream dffleet.Upstream, limit int, clock Clock, open Opener, observe Observer, source *rand.Rand) *Pool {
+// NewPool returns a pool without connections. Spacious tells that the upstream
+// has room for an idle connection of each host beside those in use.
+func NewPool(upstream dffleet.Upstream, limit int, spacious bool, clock Clock, open Opener, observe Observer, source *rand.Rand) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	config := dfpool.Config{
 		Limit: limit, Waiters: waiters,
-		IdleClose: idleClose, ReopenFirst: reopenFirst, ReopenCap: reopenCap,
+		IdleClose: idleClose, LastIdleClose: idleClose, ReopenFirst: reopenFirst, ReopenCap: reopenCap,
+	}
+	if spacious {
+		config.LastIdleClose = lastIdleClose
 	}
 	return &Pool{
 		upstream: upstream, open: open, clock: clock, observe: observe, ctx: ctx, cancel: cancel,
@@ -178,7 +185,7 @@
 				delete(p.conns, a.Conn)
 				closeWire(conn)
 			}
-			queue = append(queue, p.decision.Handle(p.clock(), dfpool.Closed{Conn: a.Conn})...)
+			queue = append(queue, p.decision.Handle(p.clock(), dfpool.Closed(a))...)
 		case dfpool.Refuse:
 			err := dfresult.NewError(a.Code, "upstream %s", p.upstream.ID).WithRetryAfter(a.RetryAfter)
 			p.end(a.Waiter, grant{err: err})
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -180,6 +180,9 @@
 		return 0
 	}
 	usable := max(1, known.ConnectionLimit*connectionShare/100)
+	if upstream, ok := e.fleet.Find(id); ok && upstream.Slots > 0 {
+		usable = min(usable, upstream.Slots*slotQueue)
+	}
 	share := max(1, usable/e.circle.Count(now))
 	if full, ok := s.fullAt[id]; ok && now-full < fullSpan {
 		return share
@@ -228,7 +231,9 @@
 	if pool == nil {
 		source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
 		limit := e.connectionLimit(now, s, upstream.ID)
-		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, e.options.Now, e.open, e.opened, source)
+		known, _ := e.catalog.Service(s.name)
+		spacious := known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
+		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, spacious, e.options.Now, e.open, e.opened, source)
 	}
 }
 
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -82,7 +82,7 @@
 	leader, ok := e.fleet.Leader(now, s.name)
 	if ok && e.mayUse(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
-		if pool != nil && (s.placer.Open(now, leader.ID) || pool.Stats().Idle > 0) {
+		if pool != nil && s.placer.OpenIn(now, leader.ID) == 0 {
 			if err := overload(now, n, n.aim, s.placer.Wait(now, leader.ID)); err != nil {
 				return refuse{err}
 			}
@@ -91,8 +91,12 @@
 				patience: n.deadline - now, silence: n.deadline - now,
 			}}
 		}
-		// The last opening failed; the next one is under way soon.
-		return pause{e.changed, min(n.deadline, now.Add(refusePause))}
+		// The last opening failed, or the queue there was full.
+		wait := s.placer.OpenIn(now, leader.ID)
+		if err := overload(now, n, n.aim, wait); err != nil {
+			return refuse{err}
+		}
+		return pause{e.changed, min(n.deadline, now.Add(max(wait, refusePause)))}
 	}
 	back := s.successor.BackAt(now)
 	if told := e.circle.BackAt(now, s.name); told > 0 && (back == 0 || told < back) {
@@ -230,8 +234,7 @@
 		}
 	}
 	if !answer.Position.IsZero() {
-		lag := now - s.timeline.CoveredAt(answer.Position)
-		s.placer.Reached(now, id, answer.Position, lag)
+		s.placer.Reached(now, id, answer.Position, s.timeline.Lag(now, answer.Position))
 	}
 	switch answer.Code {
 	case dfresult.OK:
@@ -239,8 +242,11 @@
 	case dfresult.NeedsPrimary:
 		e.fleet.Refuted(now, id)
 		e.follow(now, s)
-	case dfresult.WrongUpstream, dfresult.QueueFull:
+	case dfresult.WrongUpstream:
 		s.placer.Failed(now, id)
+	case dfresult.QueueFull:
+		s.placer.Full(now, id)
+		s.fullAt[id] = now
 	}
 }
 
@@ -257,3 +263,9 @@
 	var failure *dfresult.Error
 	return errors.As(err, &failure) && failure.Code == dfresult.ConnectionLimit
 }
+
+// isRefusal reports whether an upstream answered that it takes no more.
+func isRefusal(err error) bool {
+	var failure *dfresult.Error
+	return errors.As(err, &failure) && (failure.Code == dfresult.ConnectionLimit || failure.Code == dfresult.QueueFull)
+}
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -14,6 +14,7 @@
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
 )
@@ -106,7 +107,7 @@
 		return dfstatement.Report{}, err
 	}
 	if !answers[0].OK() {
-		return dfstatement.Report{}, eris.Errorf("edge: status of %s: %s", upstream.ID, answers[0].Detail)
+		return dfstatement.Report{}, dfresult.NewError(answers[0].Code, "status of %s: %s", upstream.ID, answers[0].Detail)
 	}
 	report, err := conn.Report(answers[0])
 	if err != nil {
@@ -131,7 +132,7 @@
 		e.fleet.Refuted(now, id)
 		e.follow(now, s)
 	}
-	s.placer.Reached(now, id, answer.Position, now-s.timeline.CoveredAt(answer.Position))
+	s.placer.Reached(now, id, answer.Position, s.timeline.Lag(now, answer.Position))
 	s.successor.Handle(now, dfsuccession.Reported{
 		ID: id, Primary: report.Primary, Term: report.Term, Received: report.Received, Probe: probe,
 	})
@@ -148,11 +149,11 @@
 	if _, err := e.status(ctx, s, upstream, dfsuccession.ProbeTimeout, true); err != nil {
 		e.counters.probesFailed.Inc()
 		e.log.Warn().Str("Service", s.name).Str("Upstream", string(id)).Err(err).Msg("succession: probe failed")
-		if isConnectionLimit(err) {
-			// An upstream that counts its connections is alive.
+		e.tell(s, dfsuccession.ProbeFailed{ID: id})
+		if isRefusal(err) {
+			// An upstream that says it is full is alive.
 			e.tell(s, dfsuccession.Answered{ID: id})
 		}
-		e.tell(s, dfsuccession.ProbeFailed{ID: id})
 	}
 }
 
--- a/dffresh/fresh.go
+++ b/dffresh/fresh.go
@@ -80,13 +80,15 @@
 	return t.proofs[len(t.proofs)-1], true
 }
 
-// CoveredAt returns an instant up to which a log that ends at the position has
-// every acknowledged commit, or a negative value if no proof tells.
-func (t *Timeline) CoveredAt(position dfposition.Position) dfclock.Millis {
-	for i := len(t.proofs) - 1; i >= 0; i-- {
-		if !position.Less(t.proofs[i].Position) {
-			return t.proofs[i].At
+// Lag estimates how far a log that ends at the position is behind. It is the
+// age of the first proof that the log lacks, so it is too low rather than too
+// high where proofs are rare; the upstream itself refuses reads that it lacks the
+// position for.
+func (t *Timeline) Lag(now dfclock.Millis, position dfposition.Position) dfclock.Millis {
+	for _, proof := range t.proofs {
+		if position.Less(proof.Position) {
+			return now - proof.At
 		}
 	}
-	return -1
+	return 0
 }
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -198,11 +198,11 @@
 	speakers := c.Speakers(now)
 	own := speakers[c.self.DataCentre]
 	if own.Address != c.self.Address {
-		targets[own.Address] = MemberPeriod
+		targets[own.Address] = memberPeriod
 	} else {
 		for _, speaker := range speakers {
 			if speaker.Address != c.self.Address {
-				targets[speaker.Address] = SpeakerPeriod
+				targets[speaker.Address] = speakerPeriod
 			}
 		}
 	}
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -26,11 +26,11 @@
 	// AliveSpan is the silence after which a neighbour counts as out of reach:
 	// several rounds of exchange. A failed question counts at once.
 	AliveSpan = 1600 * dfclock.Millisecond
-	// SpeakerPeriod and MemberPeriod pace the questions of speakers to each other
+	// speakerPeriod and memberPeriod pace the questions of speakers to each other
 	// and of other hosts to their speaker. Together they keep proofs of positions
 	// younger than the shortest staleness of the two users.
-	SpeakerPeriod = 400 * dfclock.Millisecond
-	MemberPeriod  = 500 * dfclock.Millisecond
+	speakerPeriod = 400 * dfclock.Millisecond
+	memberPeriod  = 500 * dfclock.Millisecond
 	// forgetSpan is how long an unreachable neighbour is still named and tried.
 	forgetSpan = 90 * dfclock.Second
 	// passOverSpan is how long a host that did not answer is no speaker.
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -25,6 +25,12 @@
 	// others can serve. It doubles with each failure in a row up to failureCap.
 	failureSpan = 200 * dfclock.Millisecond
 	failureCap  = 2 * dfclock.Second
+	// fullSpan is how long an upstream with a full queue is passed over: a part
+	// of the time in which its slots work the queue off.
+	fullSpan = 60 * dfclock.Millisecond
+	// fullWork is the time that a statement takes at least where the queue is
+	// full. It fades like a measured time.
+	fullWork = 300 * dfclock.Millisecond
 	// primaryPenalty keeps reads off the primary's slots, which writes need,
 	// until a replica's wait is longer by this factor, in percent.
 	primaryPenalty = 180
@@ -222,10 +228,23 @@
 	return best.id, true
 }
 
-// Open reports whether an upstream is not passed over.
-func (p *Placer) Open(now dfclock.Millis, id dffleet.ID) bool {
+// Full records that an upstream had no place left in its queue. It answers loads
+// of many hosts, each of which measures too few statements to see the queue.
+func (p *Placer) Full(now dfclock.Millis, id dffleet.ID) {
+	if c := p.candidates[id]; c != nil {
+		c.openAfter = max(c.openAfter, now.Add(fullSpan))
+		c.work = max(c.expected(now), fullWork*scale)
+		c.measuredAt = now
+	}
+}
+
+// OpenIn returns how long an upstream is still passed over, or zero.
+func (p *Placer) OpenIn(now dfclock.Millis, id dffleet.ID) dfclock.Millis {
 	c := p.candidates[id]
-	return c != nil && !now.Before(c.openAfter)
+	if c == nil {
+		return 0
+	}
+	return max(0, c.openAfter-now)
 }
 
 // Wait estimates when a statement on an upstream would be answered.
--- a/dfplace/place_test.go
+++ b/dfplace/place_test.go
@@ -142,3 +142,13 @@
 	require.Greater(t, expected, 0.9)
 	require.Less(t, robin, expected)
 }
+
+// Guards against many hosts that each send a few statements to a full queue
+// again and again because none of them measures the queue.
+func TestFullQueueCountsAsWait(t *testing.T) {
+	p := newPlacer()
+	p.Full(1000, "p")
+	require.Equal(t, fullSpan, p.OpenIn(1000, "p"))
+	require.GreaterOrEqual(t, p.Wait(1000, "p"), fullWork)
+	require.Less(t, p.Wait(1000+forgetSpan, "p"), fullWork/2, "it is tried again")
+}
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -16,11 +16,13 @@
 	// Limit bounds connections in every state, also those being opened or closed.
 	Limit int
 	// Warm connections are kept open without demand; at most Limit.
-	Warm        int
-	Waiters     int
-	IdleClose   dfclock.Millis
-	ReopenFirst dfclock.Millis
-	ReopenCap   dfclock.Millis
+	Warm      int
+	Waiters   int
+	IdleClose dfclock.Millis
+	// LastIdleClose is IdleClose for the last connection; zero means IdleClose.
+	LastIdleClose dfclock.Millis
+	ReopenFirst   dfclock.Millis
+	ReopenCap     dfclock.Millis
 }
 
 // withDefaults fills in what is not set.
@@ -31,6 +33,9 @@
 	if c.IdleClose == 0 {
 		c.IdleClose = DefaultIdleClose
 	}
+	if c.LastIdleClose == 0 {
+		c.LastIdleClose = c.IdleClose
+	}
 	if c.ReopenFirst == 0 {
 		c.ReopenFirst = DefaultReopenFirst
 	}
@@ -190,7 +195,7 @@
 		if len(p.idles) > 0 {
 			// Connections are appended when they become idle, so the first one
 			// has been idle for longest.
-			next = min(next, p.idles[0].idleAt.Add(p.config.IdleClose))
+			next = min(next, p.idles[0].idleAt.Add(p.idleClose()))
 		}
 	}
 	return next
@@ -516,11 +521,19 @@
 	return max(0, p.openAfter.Since(now))
 }
 
+// idleClose is how long the oldest idle connection may rest.
+func (p *Pool) idleClose() dfclock.Millis {
+	if len(p.connections) == 1 {
+		return p.config.LastIdleClose
+	}
+	return p.config.IdleClose
+}
+
 // closeUnused closes one connection at a time that was idle for long.
 func (p *Pool) closeUnused(now dfclock.Millis) {
 	for len(p.idles) > 0 && len(p.connections) > p.config.Warm {
 		oldest := p.idles[0]
-		if !now.Reached(oldest.idleAt.Add(p.config.IdleClose)) {
+		if !now.Reached(oldest.idleAt.Add(p.idleClose())) {
 			return
 		}
 		p.close(oldest)
