--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -298,6 +298,10 @@
 // Step returns what to do now. It is called several times a second.
 func (s *Successor) Step(now dfclock.Millis, situation Situation) Action {
 	s.observe(now, situation)
+	if s.undecided() && s.leader != "" && !s.Suspected() && !situation.LeaderLeaving {
+		// The leader answered after all.
+		s.giveUp(now, probeGap)
+	}
 	switch s.phase {
 	case watching:
 		return s.watch(now, situation)
@@ -311,6 +315,12 @@
 	return Rest{}
 }
 
+// undecided reports whether a change of the leader is under way that can still
+// be given up without an effect.
+func (s *Successor) undecided() bool {
+	return s.phase == asking || s.phase == claiming || s.phase == ordering && !s.sent
+}
+
 // order repeats an order whose answer was lost. Repeats carry the same epoch
 // and target, so that a late first try changes nothing.
 func (s *Successor) order(now dfclock.Millis) Action {
