--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -36,7 +36,7 @@
 	primaryPenalty = 180
 	// remotePenalty is the cost of a round trip to another data centre and of
 	// its bytes, as a wait.
-	remotePenalty = 14 * dfclock.Millisecond
+	remotePenalty = 40 * dfclock.Millisecond
 )
 
 // Need is what a read asks of a log.
