Hold an epoch for the next promotion ahead of need

Ruled out: orders themselves, which another service carries out. Change: the host that acts first for a service takes an epoch when it has begun to follow the feeds; it drops it when an order was refused or not answered.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -70,6 +70,11 @@
 	// readAt is when the last read arrived.
 	readAt  dfclock.Millis
 	proving bool
+	// epoch is held for the next promotion, or 0; epochAt is when it was taken,
+	// dropped or tried for, and claiming is true meanwhile.
+	epoch    uint64
+	epochAt  dfclock.Millis
+	claiming bool
 	// claimSeen is the version of the last claim that was read, and since when.
 	claimSeen   uint64
 	claimSeenAt dfclock.Millis
@@ -198,7 +203,7 @@
 		if s == nil {
 			s = &service{
 				name: name, placer: dfplace.New(), successor: dfsuccession.New(now),
-				pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
+				epochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 			}
 			e.services[name] = s
 		}
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -31,6 +31,9 @@
 	// currentSpan is how long a host relies on what neighbours told of versions.
 	// It leaves time within the 3 s in which a version must be in force.
 	currentSpan = 1500 * dfclock.Millisecond
+	// standingPause is the pause before an epoch is taken ahead of need, after the
+	// start and after one was lost: the time in which claims take effect.
+	standingPause = 2500 * dfclock.Millisecond
 	// fullSpan is how long an upstream that was at its limit of connections is
 	// asked for no more than the equal share.
 	fullSpan = dfclock.Second
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -38,7 +38,8 @@
 // the returned function runs without it.
 func (e *Edge) stepService(ctx context.Context, now dfclock.Millis, s *service) func() {
 	suspected := s.successor.Suspected()
-	action := s.successor.Step(now, e.situation(now, s))
+	situation := e.situation(now, s)
+	action := s.successor.Step(now, situation)
 	if s.successor.Suspected() != suspected {
 		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Bool("Suspected", !suspected).
 			Int64("SilentMillis", int64(now-s.successor.HeardAt())).Msg("succession: suspicion changed")
@@ -56,6 +57,10 @@
 	case dfsuccession.Order:
 		return func() { e.order(ctx, s, a) }
 	}
+	if e.wantsStanding(now, s, situation) {
+		s.claiming = true
+		return func() { e.stand(ctx, s) }
+	}
 	if e.needsProof(now, s) {
 		s.proving = true
 		return func() { e.prove(ctx, s) }
@@ -178,6 +183,11 @@
 // claim takes an epoch from the table by a conditional write.
 func (e *Edge) claim(ctx context.Context, s *service, wanted dfsuccession.Claim) {
 	target := wanted.Target
+	if epoch := e.standing(s); epoch > 0 {
+		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Uint64("Epoch", epoch).Msg("succession: standing epoch used")
+		e.tell(s, dfsuccession.Claimed{Epoch: epoch})
+		return
+	}
 	epoch, err := e.takeEpoch(ctx, s, wanted)
 	if err != nil {
 		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Err(err).Msg("succession: no epoch")
@@ -188,6 +198,45 @@
 	e.tell(s, dfsuccession.Claimed{Epoch: epoch})
 }
 
+// standing returns the epoch that this host holds for the next promotion, or 0.
+func (e *Edge) standing(s *service) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.epoch
+}
+
+// dropStanding gives up the epoch that this host holds: another one was used, or
+// an order under it may still take effect.
+func (e *Edge) dropStanding(s *service) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.epoch > 0 {
+		e.log.Info().Str("Service", s.name).Uint64("Epoch", s.epoch).Msg("succession: standing epoch dropped")
+	}
+	s.epoch, s.epochAt = 0, e.options.Now()
+}
+
+// wantsStanding tells whether to take an epoch ahead of need. The host that acts
+// first holds one, so that it can order a promotion while the store is away.
+func (e *Edge) wantsStanding(now dfclock.Millis, s *service, situation dfsuccession.Situation) bool {
+	return s.epoch == 0 && !s.claiming && now-s.epochAt >= standingPause && situation.Rank == 0 &&
+		situation.Leader != "" && !s.successor.Suspected() && !s.successor.Acting() &&
+		e.circle.Speaks(now) && e.following && !e.catalogLost
+}
+
+// stand takes an epoch ahead of need.
+func (e *Edge) stand(ctx context.Context, s *service) {
+	epoch, err := e.takeEpoch(ctx, s, dfsuccession.Claim{})
+	if err != nil {
+		e.log.Info().Str("Service", s.name).Err(err).Msg("succession: no standing epoch")
+	} else {
+		e.log.Info().Str("Service", s.name).Uint64("Epoch", epoch).Msg("succession: standing epoch taken")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.claiming, s.epoch, s.epochAt = false, epoch, e.options.Now()
+}
+
 func (e *Edge) takeEpoch(ctx context.Context, s *service, wanted dfsuccession.Claim) (uint64, error) {
 	key := claimsTable + s.name
 	platform := e.options.Platform
@@ -248,8 +297,9 @@
 	if version == 0 || last == (claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target}) {
 		return false
 	}
-	// A leader that follows from the claim itself was learned after it.
-	if last.Target == wanted.Replaced {
+	// A leader that follows from the claim itself was learned after it. An epoch
+	// that was taken ahead of need orders nothing by itself.
+	if last.Target == wanted.Replaced || last.Target == "" {
 		return false
 	}
 	return now-s.claimSeenAt < claimHold
@@ -264,8 +314,11 @@
 	case err == nil:
 		e.tell(s, dfsuccession.Ordered{})
 	case eris.Is(err, dfplatform.ErrSuperseded):
+		e.dropStanding(s)
 		e.tell(s, dfsuccession.OrderRefused{})
 	default:
+		// The order may take effect later, under this epoch only.
+		e.dropStanding(s)
 		sleep(ctx, feedRetry/2)
 		e.tell(s, dfsuccession.OrderLost{})
 	}
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -23,7 +23,7 @@
 	// probesFailed is the number of probes in a row that make a leader suspect.
 	probesFailed = 2
 	// rankDelay is the time that a host of the next rank waits for the others.
-	rankDelay = 100 * dfclock.Millisecond
+	rankDelay = 150 * dfclock.Millisecond
 	// missingSpan is how long a service may be without a leader in the list
 	// before a promotion: the time of a change that is under way.
 	missingSpan = 1500 * dfclock.Millisecond
