Probe leaders from the speakers first

Change: silence counts from three times the expected wait; hosts that do not speak for their data centre, and all hosts before the first answer, wait 700 ms.

--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -74,6 +74,13 @@
 	// the leader which replicas serve as a rule. Under overload they leave its
 	// slots to statements that only the leader can run.
 	leaderPatience = 40
+	// silenceRatio times the expected wait is the silence of a leader that its
+	// load explains.
+	silenceRatio = 3
+	// memberPatience is the silence after which hosts that do not speak for their
+	// data centre probe a leader, and every host one that has not answered yet.
+	// Probes of all hosts at once would fill its slots.
+	memberPatience = 700 * dfclock.Millisecond
 	// refusePause is the pause before a statement that an upstream refused
 	// without running it is sent again.
 	refusePause = 15 * dfclock.Millisecond
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -81,6 +81,10 @@
 	if leader, ok := e.fleet.Leader(now, s.name); ok {
 		situation.Leader = leader.ID
 		situation.LeaderLeaving = e.fleet.Departing(now, leader.ID)
+		situation.Patience = silenceRatio * s.placer.Wait(now, leader.ID)
+		if !e.circle.Speaks(now) || !s.successor.Heard() {
+			situation.Patience = max(situation.Patience, memberPatience)
+		}
 	}
 	actors := e.circle.Actors(now)
 	situation.Rank = max(0, dfmember.RankOf(s.name, actors, e.options.Self.ID))
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -127,6 +127,8 @@
 	LeaderLeaving bool
 	// Busy is true while requests wait for the leader.
 	Busy bool
+	// Patience is the silence that the leader's load explains, or zero.
+	Patience dfclock.Millis
 	// Listed are the upstreams that may lead, without draining ones.
 	Listed []dffleet.ID
 	// Members counts all upstreams in the list.
@@ -156,6 +158,9 @@
 	// leader is the upstream that the watch is about.
 	leader     dffleet.ID
 	answeredAt dfclock.Millis
+	// answered is true once the leader answered; answeredAt is when it was first
+	// known otherwise.
+	answered bool
 	// troubledAt is the newest trouble; it counts only after answeredAt.
 	troubledAt dfclock.Millis
 	// probing counts probes under way.
@@ -195,6 +200,11 @@
 	return s.suspectAt != dfclock.Never
 }
 
+// Heard reports whether the leader has answered since it was first known.
+func (s *Successor) Heard() bool {
+	return s.answered
+}
+
 // HeardAt returns when the leader answered last.
 func (s *Successor) HeardAt() dfclock.Millis {
 	return s.answeredAt
@@ -225,6 +235,7 @@
 	case Answered:
 		if e.ID == s.leader {
 			s.heard(now)
+			s.answered = true
 		}
 	case Troubled:
 		if e.ID == s.leader {
@@ -344,6 +355,7 @@
 		}
 		s.leader = situation.Leader
 		s.heard(now)
+		s.answered = false
 		s.troubledAt = 0
 		s.leavingAt = dfclock.Never
 	}
@@ -371,7 +383,7 @@
 	if situation.Leader == "" || s.probing >= probesFailed || now-s.probedAt < probeGap {
 		return Rest{}
 	}
-	quiet := situation.Busy && now-s.answeredAt >= quietSpan
+	quiet := situation.Busy && now-s.answeredAt >= max(quietSpan, situation.Patience)
 	troubled := s.troubledAt > s.answeredAt
 	if quiet || troubled || s.failures > 0 {
 		s.probing, s.probedAt = s.probing+1, now
