Plan statements in one loop and name what a newcomer stumbles over

Cause: the loop that waits for a target stood three times; some comments named other fields than theirs. Change: one loop, constants beside each other, comments corrected. Behaviour stays as it is. Conclusion: tests of the touched packages pass.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -17,9 +17,14 @@
 	"dragonflygrade/dfstatement"
 )
 
-// maxPlans bounds the prepared statements of one connection; beyond it the
-// connection is reset.
-const maxPlans = 200
+const (
+	// maxPlans bounds the prepared statements of one connection; beyond it the
+	// connection is reset.
+	maxPlans = 200
+	// probeTimeout bounds the answer of a suspect connection: some round trips
+	// and a full queue of slots.
+	probeTimeout = 400 * dfclock.Millisecond
+)
 
 // Wire is the codec of one connection to an upstream.
 type Wire interface {
@@ -224,10 +229,6 @@
 	return closed || err != nil
 }
 
-// probeTimeout bounds the answer of a suspect connection: some round trips and
-// a full queue of slots.
-const probeTimeout = 400 * dfclock.Millisecond
-
 // deadlineAfter translates a span from now for the network.
 func deadlineAfter(span dfclock.Millis) time.Time {
 	return time.Now().Add(time.Duration(span) * time.Millisecond)
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -83,18 +83,11 @@
 // read runs a read outside of a transaction.
 func (e *Edge) read(x *session, n *need, call dfstatement.Call) dfstatement.Answer {
 	last := dfresult.NewError(dfresult.NoFreshUpstream, "service %s", n.service.name)
-	for try := 0; try < maxTries; {
-		var to target
-		switch next := e.planRead(n).(type) {
-		case pause:
-			e.await(next.changed, next.until)
-			continue
-		case refuse:
-			return x.refused(call, next.err, last)
-		case goTo:
-			to = next.target
+	for range maxTries {
+		to, denied := e.choose(n, e.planRead)
+		if denied != nil {
+			return x.refused(call, denied, last)
 		}
-		try++
 		answer, err := e.readOnce(x, n, to, call)
 		if err == nil {
 			return answer
@@ -175,18 +168,11 @@
 // not run.
 func (e *Edge) write(x *session, n *need, call dfstatement.Call) dfstatement.Answer {
 	last := dfresult.NewError(dfresult.NoPrimary, "service %s", n.service.name)
-	for try := 0; try < maxTries; {
-		var to target
-		switch next := e.planWrite(n).(type) {
-		case pause:
-			e.await(next.changed, next.until)
-			continue
-		case refuse:
-			return x.refused(call, next.err, last)
-		case goTo:
-			to = next.target
+	for range maxTries {
+		to, denied := e.choose(n, e.planWrite)
+		if denied != nil {
+			return x.refused(call, denied, last)
 		}
-		try++
 		a, err := e.acquire(n, to, 2*x.route.Priority)
 		if err != nil {
 			last = refusal(err)
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -12,8 +12,8 @@
 	"dragonflygrade/dfclock"
 )
 
-// probeTimeout bounds a question for readiness or metrics.
-const probeTimeout = 2 * time.Second
+// questionTimeout bounds a question for readiness or metrics.
+const questionTimeout = 2 * time.Second
 
 // listen opens all addresses and returns the listener for callers.
 func (e *Edge) listen(ctx context.Context) (net.Listener, error) {
@@ -58,7 +58,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "edge: listen on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: probeTimeout, WriteTimeout: probeTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: questionTimeout, WriteTimeout: questionTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -41,8 +41,8 @@
 	// own is the newest commit of the session, and when it was acknowledged.
 	own   dfposition.Position
 	ownAt dfclock.Millis
-	// unsafeOwn is true once a leader said that it lacks own: a promotion
-	// discarded it.
+	// discarded is true once a leader said that it lacks own: a promotion
+	// discarded that commit.
 	discarded bool
 	// avoid has upstreams that failed the statement.
 	avoid []dffleet.ID
@@ -67,6 +67,20 @@
 func (pause) step()  {}
 func (refuse) step() {}
 
+// choose waits until a plan names a target or refuses the statement.
+func (e *Edge) choose(n *need, plan func(*need) step) (target, *dfresult.Error) {
+	for {
+		switch next := plan(n).(type) {
+		case pause:
+			e.await(next.changed, next.until)
+		case refuse:
+			return target{}, next.err
+		case goTo:
+			return next.target, nil
+		}
+	}
+}
+
 // planWrite decides where a statement runs that needs the leader.
 func (e *Edge) planWrite(n *need) step {
 	e.mu.Lock()
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -130,24 +130,15 @@
 	x, e := t.session, t.session.edge
 	t.need = x.need(now, t.beganAt)
 	last := dfresult.NewError(dfresult.NoPrimary, "service %s", t.need.service.name)
-	for try := 0; try < maxTries; {
-		var next step
-		if t.readOnly {
-			next = e.planRead(t.need)
-		} else {
-			next = e.planWrite(t.need)
-		}
-		var to target
-		switch s := next.(type) {
-		case pause:
-			e.await(s.changed, s.until)
-			continue
-		case refuse:
-			return x.refused(call, s.err, last)
-		case goTo:
-			to = s.target
+	plan := e.planWrite
+	if t.readOnly {
+		plan = e.planRead
+	}
+	for range maxTries {
+		to, denied := e.choose(t.need, plan)
+		if denied != nil {
+			return x.refused(call, denied, last)
 		}
-		try++
 		answer, err := t.bindAt(to, call)
 		if err == nil {
 			return answer
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -47,8 +47,8 @@
 	At dfclock.Millis
 }
 
-// Candidate is what is known of one upstream.
-type Candidate struct {
+// candidate is what is known of one upstream.
+type candidate struct {
 	id    dffleet.ID
 	local bool
 	slots int
@@ -74,19 +74,19 @@
 
 // Placer has the candidates of one service. It is not safe for concurrent use.
 type Placer struct {
-	candidates map[dffleet.ID]*Candidate
+	candidates map[dffleet.ID]*candidate
 }
 
 // New returns a placer without candidates.
 func New() *Placer {
-	return &Placer{candidates: map[dffleet.ID]*Candidate{}}
+	return &Placer{candidates: map[dffleet.ID]*candidate{}}
 }
 
 // Keep adds an upstream or updates what the list says of it.
 func (p *Placer) Keep(id dffleet.ID, local bool, slots int) {
 	c := p.candidates[id]
 	if c == nil {
-		c = &Candidate{id: id, work: usualWork * scale, measuredAt: -forgetSpan}
+		c = &candidate{id: id, work: usualWork * scale, measuredAt: -forgetSpan}
 		p.candidates[id] = c
 	}
 	c.local, c.slots = local, max(1, slots)
@@ -157,7 +157,7 @@
 }
 
 // expected is the measured time, which fades to the usual one.
-func (c *Candidate) expected(now dfclock.Millis) dfclock.Millis {
+func (c *candidate) expected(now dfclock.Millis) dfclock.Millis {
 	age := now - c.measuredAt
 	if age >= forgetSpan {
 		return usualWork * scale
@@ -167,7 +167,7 @@
 
 // wait estimates when a further statement would be answered. Measured times
 // contain the queue at the upstream; this host's own queue comes on top.
-func (c *Candidate) wait(now dfclock.Millis) dfclock.Millis {
+func (c *candidate) wait(now dfclock.Millis) dfclock.Millis {
 	expected := c.expected(now)
 	wait := expected + expected*dfclock.Millis(c.waiting)/dfclock.Millis(max(1, c.running))
 	if !c.local {
@@ -178,13 +178,13 @@
 
 // score is the wait with the load that this host just added, which measured
 // times do not show yet.
-func (c *Candidate) score(now dfclock.Millis) dfclock.Millis {
+func (c *candidate) score(now dfclock.Millis) dfclock.Millis {
 	return c.wait(now) + c.expected(now)*dfclock.Millis(c.running)/dfclock.Millis(c.slots)
 }
 
 // covers tells whether the log is likely to have what the read needs. trial is
 // true if only a read can tell.
-func (c *Candidate) covers(now dfclock.Millis, need Need) (covers, trial bool) {
+func (c *candidate) covers(now dfclock.Millis, need Need) (covers, trial bool) {
 	if !c.position.Less(need.Position) || need.At <= now-c.lag {
 		return true, false
 	}
@@ -196,7 +196,7 @@
 // false if none is open and likely to have the position; the leader always has
 // it and is chosen if no replica is better.
 func (p *Placer) Read(now dfclock.Millis, need Need, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID) (dffleet.ID, bool) {
-	var best *Candidate
+	var best *candidate
 	var bestWait dfclock.Millis
 	bestTrial := false
 	for _, upstream := range usable {
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -29,8 +29,8 @@
 	missingSpan = 1500 * dfclock.Millisecond
 	// askSpan bounds the questions to the replicas.
 	askSpan = 400 * dfclock.Millisecond
-	// usualPromotion is the time that a promotion takes before any was measured;
-	// PromotionSpan of the pages' longest deployment.
+	// usualPromotion is the time that a promotion takes before any was measured:
+	// the longest of the two users' deployments.
 	usualPromotion = dfclock.Second
 	// settleSpan is how long an ordered promotion may take to show.
 	settleSpan = 2500 * dfclock.Millisecond
