Plan a statement anew while it waits for a connection

Cause: a statement that waited for a connection to a leader stayed in its queue until the deadline, although another upstream led by then (the write after a draining leader's end took 2 s). Ruled out: the feed, which told the new leader within milliseconds. Change: the wait for a connection is bounded by 300 ms, then the statement is planned anew. TestDrainingLeaderHandsOver failed before (1.97 s, or BUSY at the deadline) and passes in under 0.5 s.

--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -81,6 +81,9 @@
 	// data centre probe a leader, and every host one that has not answered yet.
 	// Probes of all hosts at once would fill its slots.
 	memberPatience = 700 * dfclock.Millisecond
+	// connectionPatience bounds the wait for a connection to one upstream. Then
+	// the statement is planned anew, because another one may lead by now.
+	connectionPatience = 300 * dfclock.Millisecond
 	// refusePause is the pause before a statement that an upstream refused
 	// without running it is sent again.
 	refusePause = 15 * dfclock.Millisecond
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -102,7 +102,7 @@
 			}
 			return goTo{target{
 				pool: pool, upstream: leader.ID, proof: true,
-				patience: n.deadline - now, silence: n.deadline - now,
+				patience: min(n.deadline-now, connectionPatience), silence: n.deadline - now,
 			}}
 		}
 		// The last opening failed, or the queue there was full.
@@ -185,7 +185,7 @@
 	silence := min(n.deadline-now, max(silenceFloor, silenceFactor*s.placer.Wait(now, id)))
 	return goTo{target{
 		pool: s.pools[id], upstream: id, after: wanted.Position,
-		patience: min(n.deadline-now, silenceFloor), silence: silence,
+		patience: min(n.deadline-now, connectionPatience), silence: silence,
 	}}
 }
 
