Remove dead code of the connections and share the end of a try

Change: the dead code is gone; beforeRetry serves both; a retry is counted where it is logged. Behaviour and tests stay as they are.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -88,18 +88,7 @@
 	return c.wire.Report(answer)
 }
 
-// Matches counts how well the connection fits a context: 2 without any change
-// of values, 1 with additions only, 0 if it needs a reset.
-func (c *Conn) Matches(context *Context) int {
-	if c.needsReset(context) {
-		return 0
-	}
-	if len(c.values) < len(context.Values) {
-		return 1
-	}
-	return 2
-}
-
+// needsReset tells whether the connection carries state that the context lacks.
 func (c *Conn) needsReset(context *Context) bool {
 	if c.doubtful || len(c.plans) >= maxPlans {
 		return true
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -58,7 +58,6 @@
 	conns    map[dfpool.ConnID]*Conn
 	waiting  map[dfpool.WaiterID]chan grant
 	last     dfpool.WaiterID
-	opened   int
 }
 
 // NewPool returns a pool without connections. Spacious tells that the upstream
@@ -146,11 +145,6 @@
 	return p.decision.Stats()
 }
 
-// Reachable tells the pool what probes say of the upstream.
-func (p *Pool) Reachable(up bool) {
-	p.handle(dfpool.Reachable{Up: up})
-}
-
 // Close closes idle connections and refuses waiters; held ones close when they
 // are released.
 func (p *Pool) Close() {
@@ -217,7 +211,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.id = id
-	p.opened++
 	p.conns[id] = conn
 	p.run(p.decision.Handle(p.clock(), dfpool.Opened{Conn: id}))
 }
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -93,17 +93,21 @@
 			return answer
 		}
 		last = refusal(err)
-		e.counters.retries.Inc()
 		x.retried(call, to.upstream, last)
-		if to.proof {
-			e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
-		} else {
-			n.avoid = append(n.avoid, to.upstream)
-		}
+		e.beforeRetry(n, to)
 	}
 	return x.refused(call, last, last)
 }
 
+// beforeRetry keeps a statement from going to the same upstream at once.
+func (e *Edge) beforeRetry(n *need, to target) {
+	if to.proof {
+		e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
+		return
+	}
+	n.avoid = append(n.avoid, to.upstream)
+}
+
 // readOnce sends a read to one upstream. An error means that the read may be
 // sent elsewhere.
 func (e *Edge) readOnce(x *session, n *need, to target, call dfstatement.Call) (dfstatement.Answer, error) {
@@ -199,7 +203,6 @@
 			return x.failedAt(call, a.upstream, answer)
 		}
 		last = dfresult.NewError(answer.Code, "%s", answer.Detail)
-		e.counters.retries.Inc()
 		x.retried(call, a.upstream, last)
 		e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
 	}
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -298,6 +298,7 @@
 }
 
 func (x *session) retried(call dfstatement.Call, upstream dffleet.ID, why *dfresult.Error) {
+	x.edge.counters.retries.Inc()
 	x.edge.log.Debug().Str("Request", call.ID).Str("Upstream", string(upstream)).Int("Code", int(why.Code)).
 		Msg("request: sent again")
 }
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -144,13 +144,8 @@
 			return answer
 		}
 		last = refusal(err)
-		e.counters.retries.Inc()
 		x.retried(call, to.upstream, last)
-		if to.proof {
-			e.await(nil, min(t.need.deadline, e.options.Now().Add(refusePause)))
-		} else {
-			t.need.avoid = append(t.need.avoid, to.upstream)
-		}
+		e.beforeRetry(t.need, to)
 	}
 	return x.refused(call, last, last)
 }
