Probe leaders from three hosts a data centre

Ruled out: the promotion rule itself (a majority and the votes were asked for, but each host's failed probe was a vote against the leader); the refusals of the same service from 4 to 24 s, which remain: both of its replicas lag by seconds there, and the leader's 6 slots serve less than half of the load.

Change: the speaker and the two next hosts probe; others listen, vote by their own silence and believe the speaker when none of the data centre hears the leader. A probe lasts as long as the leader's load explains. An answer to any host after the newest failed probe was sent counts for the leader; before, one after the asker's own last answer did.

--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -215,7 +215,7 @@
 		Service:   s.name,
 		Leader:    s.leader,
 		HeardAgo:  now - s.successor.HeardAt(),
-		Suspected: s.successor.Suspected(),
+		Suspected: s.successor.Suspected() || s.successor.Silent(),
 		ProvedAgo: -1,
 	}
 	if proof, ok := s.timeline.Newest(); ok {
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -48,7 +48,7 @@
 	}
 	switch a := action.(type) {
 	case dfsuccession.Probe:
-		return func() { e.probe(ctx, s, a.ID) }
+		return func() { e.probe(ctx, s, a) }
 	case dfsuccession.AskAll:
 		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Msg("succession: asking the replicas")
 		return func() { e.askAll(ctx, s) }
@@ -70,7 +70,7 @@
 
 // situation is what the host sees of a service.
 func (e *Edge) situation(now dfclock.Millis, s *service) dfsuccession.Situation {
-	situation := dfsuccession.Situation{Busy: s.waiting > 0}
+	situation := dfsuccession.Situation{Busy: s.waiting > 0, Listener: !e.circle.Probes(now)}
 	upstreams := e.fleet.Of(s.name)
 	situation.Members = len(upstreams)
 	for _, upstream := range upstreams {
@@ -81,6 +81,7 @@
 	if leader, ok := e.fleet.Leader(now, s.name); ok {
 		situation.Leader = leader.ID
 		situation.LeaderLeaving = e.fleet.Departing(now, leader.ID)
+		situation.Told = situation.Listener && e.circle.Told(now, s.name, leader.ID)
 		situation.Patience = silenceRatio * s.placer.Wait(now, leader.ID)
 		if !e.circle.Speaks(now) || !s.successor.Heard() {
 			situation.Patience = max(situation.Patience, memberPatience)
@@ -91,7 +92,7 @@
 	if !e.circle.Speaks(now) {
 		situation.Rank = len(actors)
 	}
-	situation.Alive, situation.Dead = e.circle.Votes(now, s.name, situation.Leader, s.successor.HeardAt())
+	situation.Alive, situation.Dead = e.circle.Votes(now, s.name, situation.Leader, s.successor.DoubtedAt())
 	return situation
 }
 
@@ -147,18 +148,19 @@
 	})
 }
 
-func (e *Edge) probe(ctx context.Context, s *service, id dffleet.ID) {
+func (e *Edge) probe(ctx context.Context, s *service, probe dfsuccession.Probe) {
+	id, sentAt := probe.ID, e.options.Now()
 	e.mu.Lock()
 	upstream, ok := e.fleet.Find(id)
 	e.mu.Unlock()
 	if !ok {
-		e.tell(s, dfsuccession.ProbeFailed{ID: id})
+		e.tell(s, dfsuccession.ProbeFailed{ID: id, SentAt: sentAt})
 		return
 	}
-	if _, err := e.status(ctx, s, upstream, dfsuccession.ProbeTimeout, true); err != nil {
+	if _, err := e.status(ctx, s, upstream, probe.Timeout, true); err != nil {
 		e.counters.probesFailed.Inc()
 		e.log.Warn().Str("Service", s.name).Str("Upstream", string(id)).Err(err).Msg("succession: probe failed")
-		e.tell(s, dfsuccession.ProbeFailed{ID: id})
+		e.tell(s, dfsuccession.ProbeFailed{ID: id, SentAt: sentAt})
 		if isRefusal(err) {
 			// An upstream that says it is full is alive.
 			e.tell(s, dfsuccession.Answered{ID: id})
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -55,6 +55,8 @@
 	// speakers are those of the instant chosenAt; they are chosen again when
 	// speakersSpan has passed or a host did not answer.
 	speakers map[string]dfmember.Host
+	// probes is true if this host was chosen as one that probes leaders.
+	probes   bool
 	chosenAt dfclock.Millis
 }
 
@@ -180,8 +182,11 @@
 		}
 	}
 	speakers := map[string]dfmember.Host{}
-	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, hosts, 1) {
+	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, hosts, probers) {
 		speakers[dataCentre] = chosen[0]
+		if dataCentre == c.self.DataCentre {
+			c.probes = contains(chosen, c.self)
+		}
 	}
 	c.speakers, c.chosenAt = speakers, now
 	return speakers
@@ -192,6 +197,33 @@
 	return c.Speakers(now)[c.self.DataCentre].Address == c.self.Address
 }
 
+// Probes reports whether this host probes the leaders for its data centre: the
+// speaker does, and the hosts that would speak next.
+func (c *Circle) Probes(now dfclock.Millis) bool {
+	c.Speakers(now)
+	return c.probes
+}
+
+func contains(hosts []dfmember.Host, host dfmember.Host) bool {
+	for _, known := range hosts {
+		if known.Address == host.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// Told reports whether the speaker of the own data centre suspects a leader that
+// no host of the data centre hears.
+func (c *Circle) Told(now dfclock.Millis, service string, leader dffleet.ID) bool {
+	speaker := c.neighbours[c.Speakers(now)[c.self.DataCentre].Address]
+	if speaker == nil || !speaker.answers(now) {
+		return false
+	}
+	lead, ok := speaker.leads[service]
+	return ok && lead.Leader == leader && lead.Suspected && lead.Alive == 0
+}
+
 // Targets returns the addresses to ask, with the pause between two questions.
 func (c *Circle) Targets(now dfclock.Millis) map[string]dfclock.Millis {
 	targets := map[string]dfclock.Millis{}
--- a/dfneighbour/circle_test.go
+++ b/dfneighbour/circle_test.go
@@ -127,6 +127,54 @@
 	require.Zero(t, alive+dead)
 }
 
+// Guards against probes of a leader that grow with the number of hosts.
+func TestFewHostsProbe(t *testing.T) {
+	var hosts []dfmember.Host
+	for _, dataCentre := range []string{"a", "b"} {
+		for i := range 30 {
+			hosts = append(hosts, host(dataCentre, i))
+		}
+	}
+	all := circles(0, hosts)
+	probing := 0
+	for _, h := range hosts {
+		circle := all[h.Address]
+		if circle.Probes(1) {
+			probing++
+		}
+		require.True(t, circle.Probes(1) || !circle.Speaks(1), "a speaker probes")
+	}
+	require.Equal(t, 2*probers, probing)
+	small := circles(0, hosts[:probers])
+	for _, circle := range small {
+		require.True(t, circle.Probes(1), "a small data centre has no listeners")
+	}
+}
+
+// Guards against listeners that stop using a leader because their speaker alone
+// is cut off from it.
+func TestToldNeedsAnUnheardLeader(t *testing.T) {
+	hosts := []dfmember.Host{host("a", 1), host("a", 2)}
+	speaker := circles(0, hosts)[hosts[0].Address].Speakers(1)["a"]
+	self := hosts[0]
+	if speaker == self {
+		self = hosts[1]
+	}
+	circle := NewCircle(self)
+	hear := func(at dfclock.Millis, suspected bool, alive int) {
+		leads := []Lead{{Service: "orders", Leader: "p", Suspected: suspected, Alive: alive}}
+		circle.Heard(at, at, Report{Host: speaker, Leads: leads})
+	}
+	hear(1000, true, 1)
+	require.False(t, circle.Told(1010, "orders", "p"))
+	hear(1500, true, 0)
+	require.True(t, circle.Told(1510, "orders", "p"))
+	require.False(t, circle.Told(1510, "orders", "q"))
+	require.False(t, circle.Told(1510+AliveSpan, "orders", "p"), "an old report")
+	hear(4000, false, 0)
+	require.False(t, circle.Told(4010, "orders", "p"))
+}
+
 // Guards against messages that lose a field on the way.
 func TestFrames(t *testing.T) {
 	report := Report{
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -37,6 +37,9 @@
 	passOverSpan = 4 * dfclock.Second
 	// speakersSpan is how long a choice of speakers is kept.
 	speakersSpan = 200 * dfclock.Millisecond
+	// probers is the number of hosts of a data centre that probe leaders: enough
+	// that one or two of them may fail or be cut off at the same time.
+	probers = 3
 	// strangers bounds the hosts of unknown name that are asked at once.
 	strangers = 3
 	// speakerKey makes the choice of speakers differ from other choices.
@@ -51,7 +54,8 @@
 	Leader  dffleet.ID
 	// HeardAgo is the time since the leader answered the host.
 	HeardAgo dfclock.Millis
-	// Suspected is true if the leader does not answer the host's probes.
+	// Suspected is true if the leader does not answer the host's probes, or the
+	// requests of a host that does not probe.
 	Suspected bool
 	// ProvedAgo is the age of Position, or negative if there is none.
 	ProvedAgo dfclock.Millis
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -75,6 +75,10 @@
 		s.successor.observe(s.now, s.situation)
 	case "step":
 		require.Equal(t, strings.Join(words, " "), describe(s.successor.Step(s.now, s.situation)), "at %s", s.now)
+	case "silent":
+		require.Equal(t, plain[0], strconv.FormatBool(s.successor.Silent()), "at %s", s.now)
+	case "doubtedat":
+		require.Equal(t, plain[0], strconv.Itoa(int(s.successor.DoubtedAt())), "at %s", s.now)
 	case "suspected":
 		require.Equal(t, plain[0], strconv.FormatBool(s.successor.Suspected()), "at %s", s.now)
 	default:
@@ -99,6 +103,7 @@
 	}
 	situation := Situation{
 		Leader: dffleet.ID(values["leader"]), LeaderLeaving: values["leaving"] != "", Busy: values["busy"] != "",
+		Listener: values["listener"] != "", Told: values["told"] != "",
 		Patience: dfclock.Millis(count("patience")), Members: count("members"), Rank: count("rank"), Alive: count("alive"), Dead: count("dead"),
 	}
 	for _, id := range strings.Split(values["listed"], ",") {
@@ -119,7 +124,7 @@
 	case "troubled":
 		return Troubled{ID: id}
 	case "probefailed":
-		return ProbeFailed{ID: id}
+		return ProbeFailed{ID: id, SentAt: sent(t, values)}
 	case "reported":
 		received, err := dfposition.ParsePosition(values["received"])
 		require.NoError(t, err)
@@ -144,6 +149,14 @@
 	return nil
 }
 
+func sent(t *testing.T, values map[string]string) dfclock.Millis {
+	t.Helper()
+	if values["sent"] == "" {
+		return 0
+	}
+	return dfclock.Millis(number(t, values["sent"]))
+}
+
 func describe(action Action) string {
 	switch a := action.(type) {
 	case Rest:
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -14,9 +14,10 @@
 	// quietSpan is the silence of a leader with open requests after which it is
 	// probed. It is several times the work of the longest usual statement.
 	quietSpan = 200 * dfclock.Millisecond
-	// ProbeTimeout bounds a probe: a fresh connection behind a full queue of the
-	// upstream's slots.
-	ProbeTimeout = 250 * dfclock.Millisecond
+	// probeTimeout and probeTimeoutCap bound a probe: a fresh connection that
+	// waits for a slot as long as the leader's load explains.
+	probeTimeout    = 250 * dfclock.Millisecond
+	probeTimeoutCap = dfclock.Second
 	// probeGap is the pause between two probes, so that one lost packet or one
 	// restart of a listener does not cost a leader its lead.
 	probeGap = 100 * dfclock.Millisecond
@@ -47,7 +48,10 @@
 type Rest struct{}
 
 // Probe asks for a status over a fresh connection.
-type Probe struct{ ID dffleet.ID }
+type Probe struct {
+	ID      dffleet.ID
+	Timeout dfclock.Millis
+}
 
 // AskAll asks for the status of all upstreams of the service.
 type AskAll struct{}
@@ -78,7 +82,10 @@
 type Troubled struct{ ID dffleet.ID }
 
 // ProbeFailed ends a Probe without an answer.
-type ProbeFailed struct{ ID dffleet.ID }
+type ProbeFailed struct {
+	ID     dffleet.ID
+	SentAt dfclock.Millis
+}
 
 // Reported is one answer to AskAll or Probe.
 type Reported struct {
@@ -133,6 +140,12 @@
 	Listed []dffleet.ID
 	// Members counts all upstreams in the list.
 	Members int
+	// Listener is true for a host that leaves the probes to others of its data
+	// centre. Probes of many hosts would fill the slots of a busy leader.
+	Listener bool
+	// Told is true if the host that probes for a listener suspects the leader and
+	// no host of the data centre hears from it.
+	Told bool
 	// Rank is this host's place among the live hosts for the service.
 	Rank int
 	// Alive and Dead count hosts, this one left out, that heard from the leader
@@ -167,6 +180,11 @@
 	probing  int
 	probedAt dfclock.Millis
 	failures int
+	// failedAt is when the newest probe without an answer was sent.
+	failedAt dfclock.Millis
+	// silent is true while a listener's requests wait for longer than the
+	// leader's load explains.
+	silent bool
 	// suspectAt is when the leader became suspect, or Never.
 	suspectAt dfclock.Millis
 	// missingAt is since when no leader is known, or Never.
@@ -200,6 +218,18 @@
 	return s.suspectAt != dfclock.Never
 }
 
+// Silent reports whether the leader leaves this host's requests unanswered. It
+// is a vote for others; a listener goes on sending until it is told.
+func (s *Successor) Silent() bool {
+	return s.silent
+}
+
+// DoubtedAt returns the instant after which an answer to any host shows that
+// the leader lives.
+func (s *Successor) DoubtedAt() dfclock.Millis {
+	return max(s.answeredAt, s.failedAt)
+}
+
 // Heard reports whether the leader has answered since it was first known.
 func (s *Successor) Heard() bool {
 	return s.answered
@@ -245,6 +275,7 @@
 		s.probing--
 		if e.ID == s.leader {
 			s.failures++
+			s.failedAt = max(s.failedAt, e.SentAt)
 			if s.failures >= probesFailed && !s.Suspected() {
 				s.suspectAt = now
 			}
@@ -281,6 +312,7 @@
 func (s *Successor) heard(now dfclock.Millis) {
 	s.answeredAt = now
 	s.failures = 0
+	s.silent = false
 	s.suspectAt = dfclock.Never
 }
 
@@ -356,11 +388,14 @@
 		s.leader = situation.Leader
 		s.heard(now)
 		s.answered = false
-		s.troubledAt = 0
+		s.troubledAt, s.failedAt = 0, 0
 		s.leavingAt = dfclock.Never
 	}
 	s.missingAt = since(now, s.missingAt, situation.Leader == "")
 	s.leavingAt = since(now, s.leavingAt, situation.LeaderLeaving)
+	if situation.Listener {
+		s.suspectAt = since(now, s.suspectAt, situation.Told)
+	}
 }
 
 func since(now, known dfclock.Millis, holds bool) dfclock.Millis {
@@ -380,18 +415,23 @@
 		s.enter(now, asking)
 		return AskAll{}
 	}
-	if situation.Leader == "" || s.probing >= probesFailed || now-s.probedAt < probeGap {
-		return Rest{}
-	}
 	quiet := situation.Busy && now-s.answeredAt >= max(quietSpan, situation.Patience)
 	troubled := s.troubledAt > s.answeredAt
+	s.silent = situation.Listener && (quiet || troubled)
+	if situation.Leader == "" || situation.Listener || s.probing >= probesFailed || now-s.probedAt < probeGap {
+		return Rest{}
+	}
 	if quiet || troubled || s.failures > 0 {
-		s.probing, s.probedAt = s.probing+1, now
-		return Probe{ID: situation.Leader}
+		return s.probe(now, situation.Leader, situation.Patience)
 	}
 	return Rest{}
 }
 
+func (s *Successor) probe(now dfclock.Millis, id dffleet.ID, patience dfclock.Millis) Action {
+	s.probing, s.probedAt = s.probing+1, now
+	return Probe{ID: id, Timeout: min(probeTimeoutCap, max(probeTimeout, patience))}
+}
+
 // due tells whether it is time for this host to change the leader. Hosts of a
 // higher rank wait longer, so that usually one acts.
 func (s *Successor) due(now dfclock.Millis, situation Situation, delay dfclock.Millis) bool {
@@ -402,7 +442,7 @@
 	case situation.Leader == "":
 		return now-s.missingAt >= missingSpan+delay
 	case s.Suspected():
-		return now-s.suspectAt >= delay && situation.Dead+1 > situation.Alive
+		return !situation.Listener && now-s.suspectAt >= delay && situation.Dead+1 > situation.Alive
 	case s.leavingAt != dfclock.Never:
 		return now-s.leavingAt >= delay
 	}
@@ -495,8 +535,7 @@
 		return Rest{}
 	}
 	if s.probing == 0 && now-s.probedAt >= probeGap && now-s.orderedAt >= s.promotion/2 {
-		s.probing, s.probedAt = s.probing+1, now
-		return Probe{ID: s.target}
+		return s.probe(now, s.target, 0)
 	}
 	return Rest{}
 }
