Open a further connection only after waiting for a return

Cause: each waiter of a pool had a connection opened at once.

Change: a waiter relies on the connections that are there, or on the first one, for 40 ms; then a further one is opened, one at a time. dfpool has it as a setting, which the PostgreSQL side leaves off.

--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -24,6 +25,9 @@
 	// several times the time that an opening takes.
 	reopenFirst = 100 * dfclock.Millisecond
 	reopenCap   = 300 * dfclock.Millisecond
+	// openWait is the wait after which a further connection is opened: a usual
+	// statement and its round trip.
+	openWait = 40 * dfclock.Millisecond
 	// waiters bounds the requests that wait for one upstream at one host.
 	waiters = 256
 )
@@ -67,6 +71,7 @@
 	config := dfpool.Config{
 		Limit: limit, Waiters: waiters,
 		IdleClose: idleClose, LastIdleClose: idleClose, ReopenFirst: reopenFirst, ReopenCap: reopenCap,
+		OpenWait: openWait,
 	}
 	if spacious {
 		config.LastIdleClose = lastIdleClose
@@ -106,13 +111,25 @@
 	p.waiting[p.last] = answer
 	p.run(p.decision.Handle(p.clock(), dfpool.Want{Waiter: p.last, Priority: priority, Deadline: deadline}))
 	p.mu.Unlock()
-	got := <-answer
+	got := p.await(answer)
 	if got.err != nil {
 		return nil, got.err
 	}
 	return got.conn, nil
 }
 
+// await waits for a grant, and lets the pool open a further connection in time.
+func (p *Pool) await(answer chan grant) grant {
+	select {
+	case got := <-answer:
+		return got
+	default:
+	}
+	timer := time.AfterFunc(time.Duration(openWait)*time.Millisecond, func() { p.handle(dfpool.Tick{}) })
+	defer timer.Stop()
+	return <-answer
+}
+
 // Release gives a connection back. Reusable is false if it is in doubt.
 func (p *Pool) Release(conn *Conn, reusable bool) {
 	p.handle(dfpool.Returned{Conn: conn.id, Idle: reusable})
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -23,6 +23,10 @@
 	LastIdleClose dfclock.Millis
 	ReopenFirst   dfclock.Millis
 	ReopenCap     dfclock.Millis
+	// OpenWait is how long a waiter relies on the connections that are there
+	// before a further one is opened, one at a time. Zero opens one for each
+	// waiter at once. It answers loads at which openings take the upstream's time.
+	OpenWait dfclock.Millis
 }
 
 // withDefaults fills in what is not set.
@@ -75,6 +79,8 @@
 	id       WaiterID
 	priority int
 	deadline dfclock.Millis
+	// arrivedAt is when it began to wait.
+	arrivedAt dfclock.Millis
 }
 
 // Stats counts the connections by state.
@@ -126,7 +132,7 @@
 	p.actions = p.actions[:0]
 	switch e := event.(type) {
 	case Want:
-		p.want(e)
+		p.want(now, e)
 	case Withdrawn:
 		p.withdraw(e.Waiter)
 	case Returned:
@@ -189,7 +195,7 @@
 		next = min(next, w.deadline)
 	}
 	if len(p.connections) < p.config.Limit && (len(p.waiters) > 0 || len(p.connections) < p.config.Warm) {
-		next = min(next, p.openAfter)
+		next = min(next, max(p.openAfter, p.openDue()))
 	}
 	if len(p.connections) > p.config.Warm {
 		if len(p.idles) > 0 {
@@ -205,13 +211,13 @@
 	p.actions = append(p.actions, action)
 }
 
-func (p *Pool) want(e Want) {
+func (p *Pool) want(now dfclock.Millis, e Want) {
 	if len(p.waiters) >= p.config.Waiters {
 		p.act(Refuse{Waiter: e.Waiter, Code: dfresult.QueueFull})
 		return
 	}
 	at := sort.Search(len(p.waiters), func(i int) bool { return p.waiters[i].priority > e.Priority })
-	p.insert(at, waiter{id: e.Waiter, priority: e.Priority, deadline: e.Deadline})
+	p.insert(at, waiter{id: e.Waiter, priority: e.Priority, deadline: e.Deadline, arrivedAt: now})
 }
 
 func (p *Pool) insert(at int, w waiter) {
@@ -453,6 +459,12 @@
 		return
 	}
 	wanted := len(p.waiters) - p.count(opening)
+	if p.config.OpenWait > 0 && wanted > 0 {
+		wanted = 0
+		if p.count(opening) == 0 && now.Reached(p.openDue()) {
+			wanted = 1
+		}
+	}
 	if p.failures > 0 || p.down {
 		// One attempt at a time finds out whether the upstream is back.
 		wanted = min(wanted, 1-p.count(opening))
@@ -467,6 +479,21 @@
 	}
 }
 
+// openDue is when the waiters may have a further connection opened, or Never.
+func (p *Pool) openDue() dfclock.Millis {
+	if p.config.OpenWait == 0 || len(p.connections) == 0 {
+		return 0
+	}
+	if p.count(opening) > 0 {
+		return dfclock.Never
+	}
+	due := dfclock.Never
+	for _, w := range p.waiters {
+		due = min(due, w.arrivedAt.Add(p.config.OpenWait))
+	}
+	return due
+}
+
 func (p *Pool) count(want state) int {
 	return p.counts[want]
 }
--- a/dfpool/pool_test.go
+++ b/dfpool/pool_test.go
@@ -289,3 +289,37 @@
 	require.Equal(t, dfresult.NoConnection, refused[0].(Refuse).Code)
 	require.Positive(t, refused[0].(Refuse).RetryAfter)
 }
+
+// Guards against bursts of requests that each open a connection: an opening
+// takes the upstream as long as a statement does. The wait for the connections
+// that are there has a bound.
+func TestOpenWaitsForReturns(t *testing.T) {
+	pool := New(Config{Limit: 10, OpenWait: 40}, rand.New(rand.NewPCG(1, 1)))
+	opened := func(actions []Action) (count int, last ConnID) {
+		for _, action := range actions {
+			if open, ok := action.(Open); ok {
+				count, last = count+1, open.Conn
+			}
+		}
+		return count, last
+	}
+	total, first := 0, ConnID(0)
+	for waiter := range WaiterID(5) {
+		count, id := opened(pool.Handle(0, Want{Waiter: waiter + 1, Deadline: 1000}))
+		total += count
+		if count > 0 {
+			first = id
+		}
+	}
+	require.Equal(t, 1, total, "a burst opens one connection")
+	pool.Handle(20, Opened{Conn: first})
+	require.Equal(t, dfclock.Millis(40), pool.Wake())
+	count, _ := opened(pool.Handle(39, Tick{}))
+	require.Zero(t, count)
+	count, second := opened(pool.Handle(40, Tick{}))
+	require.Equal(t, 1, count, "the first connection did not return in time")
+	require.Equal(t, dfclock.Millis(1000), pool.Wake(), "no third one while the second is under way")
+	count, _ = opened(pool.Handle(60, Opened{Conn: second}))
+	require.Equal(t, 1, count, "others still wait")
+	require.Equal(t, 2, pool.Stats().Held)
+}
