Forward statements where upstreams accept fewer connections than hosts

Ruled out: shorter idle times (most statements would open a connection, 12 ms of a slot each); subsets of replicas (they leave the leader, which every host needs).

Change: dfforward. Where the usable connections are fewer than the hosts, up to three hosts of each data centre carry them. Others send calls with the values and shapes of their session; the carrier keeps the connection while a transaction is open. Who carries is decided by rendezvous hashing and a plan without network; what may be promised follows from the carrier's reply. Frames between hosts moved to dfmessage.

--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -49,6 +49,7 @@
 		Self:          dfmember.Host{ID: settings.Host, DataCentre: settings.DataCentre, Address: settings.NeighbourAddress},
 		CallerAddress: settings.CallerAddress,
 		ReadyAddress:  settings.ReadyAddress,
+		ForwardPort:   settings.ForwardPort,
 		Seeds:         settings.Seeds,
 		DrainTimeout:  settings.DrainTimeout,
 		GracePeriod:   settings.GracePeriod,
--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -202,10 +202,13 @@
 // Closed reports whether the upstream has closed the connection while it was
 // idle. A statement that is sent on such a connection would be in doubt.
 func (c *Conn) Closed() bool {
-	if c.raw == nil {
-		return false
-	}
-	raw, err := c.raw.SyscallConn()
+	return c.raw != nil && PeerClosed(c.raw)
+}
+
+// PeerClosed reports whether the other side has closed an idle connection, or
+// sent what nobody asked for.
+func PeerClosed(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return true
 	}
--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -27,6 +27,9 @@
 	leaderChanges *metrics.Counter
 	orders        *metrics.Counter
 	expired       *metrics.Counter
+	forwarded     *metrics.Counter
+	carried       *metrics.Counter
+	carriersLost  *metrics.Counter
 	linesDropped  *metrics.Counter
 	// second and lines count failure lines; they are guarded by the host's mutex.
 	second dfclock.Millis
@@ -45,6 +48,9 @@
 		leaderChanges: set.NewCounter("dragonflygrade_edge_leader_changes_total"),
 		orders:        set.NewCounter("dragonflygrade_edge_promotion_orders_total"),
 		expired:       set.NewCounter("dragonflygrade_edge_transactions_expired_total"),
+		forwarded:     set.NewCounter("dragonflygrade_edge_forwarded_total"),
+		carried:       set.NewCounter("dragonflygrade_edge_carried_total"),
+		carriersLost:  set.NewCounter("dragonflygrade_edge_carriers_lost_total"),
 		linesDropped:  set.NewCounter("dragonflygrade_edge_log_lines_dropped_total"),
 	}
 }
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -13,6 +13,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfforward"
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
@@ -46,7 +47,11 @@
 	stoppingAt dfclock.Millis
 	source     *rand.Rand
 	// poke asks the links to neighbours for an exchange at once.
-	poke     map[string]chan struct{}
+	poke map[string]chan struct{}
+	// lanes has the ways to hosts that carry connections, by their address.
+	lanes map[string]*dfforward.Lane
+	// lent is the number of connections that other hosts' transactions hold.
+	lent     int
 	linkedAt dfclock.Millis
 	// following is true while this host follows the platform's feeds itself, and
 	// lostAt is when it was current for the last time.
@@ -98,6 +103,7 @@
 		stoppingAt:   dfclock.Never,
 		source:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		poke:         map[string]chan struct{}{},
+		lanes:        map[string]*dfforward.Lane{},
 	}, nil
 }
 
@@ -184,6 +190,9 @@
 	if !ok {
 		return 0
 	}
+	if plan := e.plan(now, s); plan.Shared() {
+		return plan.Each
+	}
 	usable := max(1, known.ConnectionLimit*connectionShare/100)
 	if upstream, ok := e.fleet.Find(id); ok && upstream.Slots > 0 {
 		usable = min(usable, upstream.Slots*slotQueue)
@@ -237,7 +246,7 @@
 		source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
 		limit := e.connectionLimit(now, s, upstream.ID)
 		known, _ := e.catalog.Service(s.name)
-		spacious := known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
+		spacious := e.plan(now, s).Shared() || known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, spacious, e.options.Now, e.open, e.opened, source)
 	}
 }
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -7,6 +7,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfforward"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -14,7 +15,7 @@
 // attempt is one sending of calls to an upstream.
 type attempt struct {
 	target
-	conn   *dfconnection.Conn
+	line   line
 	sentAt dfclock.Millis
 	// sent is true if bytes may have reached the upstream.
 	sent bool
@@ -27,12 +28,12 @@
 func (e *Edge) acquire(n *need, to target, priority int) (*attempt, error) {
 	a := &attempt{target: to, led: e.began(n.service, to.upstream)}
 	now := e.options.Now()
-	conn, err := to.pool.Acquire(priority, min(n.deadline, now.Add(to.patience)))
+	line, err := to.source.acquire(priority, min(n.deadline, now.Add(to.patience)))
 	if err != nil {
 		e.ended(n.service, to.upstream, a.led, false)
 		return nil, err
 	}
-	a.conn = conn
+	a.line = line
 	e.mu.Lock()
 	n.service.placer.Sent(to.upstream)
 	e.mu.Unlock()
@@ -44,26 +45,36 @@
 	a.sentAt = e.options.Now()
 	wait := min(a.silence, n.deadline-a.sentAt)
 	deadline := time.Now().Add(time.Duration(max(wait, dfclock.Millisecond)) * time.Millisecond)
-	answers, sent, err := a.conn.Exchange(context, deadline, calls...)
+	answers, sent, err := a.line.Exchange(context, deadline, calls...)
 	a.sent = sent
 	return answers, err
 }
 
 // release ends an attempt whose connection can be used again.
 func (e *Edge) release(n *need, a *attempt) {
-	a.pool.Release(a.conn, a.conn.State() == dfstatement.Idle)
+	a.source.release(a.line, a.line.State() == dfstatement.Idle)
 	e.ended(n.service, a.upstream, a.led, true)
 }
 
-// abandon ends an attempt whose connection is in doubt.
+// abandon ends an attempt whose exchange failed. A carrier that refused it or
+// did not answer says nothing of the upstream.
 func (e *Edge) abandon(n *need, a *attempt, err error) {
-	if isTimeout(err) {
-		a.pool.Silent(a.conn)
-	} else {
-		a.pool.Release(a.conn, false)
-	}
 	e.ended(n.service, a.upstream, a.led, true)
-	e.failed(n.service, a.upstream)
+	var refused *dfresult.Error
+	var lost *dfforward.CarrierError
+	switch {
+	case errors.As(err, &refused):
+		a.source.release(a.line, a.line.State() == dfstatement.Idle)
+	case errors.As(err, &lost):
+		a.source.release(a.line, false)
+		e.lostCarrier(lost)
+	case isTimeout(err):
+		a.source.silent(a.line)
+		e.failed(n.service, a.upstream)
+	default:
+		a.source.release(a.line, false)
+		e.failed(n.service, a.upstream)
+	}
 }
 
 func isTimeout(err error) bool {
@@ -189,7 +200,8 @@
 			if a.sent {
 				return x.doubted(call, a.upstream, err)
 			}
-			last = dfresult.NewError(dfresult.NoConnection, "%v", err)
+			last = refusal(err)
+			e.await(nil, min(n.deadline, e.options.Now().Add(refusePause)))
 			continue
 		}
 		answer := answers[0]
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -34,6 +34,9 @@
 			return nil, err
 		}
 	}
+	if err := e.listenForwarded(ctx, config); err != nil {
+		return nil, err
+	}
 	if e.options.Self.Address == "" {
 		return callers, nil
 	}
@@ -149,15 +152,15 @@
 			_ = listener.Close()
 		}
 		e.mu.Lock()
-		left := len(e.sessions)
+		left, lent := len(e.sessions), e.lent
 		for x := range e.sessions {
 			if now >= half {
 				x.stop()
 			}
 		}
 		e.mu.Unlock()
-		if !listening && left == 0 || now >= end {
-			e.log.Info().Int("Left", left).Int64("Millis", int64(now-startedAt)).Msg("drain: over")
+		if !listening && left == 0 && (lent == 0 || now >= half) || now >= end {
+			e.log.Info().Int("Left", left).Int("Lent", lent).Int64("Millis", int64(now-startedAt)).Msg("drain: over")
 			return
 		}
 	}
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -26,6 +26,9 @@
 	linkPeriod = 200 * dfclock.Millisecond
 	// neighbourSilence ends a connection whose other side asks no more.
 	neighbourSilence = 10 * time.Second
+	// forwardKeepAlive finds askers that are gone, whose transactions hold
+	// connections: twice the time in which upstreams notice a dead caller.
+	forwardKeepAlive = time.Second
 	// voteSpan is how lately a host must have heard from a leader to vote for it.
 	voteSpan = 500 * dfclock.Millisecond
 	// currentSpan is how long a host relies on what neighbours told of versions.
@@ -137,7 +140,10 @@
 	CallerAddress  string
 	ReadyAddress   string
 	MetricsAddress string
-	Seeds          []string
+	// ForwardPort is the port at which hosts of the data centre take statements
+	// for upstreams from each other; 0 lets no statement be forwarded.
+	ForwardPort int
+	Seeds       []string
 	// DrainTimeout bounds new work at an upstream after its leaving is known.
 	DrainTimeout dfclock.Millis
 	// GracePeriod is the time from the request to stop until the process is killed.
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -5,7 +5,6 @@
 
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
-	"dragonflygrade/dfconnection"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfplace"
@@ -17,7 +16,7 @@
 
 // target is where a statement goes.
 type target struct {
-	pool     *dfconnection.Pool
+	source   source
 	upstream dffleet.ID
 	// after is the position that the log must have, or zero.
 	after dfposition.Position
@@ -101,7 +100,7 @@
 				return refuse{err}
 			}
 			return goTo{target{
-				pool: pool, upstream: leader.ID, proof: true,
+				source: e.sourceOf(now, s, leader.ID), upstream: leader.ID, proof: true,
 				patience: min(n.deadline-now, connectionPatience), silence: n.deadline - now,
 			}}
 		}
@@ -184,7 +183,7 @@
 	}
 	silence := min(n.deadline-now, max(silenceFloor, silenceFactor*s.placer.Wait(now, id)))
 	return goTo{target{
-		pool: s.pools[id], upstream: id, after: wanted.Position,
+		source: e.sourceOf(now, s, id), upstream: id, after: wanted.Position,
 		patience: min(n.deadline-now, connectionPatience), silence: silence,
 	}}
 }
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -369,7 +369,7 @@
 		e.abandon(n, a, err)
 		return
 	}
-	report, err := a.conn.Report(answers[0])
+	report, err := a.line.Report(answers[0])
 	e.release(n, a)
 	if err != nil {
 		e.log.Warn().Str("Service", s.name).Str("Upstream", string(a.upstream)).Err(err).Msg("proof: status is unreadable")
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -204,13 +204,13 @@
 // undo gives a connection back whose transaction did not get further.
 func (t *transaction) undo(a *attempt) {
 	e := t.session.edge
-	if a.conn.State() != dfstatement.Idle {
+	if a.line.State() != dfstatement.Idle {
 		t.need.deadline, a.silence = e.options.Now().Add(statusTimeout), statusTimeout
 		if _, err := e.send(t.need, a, nil, dfstatement.Call{Statement: dfstatement.Rollback{}}); err != nil {
 			e.abandon(t.need, a, err)
 			return
 		}
-		a.conn.RolledBack()
+		a.line.RolledBack()
 	}
 	e.release(t.need, a)
 }
@@ -227,7 +227,7 @@
 		return answer.WithState(dfstatement.Idle)
 	}
 	if answer.OK() && answer.State == dfstatement.Idle {
-		t.attempt.conn.Committed()
+		t.attempt.line.Committed()
 		if t.wrote {
 			x.wrote(answer.Position, x.edge.options.Now())
 		}
@@ -267,7 +267,7 @@
 		e.abandon(t.need, a, err)
 		return dfstatement.Answer{State: dfstatement.Idle}
 	}
-	a.conn.RolledBack()
+	a.line.RolledBack()
 	e.release(t.need, a)
 	return dfstatement.Answer{State: dfstatement.Idle}
 }
@@ -284,7 +284,7 @@
 		return
 	}
 	e := t.session.edge
-	t.attempt.pool.Release(t.attempt.conn, false)
+	t.attempt.source.release(t.attempt.line, false)
 	e.ended(t.need.service, t.attempt.upstream, t.attempt.led, true)
 	t.attempt = nil
 }
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -213,6 +213,18 @@
 	return false
 }
 
+// Carriers returns the hosts of the own data centre that hold the connections to
+// an upstream for the others, this host among them if it is one.
+func (c *Circle) Carriers(now dfclock.Millis, upstream dffleet.ID, count int) []dfmember.Host {
+	hosts := []dfmember.Host{c.self}
+	for _, known := range c.neighbours {
+		if known.host.ID != "" && known.host.DataCentre == c.self.DataCentre && !known.passedOver(now) {
+			hosts = append(hosts, known.host)
+		}
+	}
+	return dfmember.Choose(string(upstream), hosts, count)
+}
+
 // Told reports whether the speaker of the own data centre suspects a leader that
 // no host of the data centre hears.
 func (c *Circle) Told(now dfclock.Millis, service string, leader dffleet.ID) bool {
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -8,21 +8,16 @@
 package dfneighbour
 
 import (
-	"encoding/binary"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
-
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfmember"
+	"dragonflygrade/dfmessage"
 	"dragonflygrade/dfposition"
 )
 
 const (
-	// maxFrame bounds one message; the desired state is the largest content.
-	maxFrame = 4 << 20
 	// AliveSpan is the silence after which a neighbour counts as out of reach:
 	// several rounds of exchange. A failed question counts at once.
 	AliveSpan = 1600 * dfclock.Millisecond
@@ -102,50 +97,22 @@
 
 // WriteQuestion sends a question.
 func WriteQuestion(w io.Writer, question Question) error {
-	return writeFrame(w, question)
+	return dfmessage.Write(w, question)
 }
 
 // ReadQuestion receives a question.
 func ReadQuestion(r io.Reader) (Question, error) {
 	var question Question
-	return question, readFrame(r, &question)
+	return question, dfmessage.Read(r, &question)
 }
 
 // WriteReport sends a report.
 func WriteReport(w io.Writer, report Report) error {
-	return writeFrame(w, report)
+	return dfmessage.Write(w, report)
 }
 
 // ReadReport receives a report.
 func ReadReport(r io.Reader) (Report, error) {
 	var report Report
-	return report, readFrame(r, &report)
-}
-
-// writeFrame sends the length of a message and the message.
-func writeFrame(w io.Writer, message any) error {
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		return eris.Wrap(err, "neighbour: encode")
-	}
-	frame := make([]byte, 4, 4+len(data))
-	binary.BigEndian.PutUint32(frame, uint32(len(data)))
-	_, err = w.Write(append(frame, data...))
-	return err
-}
-
-func readFrame(r io.Reader, message any) error {
-	var size [4]byte
-	if _, err := io.ReadFull(r, size[:]); err != nil {
-		return err
-	}
-	length := binary.BigEndian.Uint32(size[:])
-	if length > maxFrame {
-		return eris.Errorf("neighbour: frame of %d bytes", length)
-	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return err
-	}
-	return eris.Wrap(cbor.Unmarshal(data, message), "neighbour: decode")
+	return report, dfmessage.Read(r, &report)
 }
