Let hosts follow their speaker when the data centre is cut off

During an outage of the platform all 82 hosts called it four times a second, since no neighbour was current either.

Ruled out: the speaker itself (not ready 1.7 s after the cut, of which the platform's outage explains a part).

Change: the speaker's judgement travels in its report; a host follows it unless a leader elsewhere answered it lately. Hosts that do not probe ask the platform themselves only after 3 s without news.

--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -119,8 +119,12 @@
 }
 
 // cutOff reports whether hosts of other data centres are out of reach together
-// with the leaders of at least half of the services.
+// with the leaders of at least half of the services. Hosts that do not speak
+// follow their speaker, which knows first, unless they hear a leader elsewhere.
 func (e *Edge) cutOff(now dfclock.Millis) bool {
+	if told, ok := e.circle.CutOff(now); ok {
+		return told && !e.hearsElsewhere(now)
+	}
 	if e.circle.Remote(now) || len(e.services) == 0 {
 		return false
 	}
@@ -133,6 +137,18 @@
 	return unreachable*2 >= len(e.services)
 }
 
+// hearsElsewhere reports whether a leader of another data centre answered lately.
+func (e *Edge) hearsElsewhere(now dfclock.Millis) bool {
+	for _, s := range e.services {
+		leader, ok := e.fleet.Leader(now, s.name)
+		if ok && leader.DataCentre != e.options.Self.DataCentre && s.successor.Heard() &&
+			now-s.successor.HeardAt() < voteSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // drain ends the sessions within the grace period. Open transactions get the
 // first half of it.
 func (e *Edge) drain(listener net.Listener) {
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -172,6 +172,7 @@
 		Fleet:      e.fleet.Version(),
 		CurrentAgo: now - e.currentAt(now),
 		Remote:     e.circle.Remote(now),
+		CutOff:     e.cutOff(now),
 	}
 	if question.Circle != e.circle.Digest() {
 		report.Hosts = e.circle.Hosts(now)
@@ -207,7 +208,11 @@
 // follows reports whether this host has to ask the platform itself: it speaks
 // for its data centre, or no neighbour keeps it current.
 func (e *Edge) follows(now dfclock.Millis) bool {
-	return e.circle.Speaks(now) || now-max(e.lostAt, e.circle.CurrentAt()) >= currentSpan
+	span := currentSpan
+	if !e.circle.Probes(now) {
+		span = listenerSpan
+	}
+	return e.circle.Speaks(now) || now-max(e.lostAt, e.circle.CurrentAt()) >= span
 }
 
 func (e *Edge) lead(now dfclock.Millis, s *service) dfneighbour.Lead {
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -34,6 +34,10 @@
 	// currentSpan is how long a host relies on what neighbours told of versions.
 	// It leaves time within the 3 s in which a version must be in force.
 	currentSpan = 1500 * dfclock.Millisecond
+	// listenerSpan is the same for hosts that leave the platform to the first ones
+	// of their data centre: calls of all hosts during an outage would be refused
+	// and charged. It leaves time within the 5 s of deployments with that many.
+	listenerSpan = 3 * dfclock.Second
 	// standingPause is the pause before an epoch is taken ahead of need, after the
 	// start and after one was lost: the time in which claims take effect.
 	standingPause = 2500 * dfclock.Millisecond
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -28,6 +28,8 @@
 	currentAt dfclock.Millis
 	// remote is what it said of other data centres.
 	remote bool
+	// cutOff is what it said of its own data centre.
+	cutOff bool
 	leads  map[string]told
 }
 
@@ -92,7 +94,7 @@
 	}
 	known.heardAt = now
 	known.currentAt = max(known.currentAt, askedAt-report.CurrentAgo)
-	known.remote = report.Remote
+	known.remote, known.cutOff = report.Remote, report.CutOff
 	known.takeLeads(now, askedAt, report.Leads)
 	for _, host := range report.Hosts {
 		c.Learn(now, host)
@@ -313,6 +315,16 @@
 	return alive, dead
 }
 
+// CutOff returns what the speaker of the own data centre says of its connection
+// to the others. ok is false if this host has to judge itself.
+func (c *Circle) CutOff(now dfclock.Millis) (cutOff, ok bool) {
+	speaker := c.neighbours[c.Speakers(now)[c.self.DataCentre].Address]
+	if speaker == nil || !speaker.answers(now) {
+		return false, false
+	}
+	return speaker.cutOff, true
+}
+
 // CurrentAt returns the latest instant at which a neighbour knew that it missed
 // no version of the desired state.
 func (c *Circle) CurrentAt() dfclock.Millis {
--- a/dfneighbour/circle_test.go
+++ b/dfneighbour/circle_test.go
@@ -175,10 +175,32 @@
 	require.False(t, circle.Told(4010, "orders", "p"))
 }
 
+// Guards against hosts of a cut data centre that stay ready because they do not
+// see for themselves what their speaker sees.
+func TestCutOffIsToldByTheSpeaker(t *testing.T) {
+	hosts := []dfmember.Host{host("a", 1), host("a", 2)}
+	speaker := circles(0, hosts)[hosts[0].Address].Speakers(1)["a"]
+	for _, self := range hosts {
+		circle := NewCircle(self)
+		circle.Learn(0, hosts[0])
+		circle.Learn(0, hosts[1])
+		_, ok := circle.CutOff(10)
+		require.False(t, ok, "nobody has told")
+		if self == speaker {
+			continue
+		}
+		circle.Heard(1000, 1000, Report{Host: speaker, CutOff: true})
+		cutOff, ok := circle.CutOff(1010)
+		require.True(t, ok && cutOff)
+		_, ok = circle.CutOff(1010 + AliveSpan)
+		require.False(t, ok, "an old report")
+	}
+}
+
 // Guards against messages that lose a field on the way.
 func TestFrames(t *testing.T) {
 	report := Report{
-		Host: host("a", 1), Catalog: 7, Fleet: 9, CurrentAgo: 3, Remote: true, Document: []byte("{}"),
+		Host: host("a", 1), Catalog: 7, Fleet: 9, CurrentAgo: 3, Remote: true, CutOff: true, Document: []byte("{}"),
 		Leads: []Lead{{
 			Service: "orders", Leader: "p", HeardAgo: 4, Suspected: true, ProvedAgo: -1,
 			Position: dfposition.Position{Term: 2, Offset: 5}, BackIn: 6, Alive: 1, Dead: 2,
