Judge cuts of a data centre steadily

A speaker that had just started had heard nobody and told the others so; and each upstream that was newly taken for a leader counted as reached because it was not suspected yet.

Ruled out: lost carriers (one read from a carrier timed out in those seconds).

Change: the judgement is a small type with a test. It lasts until another data centre is heard or most leaders have answered again; a host does not judge in its first 1.6 s, and hosts that hear so keep what they thought.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -43,6 +43,8 @@
 	sessions map[*session]struct{}
 	// unreadySince is when the host stopped being ready, or Never.
 	unreadySince dfclock.Millis
+	isolation    isolation
+	startedAt    dfclock.Millis
 	// stoppingAt is when the host was told to stop, or Never.
 	stoppingAt dfclock.Millis
 	source     *rand.Rand
@@ -99,6 +101,7 @@
 		circle:       dfneighbour.NewCircle(options.Self),
 		changed:      make(chan struct{}),
 		sessions:     map[*session]struct{}{},
+		startedAt:    options.Now(),
 		unreadySince: dfclock.Never,
 		stoppingAt:   dfclock.Never,
 		source:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfneighbour"
 )
 
 // questionTimeout bounds a question for readiness or metrics.
@@ -122,19 +123,30 @@
 // with the leaders of at least half of the services. Hosts that do not speak
 // follow their speaker, which knows first, unless they hear a leader elsewhere.
 func (e *Edge) cutOff(now dfclock.Millis) bool {
-	if told, ok := e.circle.CutOff(now); ok {
-		return told && !e.hearsElsewhere(now)
-	}
-	if e.circle.Remote(now) || len(e.services) == 0 {
-		return false
+	told, judged, ok := e.circle.CutOff(now)
+	switch {
+	case ok && judged:
+		e.isolation.cut = told && !e.hearsElsewhere(now)
+		return e.isolation.cut
+	case ok || !e.judges(now):
+		return e.isolation.cut
 	}
-	unreachable := 0
+	leaders := make([]reach, 0, len(e.services))
 	for _, s := range e.services {
-		if _, ok := e.fleet.Leader(now, s.name); !ok || s.successor.Suspected() {
-			unreachable++
+		leader := reach{suspected: s.successor.Suspected(), heardAgo: dfclock.Never}
+		_, leader.known = e.fleet.Leader(now, s.name)
+		if s.successor.Heard() {
+			leader.heardAgo = now - s.successor.HeardAt()
 		}
+		leaders = append(leaders, leader)
 	}
-	return unreachable*2 >= len(e.services)
+	return e.isolation.judge(e.circle.Remote(now), leaders)
+}
+
+// judges reports whether the host has been up for long enough to tell whether it
+// is cut off. One that has just started has heard nobody in either case.
+func (e *Edge) judges(now dfclock.Millis) bool {
+	return e.loaded() && now-e.startedAt >= dfneighbour.AliveSpan
 }
 
 // hearsElsewhere reports whether a leader of another data centre answered lately.
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -173,6 +173,7 @@
 		CurrentAgo: now - e.currentAt(now),
 		Remote:     e.circle.Remote(now),
 		CutOff:     e.cutOff(now),
+		Judged:     e.judges(now),
 	}
 	if question.Circle != e.circle.Digest() {
 		report.Hosts = e.circle.Hosts(now)
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -138,7 +138,7 @@
 		delete(e.lanes, lost.Carrier.Address)
 	}
 	e.counters.carriersLost.Inc()
-	e.log.Warn().Str("Carrier", lost.Carrier.ID).Err(lost.Err).Msg("forward: carrier does not answer")
+	e.log.Warn().Str("Carrier", lost.Carrier.ID).Err(lost.Err).Msg("forward: carrier passed over")
 }
 
 // listenForwarded opens the address at which other hosts' statements arrive.
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -28,9 +28,9 @@
 	currentAt dfclock.Millis
 	// remote is what it said of other data centres.
 	remote bool
-	// cutOff is what it said of its own data centre.
-	cutOff bool
-	leads  map[string]told
+	// cutOff is what it said of its own data centre, if it could judge.
+	cutOff, judged bool
+	leads          map[string]told
 }
 
 // told is a lead with its ages as instants of this host.
@@ -94,7 +94,7 @@
 	}
 	known.heardAt = now
 	known.currentAt = max(known.currentAt, askedAt-report.CurrentAgo)
-	known.remote, known.cutOff = report.Remote, report.CutOff
+	known.remote, known.cutOff, known.judged = report.Remote, report.CutOff, report.Judged
 	known.takeLeads(now, askedAt, report.Leads)
 	for _, host := range report.Hosts {
 		c.Learn(now, host)
@@ -316,13 +316,14 @@
 }
 
 // CutOff returns what the speaker of the own data centre says of its connection
-// to the others. ok is false if this host has to judge itself.
-func (c *Circle) CutOff(now dfclock.Millis) (cutOff, ok bool) {
+// to the others; judged is false if it cannot tell yet. ok is false if this host
+// has to judge itself.
+func (c *Circle) CutOff(now dfclock.Millis) (cutOff, judged, ok bool) {
 	speaker := c.neighbours[c.Speakers(now)[c.self.DataCentre].Address]
 	if speaker == nil || !speaker.answers(now) {
-		return false, false
+		return false, false, false
 	}
-	return speaker.cutOff, true
+	return speaker.cutOff, speaker.judged, true
 }
 
 // CurrentAt returns the latest instant at which a neighbour knew that it missed
--- a/dfneighbour/circle_test.go
+++ b/dfneighbour/circle_test.go
@@ -184,15 +184,19 @@
 		circle := NewCircle(self)
 		circle.Learn(0, hosts[0])
 		circle.Learn(0, hosts[1])
-		_, ok := circle.CutOff(10)
+		_, _, ok := circle.CutOff(10)
 		require.False(t, ok, "nobody has told")
 		if self == speaker {
 			continue
 		}
-		circle.Heard(1000, 1000, Report{Host: speaker, CutOff: true})
-		cutOff, ok := circle.CutOff(1010)
-		require.True(t, ok && cutOff)
-		_, ok = circle.CutOff(1010 + AliveSpan)
+		circle.Heard(1000, 1000, Report{Host: speaker, CutOff: true, Judged: true})
+		cutOff, judged, ok := circle.CutOff(1010)
+		require.True(t, ok && judged && cutOff)
+		circle.Heard(1100, 1100, Report{Host: speaker})
+		_, judged, ok = circle.CutOff(1110)
+		require.True(t, ok)
+		require.False(t, judged, "it has just started")
+		_, _, ok = circle.CutOff(1110 + AliveSpan)
 		require.False(t, ok, "an old report")
 	}
 }
@@ -200,7 +204,7 @@
 // Guards against messages that lose a field on the way.
 func TestFrames(t *testing.T) {
 	report := Report{
-		Host: host("a", 1), Catalog: 7, Fleet: 9, CurrentAgo: 3, Remote: true, CutOff: true, Document: []byte("{}"),
+		Host: host("a", 1), Catalog: 7, Fleet: 9, CurrentAgo: 3, Remote: true, CutOff: true, Judged: true, Document: []byte("{}"),
 		Leads: []Lead{{
 			Service: "orders", Leader: "p", HeardAgo: 4, Suspected: true, ProvedAgo: -1,
 			Position: dfposition.Position{Term: 2, Offset: 5}, BackIn: 6, Alive: 1, Dead: 2,
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -88,8 +88,9 @@
 	CurrentAgo dfclock.Millis
 	// Remote is true if the host heard from other data centres lately.
 	Remote bool
-	// CutOff is true if the host judges its data centre to be cut off.
-	CutOff bool
+	// CutOff is true if the host judges its data centre to be cut off. Judged is
+	// false if it has not been up for long enough to tell.
+	CutOff, Judged bool
 	// Hosts are those that the host knows, if the asker knows others.
 	Hosts []dfmember.Host
 	// Document and Upstreams are sent to an asker whose versions are lower.
