Probe all leaders when no other data centre is heard

Cause: hosts of a cut data centre were out of rotation 2 to 2.5 s after the cut, because leaders that nobody waited for were not suspected and counted as reached.

Ruled out: the exchange between speakers (no other one is heard 0.8 s after the cut at the latest).

Change: a speaker that hears no other data centre watches all leaders as if requests waited for them.

--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -71,6 +71,11 @@
 // situation is what the host sees of a service.
 func (e *Edge) situation(now dfclock.Millis, s *service) dfsuccession.Situation {
 	situation := dfsuccession.Situation{Busy: s.waiting > 0, Listener: !e.circle.Probes(now)}
+	if e.circle.Speaks(now) && !e.circle.Remote(now) {
+		// Whether the data centre is cut off depends on all leaders, also on those
+		// that nobody waits for.
+		situation.Busy = true
+	}
 	upstreams := e.fleet.Of(s.name)
 	situation.Members = len(upstreams)
 	for _, upstream := range upstreams {
