Tell refusals of carriers from failures of connections

A refusal keeps the connection only where a carrier gave it; a connection of the host's own pool that failed is always closed. The plan of connections has a name that says what it plans.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -44,7 +44,8 @@
 	// unreadySince is when the host stopped being ready, or Never.
 	unreadySince dfclock.Millis
 	isolation    isolation
-	startedAt    dfclock.Millis
+	// startedAt is when the host started.
+	startedAt dfclock.Millis
 	// stoppingAt is when the host was told to stop, or Never.
 	stoppingAt dfclock.Millis
 	source     *rand.Rand
@@ -193,7 +194,7 @@
 	if !ok {
 		return 0
 	}
-	if plan := e.plan(now, s); plan.Shared() {
+	if plan := e.connectionPlan(now, s); plan.Shared() {
 		return plan.Each
 	}
 	usable := max(1, known.ConnectionLimit*connectionShare/100)
@@ -249,7 +250,7 @@
 		source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
 		limit := e.connectionLimit(now, s, upstream.ID)
 		known, _ := e.catalog.Service(s.name)
-		spacious := e.plan(now, s).Shared() || known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
+		spacious := e.connectionPlan(now, s).Shared() || known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, spacious, e.options.Now, e.open, e.opened, source)
 	}
 }
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -62,8 +62,9 @@
 	e.ended(n.service, a.upstream, a.led, true)
 	var refused *dfresult.Error
 	var lost *dfforward.CarrierError
+	_, carried := a.source.(forwarded)
 	switch {
-	case errors.As(err, &refused):
+	case carried && errors.As(err, &refused):
 		a.source.release(a.line, a.line.State() == dfstatement.Idle)
 		e.refusedBy(n.service, a.upstream)
 	case errors.As(err, &lost):
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -87,8 +87,8 @@
 	f.release(held, true)
 }
 
-// plan tells how the hosts share the connections to a service's upstreams.
-func (e *Edge) plan(now dfclock.Millis, s *service) dfforward.Plan {
+// connectionPlan tells how the hosts share the connections to a service's upstreams.
+func (e *Edge) connectionPlan(now dfclock.Millis, s *service) dfforward.Plan {
 	known, ok := e.catalog.Service(s.name)
 	if !ok || e.options.ForwardPort == 0 {
 		return dfforward.Plan{}
@@ -100,7 +100,7 @@
 // sourceOf decides over which host a statement reaches an upstream. The mutex is
 // held.
 func (e *Edge) sourceOf(now dfclock.Millis, s *service, id dffleet.ID) source {
-	plan := e.plan(now, s)
+	plan := e.connectionPlan(now, s)
 	if !plan.Shared() {
 		return pooled{s.pools[id]}
 	}
