Give demo hosts ports that callers cannot be given

Ruled out: a listener of another test (they ask for any port and would not be given one in use, but the stopped host's port is free meanwhile, so this could add to it; the new range excludes both).

Change: hosts of the demo take free ports below that range. Tests show the range and that such a dial connects to itself.

--- /dev/null
+++ b/dfdemo/address_test.go
@@ -0,0 +1,45 @@
+package dfdemo
+
+import (
+	"context"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against hosts that cannot start again because a caller's connection has
+// taken their port meanwhile: the port must not be one that outgoing connections
+// are given.
+func TestStableAddress(t *testing.T) {
+	data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	require.NoError(t, err)
+	first, err := strconv.Atoi(strings.Fields(string(data))[0])
+	require.NoError(t, err)
+	require.Greater(t, first, lastPort)
+	address, err := stableAddress(context.Background())
+	require.NoError(t, err)
+	_, text, err := net.SplitHostPort(address)
+	require.NoError(t, err)
+	port, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, port, firstPort)
+	require.Less(t, port, lastPort)
+}
+
+// Guards against a wrong notion of the fault: a dial from the port that it goes
+// to connects to itself although nobody listens there.
+func TestDialConnectsToItself(t *testing.T) {
+	address, err := stableAddress(context.Background())
+	require.NoError(t, err)
+	local, err := net.ResolveTCPAddr("tcp4", address)
+	require.NoError(t, err)
+	conn, err := (&net.Dialer{LocalAddr: local}).DialContext(context.Background(), "tcp4", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = net.Listen("tcp4", address)
+	require.Error(t, err, "the host cannot come back")
+}
--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -282,12 +282,20 @@
 func (s *Stack) startHost(ctx context.Context, index int) error {
 	centre := s.deployment.DataCentres[index%len(s.deployment.DataCentres)]
 	dial := s.dialer(centre)
+	var addresses [3]string
+	for i := range addresses {
+		address, err := stableAddress(ctx)
+		if err != nil {
+			return err
+		}
+		addresses[i] = address
+	}
 	settings := dfhost.Settings{
 		ID:            fmt.Sprintf("host-%d", index+1),
 		DataCentre:    centre,
-		CallerAddress: "127.0.0.1:0",
-		PeerAddress:   "127.0.0.1:0",
-		AdminAddress:  "127.0.0.1:0",
+		CallerAddress: addresses[0],
+		PeerAddress:   addresses[1],
+		AdminAddress:  addresses[2],
 		TokenKey:      demoTokenKey,
 		Credentials:   map[string]string{demoCredential: demoPassword},
 		UpstreamUser:  upstreamUser,
