Show a claim to others while the store answers

Ruled out: a strong read without its transaction (the read went through a leader that had granted one).

Change: a host that acts takes a fresh epoch by a conditional write of the row, bounded by 300 ms, and uses the epoch from before only if the table does not answer; never if another host's claim is in the way.

--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -23,6 +23,7 @@
 	"dragonflygrade/dflink"
 	"dragonflygrade/dfload"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfport"
 	"dragonflygrade/dfpublish"
 	"dragonflygrade/dfstandin"
 	"dragonflygrade/dfstandinplatform"
@@ -284,7 +285,7 @@
 	dial := s.dialer(centre)
 	var addresses [3]string
 	for i := range addresses {
-		address, err := stableAddress(ctx)
+		address, err := dfport.Stable(ctx, "127.0.0.1")
 		if err != nil {
 			return err
 		}
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -27,6 +27,13 @@
 // to take effect. It is longer than the slowest promotion.
 const claimHold = 2500 * dfclock.Millisecond
 
+// claimTimeout bounds the claim of an epoch in the table: several times the time
+// of its three calls while the platform is well.
+const claimTimeout = 300 * time.Millisecond
+
+// errOtherClaim tells that another host acts on the service.
+var errOtherClaim = eris.New("succession: another host has just claimed the service")
+
 // claim is the row's content.
 type claim struct {
 	Holder   string
@@ -191,22 +198,27 @@
 	e.tell(s, dfsuccession.AskEnded{})
 }
 
-// claim takes an epoch from the table by a conditional write.
+// claim takes an epoch from the table by a conditional write. The row shows other
+// hosts who acts; an epoch that was taken ahead of need does not, so it is used
+// only where the table does not answer.
 func (e *Edge) claim(ctx context.Context, s *service, wanted dfsuccession.Claim) {
 	target := wanted.Target
-	if epoch := e.standing(s); epoch > 0 {
-		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Uint64("Epoch", epoch).Msg("succession: standing epoch used")
+	bounded, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	epoch, err := e.takeEpoch(bounded, s, wanted)
+	if err == nil {
+		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Uint64("Epoch", epoch).Msg("succession: epoch taken")
+		e.dropStanding(s)
 		e.tell(s, dfsuccession.Claimed{Epoch: epoch})
 		return
 	}
-	epoch, err := e.takeEpoch(ctx, s, wanted)
-	if err != nil {
-		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Err(err).Msg("succession: no epoch")
-		e.tell(s, dfsuccession.ClaimLost{})
+	if epoch := e.standing(s); epoch > 0 && !eris.Is(err, errOtherClaim) && !eris.Is(err, dfplatform.ErrConflict) {
+		e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Uint64("Epoch", epoch).Msg("succession: standing epoch used")
+		e.tell(s, dfsuccession.Claimed{Epoch: epoch})
 		return
 	}
-	e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Uint64("Epoch", epoch).Msg("succession: epoch taken")
-	e.tell(s, dfsuccession.Claimed{Epoch: epoch})
+	e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Err(err).Msg("succession: no epoch")
+	e.tell(s, dfsuccession.ClaimLost{})
 }
 
 // standing returns the epoch that this host holds for the next promotion, or 0.
@@ -262,7 +274,7 @@
 		}
 	}
 	if e.pending(s, row.Version, last, wanted) {
-		return 0, eris.Errorf("succession: %s has just claimed %s", last.Holder, last.Target)
+		return 0, eris.Wrapf(errOtherClaim, "%s claimed %s", last.Holder, last.Target)
 	}
 	e.mu.Lock()
 	value, err := json.Marshal(claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target})
@@ -282,7 +294,7 @@
 		return 0, err
 	}
 	if row.Attempt != attempt {
-		return 0, eris.New("succession: another claim followed")
+		return 0, eris.Wrap(errOtherClaim, "after this one")
 	}
 	return row.Version, nil
 }
--- a/dfdemo/address.go
+++ b/dfport/port.go
@@ -1,4 +1,5 @@
-package dfdemo
+// Package dfport finds addresses for hosts that stop and start again on one machine.
+package dfport
 
 import (
 	"context"
@@ -20,17 +21,17 @@
 	portTries = 100
 )
 
-// stableAddress returns a free address that a stopped host can take again.
-func stableAddress(ctx context.Context) (string, error) {
+// Stable returns a free address of an IP that a stopped host can take again.
+func Stable(ctx context.Context, ip string) (string, error) {
 	var config net.ListenConfig
 	for range portTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := config.Listen(ctx, "tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		listener, err := config.Listen(ctx, "tcp4", net.JoinHostPort(ip, strconv.Itoa(port)))
 		if err != nil {
 			continue
 		}
 		address := listener.Addr().String()
 		return address, listener.Close()
 	}
-	return "", eris.Errorf("demo: no free port between %d and %d", firstPort, lastPort)
+	return "", eris.Errorf("port: no free port between %d and %d", firstPort, lastPort)
 }
--- a/dfdemo/address_test.go
+++ b/dfport/port_test.go
@@ -1,4 +1,4 @@
-package dfdemo
+package dfport
 
 import (
 	"context"
@@ -14,13 +14,13 @@
 // Guards against hosts that cannot start again because a caller's connection has
 // taken their port meanwhile: the port must not be one that outgoing connections
 // are given.
-func TestStableAddress(t *testing.T) {
+func TestStable(t *testing.T) {
 	data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
 	require.NoError(t, err)
 	first, err := strconv.Atoi(strings.Fields(string(data))[0])
 	require.NoError(t, err)
 	require.Greater(t, first, lastPort)
-	address, err := stableAddress(context.Background())
+	address, err := Stable(context.Background(), "127.0.0.1")
 	require.NoError(t, err)
 	_, text, err := net.SplitHostPort(address)
 	require.NoError(t, err)
@@ -33,7 +33,7 @@
 // Guards against a wrong notion of the fault: a dial from the port that it goes
 // to connects to itself although nobody listens there.
 func TestDialConnectsToItself(t *testing.T) {
-	address, err := stableAddress(context.Background())
+	address, err := Stable(context.Background(), "127.0.0.1")
 	require.NoError(t, err)
 	local, err := net.ResolveTCPAddr("tcp4", address)
 	require.NoError(t, err)
