Call what exists instead of writing it again

Cause: a reading of the whole change found the same logic in several places, and values that are read and decide nothing.

Ruled out: the constant blocks and import lists that look alike; they hold different values. Ticker loops of five lines with different work.

--- a/dfcatalog/catalog.go
+++ b/dfcatalog/catalog.go
@@ -41,9 +41,6 @@
 	Name string
 	// ConnectionLimit bounds the connections of all hosts to one upstream.
 	ConnectionLimit int
-	// SyncReplicas counts the replicas that receive a commit before it is
-	// acknowledged.
-	SyncReplicas int
 }
 
 // Catalog is one version of the desired state. The zero value is version 0
--- a/dfcli/publish.go
+++ b/dfcli/publish.go
@@ -103,8 +103,8 @@
 		Author: author,
 		Why:    c.Why,
 		Random: random,
-		Sleep:  sleepSpan,
-		Audit:  dfaudit.NewWriter(trail, platform, unixMillis, sleepSpan),
+		Sleep:  dfplatform.Pause,
+		Audit:  dfaudit.NewWriter(trail, platform, unixMillis, dfplatform.Pause),
 	})
 }
 
@@ -112,17 +112,6 @@
 	return dfclock.Millis(time.Now().UnixMilli())
 }
 
-func sleepSpan(ctx context.Context, span dfclock.Millis) error {
-	timer := time.NewTimer(time.Duration(span) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func confirmed(env *environment) bool {
 	_, _ = fmt.Fprint(env.out, "publish this? [y/N] ")
 	line, err := bufio.NewReader(env.in).ReadString('\n')
--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -3,6 +3,7 @@
 package dfconnection
 
 import (
+	"errors"
 	"net"
 	"strconv"
 	"syscall"
@@ -221,6 +222,12 @@
 	return closed || err != nil
 }
 
+// IsTimeout reports whether an exchange failed because nothing arrived in time.
+func IsTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // deadlineAfter translates a span from now for the network.
 func deadlineAfter(span dfclock.Millis) time.Time {
 	return time.Now().Add(time.Duration(span) * time.Millisecond)
--- a/dfdemo/stack.go
+++ b/dfdemo/stack.go
@@ -252,8 +252,8 @@
 	publisher, err := dfpublish.New(s.store, dfpublish.Options{
 		Author: "demo",
 		Random: rand.New(rand.NewPCG(s.options.Seed, uint64(s.publications))),
-		Sleep:  sleepSpan,
-		Audit:  dfaudit.NewWriter(trail, s.store, unixMillis, sleepSpan),
+		Sleep:  dfplatform.Pause,
+		Audit:  dfaudit.NewWriter(trail, s.store, unixMillis, dfplatform.Pause),
 	})
 	if err != nil {
 		return dfpublish.Published{}, err
@@ -273,13 +273,6 @@
 	return dfclock.Millis(time.Now().UnixMilli())
 }
 
-func sleepSpan(ctx context.Context, span dfclock.Millis) error {
-	if !wait(ctx, time.Duration(span)*time.Millisecond) {
-		return ctx.Err()
-	}
-	return nil
-}
-
 func (s *Stack) startHost(ctx context.Context, index int) error {
 	centre := s.deployment.DataCentres[index%len(s.deployment.DataCentres)]
 	dial := s.dialer(centre)
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -175,8 +175,9 @@
 		if action := e.stepService(ctx, now, s); action != nil {
 			actions = append(actions, action)
 		}
+		plan := e.connectionPlan(now, s)
 		for id, pool := range s.pools {
-			pool.Tick(e.connectionLimit(now, s, id))
+			pool.Tick(e.connectionLimit(now, s, id, plan))
 		}
 	}
 	e.stepReadiness(now)
@@ -189,12 +190,12 @@
 // connectionLimit is how many connections this host may hold to an upstream: up
 // to what one data centre needs while the upstream accepts them, else its equal
 // share.
-func (e *Edge) connectionLimit(now dfclock.Millis, s *service, id dffleet.ID) int {
+func (e *Edge) connectionLimit(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) int {
 	known, ok := e.catalog.Service(s.name)
 	if !ok {
 		return 0
 	}
-	if plan := e.connectionPlan(now, s); plan.Shared() {
+	if plan.Shared() {
 		return plan.Each
 	}
 	usable := max(1, known.ConnectionLimit*connectionShare/100)
@@ -248,9 +249,10 @@
 	s.placer.Keep(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
 		source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
-		limit := e.connectionLimit(now, s, upstream.ID)
+		plan := e.connectionPlan(now, s)
+		limit := e.connectionLimit(now, s, upstream.ID, plan)
 		known, _ := e.catalog.Service(s.name)
-		spacious := e.connectionPlan(now, s).Shared() || known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
+		spacious := plan.Shared() || known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, spacious, e.options.Now, e.open, e.opened, source)
 	}
 }
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -52,7 +52,7 @@
 
 // release ends an attempt whose connection can be used again.
 func (e *Edge) release(n *need, a *attempt) {
-	a.source.release(a.line, a.line.State() == dfstatement.Idle)
+	a.line.Release(a.line.State() == dfstatement.Idle)
 	e.ended(n.service, a.upstream, a.led, true)
 }
 
@@ -65,32 +65,23 @@
 	_, carried := a.source.(forwarded)
 	switch {
 	case carried && errors.As(err, &refused):
-		a.source.release(a.line, a.line.State() == dfstatement.Idle)
+		a.line.Release(a.line.State() == dfstatement.Idle)
 		e.refusedBy(n.service, a.upstream)
 	case errors.As(err, &lost):
-		a.source.release(a.line, false)
+		a.line.Release(false)
 		e.lostCarrier(lost)
-	case isTimeout(err):
-		a.source.silent(a.line)
+	case dfconnection.IsTimeout(err):
+		a.line.Silent()
 		e.failed(n.service, a.upstream)
 	default:
-		a.source.release(a.line, false)
+		a.line.Release(false)
 		e.failed(n.service, a.upstream)
 	}
 }
 
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // refusal translates why no connection was had.
 func refusal(err error) *dfresult.Error {
-	var failure *dfresult.Error
-	if errors.As(err, &failure) {
-		return failure
-	}
-	return dfresult.NewError(dfresult.NoConnection, "%v", err)
+	return dfresult.From(err, dfresult.NoConnection)
 }
 
 // read runs a read outside of a transaction.
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -1,8 +1,6 @@
 package dfedge
 
 import (
-	"errors"
-
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
@@ -275,12 +273,10 @@
 }
 
 func isConnectionLimit(err error) bool {
-	var failure *dfresult.Error
-	return errors.As(err, &failure) && failure.Code == dfresult.ConnectionLimit
+	return dfresult.HasCode(err, dfresult.ConnectionLimit)
 }
 
 // isRefusal reports whether an upstream answered that it takes no more.
 func isRefusal(err error) bool {
-	var failure *dfresult.Error
-	return errors.As(err, &failure) && (failure.Code == dfresult.ConnectionLimit || failure.Code == dfresult.QueueFull)
+	return dfresult.HasCode(err, dfresult.ConnectionLimit, dfresult.QueueFull)
 }
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,16 +29,16 @@
 	RolledBack()
 	Committed()
 	Report(answer dfstatement.Answer) (dfstatement.Report, error)
+	// Release gives the line back. Reusable is false if its connection is in doubt.
+	Release(reusable bool)
+	// Silent gives the line back whose upstream did not answer in time.
+	Silent()
 }
 
 // source gives lines to one upstream.
 type source interface {
 	// acquire returns a line, or an error with the outcome not run.
 	acquire(priority int, deadline dfclock.Millis) (line, error)
-	// release gives a line back. Reusable is false if its connection is in doubt.
-	release(held line, reusable bool)
-	// silent gives a line back whose upstream did not answer in time.
-	silent(held line)
 }
 
 // pooled gives the connections that this host holds itself.
@@ -50,19 +51,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return conn, nil
+	return pooledLine{Conn: conn, pool: p.pool}, nil
 }
 
-func (p pooled) release(held line, reusable bool) {
-	if conn, ok := held.(*dfconnection.Conn); ok {
-		p.pool.Release(conn, reusable)
-	}
+// pooledLine is a connection that goes back to its pool.
+type pooledLine struct {
+	*dfconnection.Conn
+	pool *dfconnection.Pool
 }
 
-func (p pooled) silent(held line) {
-	if conn, ok := held.(*dfconnection.Conn); ok {
-		p.pool.Silent(conn)
-	}
+// Release gives the connection back to the pool.
+func (p pooledLine) Release(reusable bool) {
+	p.pool.Release(p.Conn, reusable)
+}
+
+// Silent lets the pool suspect connections of the same age.
+func (p pooledLine) Silent() {
+	p.pool.Silent(p.Conn)
 }
 
 // forwarded gives the connections that a carrier holds.
@@ -76,17 +81,6 @@
 	return f.lane.Line(f.upstream, priority, max(0, deadline-f.clock())), nil
 }
 
-func (f forwarded) release(held line, reusable bool) {
-	if forwarded, ok := held.(*dfforward.Line); ok {
-		forwarded.Release(reusable)
-	}
-}
-
-// silent keeps the connection to the carrier, which did answer.
-func (f forwarded) silent(held line) {
-	f.release(held, true)
-}
-
 // connectionPlan tells how the hosts share the connections to a service's upstreams.
 func (e *Edge) connectionPlan(now dfclock.Millis, s *service) dfforward.Plan {
 	known, ok := e.catalog.Service(s.name)
@@ -105,7 +99,7 @@
 		return pooled{s.pools[id]}
 	}
 	carriers := e.circle.Carriers(now, id, plan.Carriers)
-	if len(carriers) == 0 || dfmember.RankOf(string(id), carriers, e.options.Self.ID) >= 0 {
+	if len(carriers) == 0 || slices.Contains(carriers, e.options.Self) {
 		return pooled{s.pools[id]}
 	}
 	carrier := carriers[e.source.IntN(len(carriers))]
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -156,7 +156,7 @@
 	}
 	s.placer.Reached(now, id, answer.Position, s.timeline.Lag(now, answer.Position))
 	s.successor.Handle(now, dfsuccession.Reported{
-		ID: id, Primary: report.Primary, Term: report.Term, Received: report.Received, Probe: probe,
+		ID: id, Primary: report.Primary, Received: report.Received, Probe: probe,
 	})
 }
 
@@ -284,7 +284,7 @@
 		return 0, eris.Wrap(err, "succession: encode claim")
 	}
 	attempt := dfplatform.NewAttempts(e.options.Self.ID, source).Next()
-	settler := dfplatform.NewSettler(platform, claimBackoff, source, pauseFor)
+	settler := dfplatform.NewSettler(platform, claimBackoff, source, dfplatform.Pause)
 	err = settler.Commit(ctx, attempt, dfplatform.Write{Key: key, IfVersion: row.Version, Value: value})
 	if err != nil {
 		return 0, err
@@ -303,11 +303,6 @@
 // old one after a second.
 var claimBackoff = dfplatform.Backoff{First: 50 * dfclock.Millisecond, Max: 200 * dfclock.Millisecond, Tries: 3}
 
-func pauseFor(ctx context.Context, span dfclock.Millis) error {
-	sleep(ctx, time.Duration(span)*time.Millisecond)
-	return ctx.Err()
-}
-
 // pending reports whether an earlier claim may still take effect, or has taken
 // effect without this host's knowledge.
 func (e *Edge) pending(s *service, version uint64, last claim, wanted dfsuccession.Claim) bool {
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -284,7 +284,7 @@
 		return
 	}
 	e := t.session.edge
-	t.attempt.source.release(t.attempt.line, false)
+	t.attempt.line.Release(false)
 	e.ended(t.need.service, t.attempt.upstream, t.attempt.led, true)
 	t.attempt = nil
 }
--- a/dfforward/carrier.go
+++ b/dfforward/carrier.go
@@ -1,7 +1,6 @@
 package dfforward
 
 import (
-	"errors"
 	"net"
 	"time"
 
@@ -102,7 +101,7 @@
 	}
 	answers, sent, err := c.lease.Exchange(session, deadline, calls...)
 	if err != nil {
-		timedOut := isTimeout(err)
+		timedOut := dfconnection.IsTimeout(err)
 		if timedOut {
 			c.pool.Silent(c.lease)
 		} else {
@@ -129,11 +128,7 @@
 func (c *Carrier) acquire(pool *dfconnection.Pool, message request) *dfresult.Error {
 	lease, err := pool.Acquire(message.Priority, c.clock().Add(min(message.Patience, message.Timeout)))
 	if err != nil {
-		var failure *dfresult.Error
-		if errors.As(err, &failure) {
-			return failure
-		}
-		return dfresult.NewError(dfresult.NoConnection, "%v", err)
+		return dfresult.From(err, dfresult.NoConnection)
 	}
 	c.pool, c.lease = pool, lease
 	c.holder.Lent(1)
@@ -168,8 +163,3 @@
 	c.pool, c.lease = nil, nil
 	c.holder.Lent(-1)
 }
-
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -306,7 +306,7 @@
 	line = lane.Line("u", 0, 500)
 	_, sent, err := line.Exchange(nil, soon(), one(dfstatement.Write{Item: "x"}))
 	require.True(t, sent)
-	require.True(t, isTimeout(err))
+	require.True(t, dfconnection.IsTimeout(err))
 	var lost *CarrierError
 	require.False(t, eris.As(err, &lost))
 	require.Eventually(t, func() bool { return h.lentNow() == 0 }, time.Second, time.Millisecond)
--- a/dfforward/lane.go
+++ b/dfforward/lane.go
@@ -231,6 +231,12 @@
 	l.conn = nil
 }
 
+// Silent ends the use after the carrier told that the upstream did not answer.
+// The connection to the carrier can be used again.
+func (l *Line) Silent() {
+	l.Release(true)
+}
+
 func (l *Line) drop() {
 	_ = l.conn.Close()
 	l.conn = nil
--- a/dfholder/admission.go
+++ b/dfholder/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -165,8 +164,7 @@
 		deadline = min(deadline, h.now().Add(holdBound))
 	}
 	release, err := h.writes.admit(ctx, request, deadline)
-	var refusal *dfresult.Error
-	if errors.As(err, &refusal) && refusal.Code == dfresult.DeadlinePassed && deadline != request.Deadline {
+	if dfresult.HasCode(err, dfresult.DeadlinePassed) && deadline != request.Deadline {
 		return nil, dfresult.NewError(dfresult.NoPrimary, "database %s", h.options.Group).WithRetryAfter(retryHint)
 	}
 	return release, err
--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -202,8 +201,7 @@
 // isOverload reports whether the error shows that the upstreams have more work
 // than they can do.
 func isOverload(err error) bool {
-	var failure *dfresult.Error
-	return errors.As(err, &failure) && failure.Code == dfresult.NoConnection
+	return dfresult.HasCode(err, dfresult.NoConnection)
 }
 
 func (h *Holder) inFlightLimit() int {
--- a/dfhost/attempt.go
+++ b/dfhost/attempt.go
@@ -5,10 +5,10 @@
 	"errors"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfoutcome"
+	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfunit"
 )
@@ -199,14 +199,7 @@
 
 // sleep waits for the span and reports whether the context is still open.
 func sleep(ctx context.Context, span dfclock.Millis) bool {
-	timer := time.NewTimer(time.Duration(span) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return dfplatform.Pause(ctx, span) == nil
 }
 
 // unitPointer holds the unit that a cancel request reaches.
--- a/dfhost/host.go
+++ b/dfhost/host.go
@@ -26,6 +26,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconfig"
 	"dragonflygrade/dfpeer"
+	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfsession"
 	"dragonflygrade/dftoken"
 	"dragonflygrade/dfwire"
@@ -93,7 +94,7 @@
 	}
 	h.directory = dfpeer.NewDirectory(settings.DialPeer, peerCredentials(settings))
 	h.notifier = dfpeer.NewNotifier(h.directory, settings.ID, incarnation)
-	h.audit = dfaudit.NewWriter(dfaudit.NewTrail(settings.ID, incarnation), boundedStore{settings.Platform}, unixMillis, sleepSpan)
+	h.audit = dfaudit.NewWriter(dfaudit.NewTrail(settings.ID, incarnation), boundedStore{settings.Platform}, unixMillis, dfplatform.Pause)
 	h.adoption = newAdoption(h)
 	h.members = newMembership(h)
 	h.slots = newSlots(h)
@@ -336,14 +337,6 @@
 	return dfclock.Millis(time.Now().UnixMilli())
 }
 
-// sleepSpan waits for a span unless the context ends first.
-func sleepSpan(ctx context.Context, span dfclock.Millis) error {
-	if !sleep(ctx, span) {
-		return ctx.Err()
-	}
-	return nil
-}
-
 func (h *Host) nextRequest() uint64 {
 	return h.requests.Add(1)
 }
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -1,6 +1,7 @@
 package dfneighbour
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -160,34 +161,45 @@
 func (c *Circle) Count(now dfclock.Millis) int {
 	count := 1
 	for _, known := range c.neighbours {
-		if known.host.ID != "" && !known.passedOver(now) {
+		if known.serves(now) {
 			count++
 		}
 	}
 	return count
 }
 
+// serving returns this host and those that are not passed over.
+func (c *Circle) serving(now dfclock.Millis) []dfmember.Host {
+	hosts := make([]dfmember.Host, 1, len(c.neighbours)+1)
+	hosts[0] = c.self
+	for _, known := range c.neighbours {
+		if known.serves(now) {
+			hosts = append(hosts, known.host)
+		}
+	}
+	return hosts
+}
+
 // passedOver reports whether a host did not answer lately.
 func (n *neighbour) passedOver(now dfclock.Millis) bool {
 	return n.failedAt > max(n.heardAt, n.metAt) && now-n.failedAt < passOverSpan
 }
 
+// serves reports whether a host is known by name and not passed over.
+func (n *neighbour) serves(now dfclock.Millis) bool {
+	return n.host.ID != "" && !n.passedOver(now)
+}
+
 // Speakers returns the speaker of each data centre as this host sees it.
 func (c *Circle) Speakers(now dfclock.Millis) map[string]dfmember.Host {
 	if c.chosenAt != never && now-c.chosenAt < speakersSpan {
 		return c.speakers
 	}
-	hosts := []dfmember.Host{c.self}
-	for _, known := range c.neighbours {
-		if known.host.ID != "" && !known.passedOver(now) {
-			hosts = append(hosts, known.host)
-		}
-	}
 	speakers := map[string]dfmember.Host{}
-	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, hosts, probers) {
+	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, c.serving(now), probers) {
 		speakers[dataCentre] = chosen[0]
 		if dataCentre == c.self.DataCentre {
-			c.probes = contains(chosen, c.self)
+			c.probes = slices.Contains(chosen, c.self)
 		}
 	}
 	c.speakers, c.chosenAt = speakers, now
@@ -206,24 +218,12 @@
 	return c.probes
 }
 
-func contains(hosts []dfmember.Host, host dfmember.Host) bool {
-	for _, known := range hosts {
-		if known.Address == host.Address {
-			return true
-		}
-	}
-	return false
-}
-
 // Carriers returns the hosts of the own data centre that hold the connections to
 // an upstream for the others, this host among them if it is one.
 func (c *Circle) Carriers(now dfclock.Millis, upstream dffleet.ID, count int) []dfmember.Host {
-	hosts := []dfmember.Host{c.self}
-	for _, known := range c.neighbours {
-		if known.host.ID != "" && known.host.DataCentre == c.self.DataCentre && !known.passedOver(now) {
-			hosts = append(hosts, known.host)
-		}
-	}
+	hosts := slices.DeleteFunc(c.serving(now), func(host dfmember.Host) bool {
+		return host.DataCentre != c.self.DataCentre
+	})
 	return dfmember.Choose(string(upstream), hosts, count)
 }
 
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 
 	"google.golang.org/grpc"
@@ -252,10 +251,7 @@
 }
 
 func encodeError(err error) *dfproto.RelayError {
-	var failure *dfresult.Error
-	if !errors.As(err, &failure) {
-		failure = dfresult.NewError(dfresult.Internal, "%v", err)
-	}
+	failure := dfresult.From(err, dfresult.Internal)
 	return &dfproto.RelayError{
 		Code: int32(failure.Code), Detail: failure.Detail, RetryAfterMillis: int64(failure.RetryAfter),
 	}
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -4,6 +4,8 @@
 package dfplace
 
 import (
+	"slices"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfposition"
@@ -201,7 +203,7 @@
 	bestTrial := false
 	for _, upstream := range usable {
 		c := p.candidates[upstream.ID]
-		if c == nil || now.Before(c.openAfter) || contains(avoid, c.id) {
+		if c == nil || now.Before(c.openAfter) || slices.Contains(avoid, c.id) {
 			continue
 		}
 		covers, trial := c.covers(now, need)
@@ -255,12 +257,3 @@
 	}
 	return c.wait(now) / scale
 }
-
-func contains(ids []dffleet.ID, id dffleet.ID) bool {
-	for _, known := range ids {
-		if known == id {
-			return true
-		}
-	}
-	return false
-}
--- a/dfplatform/settle.go
+++ b/dfplatform/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -17,6 +18,18 @@
 // Sleep waits for a span, or until the context ends.
 type Sleep func(ctx context.Context, span dfclock.Millis) error
 
+// Pause is the Sleep of the running program.
+func Pause(ctx context.Context, span dfclock.Millis) error {
+	timer := time.NewTimer(time.Duration(span) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
 // Settler commits conditionally and settles lost answers. It is used by one
 // goroutine.
 type Settler struct {
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -461,7 +461,7 @@
 	wanted := len(p.waiters) - p.count(opening)
 	if p.config.OpenWait > 0 && wanted > 0 {
 		wanted = 0
-		if p.count(opening) == 0 && now.Reached(p.openDue()) {
+		if now.Reached(p.openDue()) {
 			wanted = 1
 		}
 	}
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"dragonflygrade/dfclock"
 )
@@ -201,16 +202,24 @@
 	return fmt.Sprintf("DF%04d %s: %s", e.Code, e.Code.Text(), e.Detail)
 }
 
+// From returns the failure in an error's chain, or a new one of a code with the
+// error's text.
+func From(err error, code Code) *Error {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return NewError(code, "%v", err)
+}
+
+// HasCode reports whether an error's chain has a failure of one of the codes.
+func HasCode(err error, codes ...Code) bool {
+	var failure *Error
+	return errors.As(err, &failure) && slices.Contains(codes, failure.Code)
+}
+
 // IsCommitDoubt reports whether the error leaves the effect of a commit open.
 // The transaction has ended, whatever became of it.
 func IsCommitDoubt(err error) bool {
-	var failure *Error
-	if !errors.As(err, &failure) {
-		return false
-	}
-	switch failure.Code {
-	case CommitUnknown, NotMajority, PrimaryChanged:
-		return true
-	}
-	return false
+	return HasCode(err, CommitUnknown, NotMajority, PrimaryChanged)
 }
--- a/dfresult/result_test.go
+++ b/dfresult/result_test.go
@@ -1,6 +1,7 @@
 package dfresult
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -27,3 +28,17 @@
 	require.NotEqual(t, NotRun, Code(9999).Outcome())
 	require.NotEqual(t, Done, Code(9999).Outcome())
 }
+
+// Guards against failures that lose their code because they were wrapped, and
+// against errors without a code that pass for one.
+func TestCodesInChains(t *testing.T) {
+	refused := NewError(QueueFull, "busy")
+	wrapped := fmt.Errorf("upstream: %w", refused)
+	plain := errors.New("reset")
+	require.Same(t, refused, From(wrapped, Internal))
+	require.Equal(t, NewError(Internal, "reset"), From(plain, Internal))
+	require.True(t, HasCode(wrapped, ConnectionLimit, QueueFull))
+	require.False(t, HasCode(wrapped, ConnectionLimit))
+	require.False(t, HasCode(plain, Internal))
+	require.False(t, HasCode(nil, QueueFull))
+}
--- a/dfsession/session.go
+++ b/dfsession/session.go
@@ -9,6 +9,8 @@
 package dfsession
 
 import (
+	"slices"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfposition"
 )
@@ -168,7 +170,7 @@
 		next = append(next, state)
 	}
 	for _, state := range k.peers {
-		if contains(roster.Peers, state.peer) {
+		if slices.Contains(roster.Peers, state.peer) {
 			continue
 		}
 		if state.current && !k.covered(&state) {
@@ -351,12 +353,3 @@
 	}
 	return nil
 }
-
-func contains(peers []Peer, peer Peer) bool {
-	for _, known := range peers {
-		if known == peer {
-			return true
-		}
-	}
-	return false
-}
--- a/dfsession/write.go
+++ b/dfsession/write.go
@@ -135,7 +135,7 @@
 		if now < w.pending[i].recordedAt.Add(AnswerPatience) {
 			return false
 		}
-		if contains(w.pending[i].waiting, peer) {
+		if slices.Contains(w.pending[i].waiting, peer) {
 			return true
 		}
 	}
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -130,7 +130,7 @@
 		require.NoError(t, err)
 		return Reported{
 			ID: id, Primary: values["primary"] != "", Probe: values["probe"] != "",
-			Term: dfposition.Term(number(t, values["term"])), Received: received,
+			Received: received,
 		}
 	case "askended":
 		return AskEnded{}
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -5,6 +5,8 @@
 package dfsuccession
 
 import (
+	"slices"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfposition"
@@ -91,7 +93,6 @@
 type Reported struct {
 	ID       dffleet.ID
 	Primary  bool
-	Term     dfposition.Term
 	Received dfposition.Position
 	// Probe is true for the answer to a Probe.
 	Probe bool
@@ -464,7 +465,7 @@
 			s.giveUp(now, probeGap)
 			return Rest{}
 		}
-		if report.ID == s.leader || !listed(situation.Listed, report.ID) {
+		if report.ID == s.leader || !slices.Contains(situation.Listed, report.ID) {
 			continue
 		}
 		if best == nil || best.Received.Less(report.Received) {
@@ -514,15 +515,6 @@
 	return false
 }
 
-func listed(ids []dffleet.ID, id dffleet.ID) bool {
-	for _, known := range ids {
-		if known == id {
-			return true
-		}
-	}
-	return false
-}
-
 // settle waits until the target leads.
 func (s *Successor) settle(now dfclock.Millis, situation Situation) Action {
 	if situation.Leader == s.target {
--- a/dfwire/reply.go
+++ b/dfwire/reply.go
@@ -1,7 +1,6 @@
 package dfwire
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -18,11 +17,7 @@
 
 // resultOf finds the result code of an error. An unexpected error is internal.
 func resultOf(err error) *dfresult.Error {
-	var known *dfresult.Error
-	if errors.As(err, &known) {
-		return known
-	}
-	return dfresult.NewError(dfresult.Internal, "%v", err)
+	return dfresult.From(err, dfresult.Internal)
 }
 
 // errorResponse formats a result for drivers.
