Answer a stand-in's crash command before the crash

Cause: group_fault('crash:n') started the crash on a goroutine of its own at once, so that the crash could reset the connection that asked for it before the answer was sent. Ruled out: the partition and its heal (the answers to both were there), the order in the kernel (an answer that was written is read before the reset). Change: the crash waits until the answer to the client's message is sent or that connection ends. TestCrashCommandIsAnswered fails without it every time: a second statement of the same message keeps the answer open for 200 ms. Conclusion: the fault was the stand-in's, not the product's.

--- a/dfstandin/environment.go
+++ b/dfstandin/environment.go
@@ -89,7 +89,7 @@
 		if !e.connection.Control() {
 			return nil, dfstandinstore.Errorf("42501", "faults need a control connection")
 		}
-		return "done", u.Fault(dfstandinstore.FormatText(arguments[0]))
+		return "done", u.fault(dfstandinstore.FormatText(arguments[0]), e.connection.AfterAnswer)
 	case "pg_xact_status":
 		if !isNumber {
 			return nil, nil
--- a/dfstandin/fault.go
+++ b/dfstandin/fault.go
@@ -130,6 +130,12 @@
 // "partition:peer,peer", "heal", "silent", "lag:apply", "lag:flush,apply" or
 // "wrong:" with the name of a deliberate error.
 func (u *Upstream) Fault(command string) error {
+	return u.fault(command, func(crash func()) { crash() })
+}
+
+// fault runs a command whose crash waits for what later waits for: the
+// connection that asked for it still gets its answer.
+func (u *Upstream) fault(command string, later func(crash func())) error {
 	name, argument, _ := strings.Cut(command, ":")
 	switch name {
 	case "pause":
@@ -137,7 +143,7 @@
 	case "resume":
 		u.Resume()
 	case "crash":
-		return u.crashCommand(argument)
+		return u.crashCommand(argument, later)
 	case "heal":
 		u.Heal()
 	case "silent":
@@ -167,7 +173,7 @@
 
 // crashCommand returns before the crash, because a connection of this upstream
 // may run it and ends first.
-func (u *Upstream) crashCommand(argument string) error {
+func (u *Upstream) crashCommand(argument string, later func(crash func())) error {
 	restart, err := int64(0), error(nil)
 	if argument != "" {
 		restart, err = strconv.ParseInt(argument, 10, 64)
@@ -175,19 +181,21 @@
 	if err != nil || restart < 0 {
 		return dfstandinstore.Errorf(dfstandingroup.CodeRefused, "fault crash: %q is not a span in milliseconds", argument)
 	}
-	go func() {
-		u.Crash()
-		if argument == "" {
-			return
-		}
-		time.Sleep(span(dfclock.Millis(restart)))
-		if err := u.Restart(); err != nil {
-			log.Error().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: no restart")
-		}
-	}()
+	later(func() { go u.crashFor(dfclock.Millis(restart), argument != "") })
 	return nil
 }
 
+func (u *Upstream) crashFor(down dfclock.Millis, restarts bool) {
+	u.Crash()
+	if !restarts {
+		return
+	}
+	time.Sleep(span(down))
+	if err := u.Restart(); err != nil {
+		log.Error().Str("Upstream", string(u.options.ID)).Err(err).Msg("standin: no restart")
+	}
+}
+
 func (u *Upstream) wrongCommand(wrong dfstandingroup.Wrong) error {
 	switch wrong {
 	case dfstandingroup.WrongNone, dfstandingroup.WrongApplied, dfstandingroup.WrongFlushed, dfstandingroup.WrongLose, dfstandingroup.WrongDouble:
--- a/dfstandin/group_test.go
+++ b/dfstandin/group_test.go
@@ -277,3 +277,13 @@
 	})
 	require.Len(t, all[0].Record(), 2)
 }
+
+// Guards against a crash that overtakes the answer to the command that asked
+// for it: the operator could not tell it from a failed command.
+func TestCrashCommandIsAnswered(t *testing.T) {
+	all, ctx := trio(t), background(t)
+	operator := connect(t, all[0], ControlUser+":c", "")
+	_, err := operator.Exec(ctx, "SELECT group_fault('crash:1'); SELECT * FROM group_wait(1, 99, 200)")
+	require.NoError(t, err)
+	eventually(t, func() bool { return operator.Ping(ctx) != nil })
+}
--- a/dfstandinwire/connection.go
+++ b/dfstandinwire/connection.go
@@ -113,6 +113,8 @@
 	portals    map[string]*portal
 	// skipping is true between an error in the extended protocol and Sync.
 	skipping bool
+	// afterAnswer runs once the present answer is sent or the connection ends.
+	afterAnswer []func()
 
 	base context.Context
 	mu   sync.Mutex
@@ -154,6 +156,20 @@
 	return c.application, c.cancel != nil
 }
 
+// AfterAnswer runs a function of the present statement once the answer to the
+// client's message is sent, or the connection ends before.
+func (c *Conn) AfterAnswer(run func()) {
+	c.afterAnswer = append(c.afterAnswer, run)
+}
+
+func (c *Conn) answered() {
+	after := c.afterAnswer
+	c.afterAnswer = nil
+	for _, run := range after {
+		run()
+	}
+}
+
 // Report tells the client of a changed setting, if it is one of those that
 // clients are told of.
 func (c *Conn) Report(name, value string) {
@@ -186,6 +202,7 @@
 	defer c.server.Host.Release(c)
 	c.open(startup)
 	defer c.session.Close()
+	defer c.answered()
 	if err := c.backend.Flush(); err != nil {
 		return eris.Wrap(err, "standin: startup")
 	}
@@ -347,6 +364,7 @@
 		clear(c.portals)
 	}
 	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.session.Status()})
+	defer c.answered()
 	return c.backend.Flush()
 }
 
