Give a busy leader's probes the time that its queue takes

A probe that was refused because the queue is full told the placer nothing, so the next one got the usual time. Ruled out: the leader's death (its statements were answered all along) and the questions to the replicas (the leader was suspect before them). Change: a refusal of a probe for a full queue counts like that of a statement; the answer to a probe gives the next one of the same leader twice its time, up to one second, for two seconds.

--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -258,11 +258,17 @@
 	case dfresult.WrongUpstream:
 		s.placer.Failed(now, id)
 	case dfresult.QueueFull:
-		s.placer.Full(now, id)
-		s.fullAt[id] = now
+		s.full(now, id)
 	}
 }
 
+// full takes that an upstream has no place left in its queue. Probes of it then
+// wait longer, as its statements do.
+func (s *service) full(now dfclock.Millis, id dffleet.ID) {
+	s.placer.Full(now, id)
+	s.fullAt[id] = now
+}
+
 // failed takes a connection that broke or went silent.
 func (e *Edge) failed(s *service, id dffleet.ID) {
 	e.mu.Lock()
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -156,7 +156,7 @@
 	}
 	s.placer.Reached(now, id, answer.Position, s.timeline.Lag(now, answer.Position))
 	s.successor.Handle(now, dfsuccession.Reported{
-		ID: id, Primary: report.Primary, Received: report.Received, Probe: probe,
+		ID: id, Primary: report.Primary, Received: report.Received, Probe: probe, AskedAt: askedAt,
 	})
 }
 
@@ -177,6 +177,11 @@
 			// An upstream that says it is full is alive.
 			e.tell(s, dfsuccession.Answered{ID: id})
 		}
+		if dfresult.HasCode(err, dfresult.QueueFull) {
+			e.mu.Lock()
+			s.full(e.options.Now(), id)
+			e.mu.Unlock()
+		}
 	}
 }
 
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -130,7 +130,7 @@
 		require.NoError(t, err)
 		return Reported{
 			ID: id, Primary: values["primary"] != "", Probe: values["probe"] != "",
-			Received: received,
+			Received: received, AskedAt: sent(t, values),
 		}
 	case "askended":
 		return AskEnded{}
@@ -162,6 +162,9 @@
 	case Rest:
 		return "rest"
 	case Probe:
+		if a.Timeout != probeTimeout {
+			return fmt.Sprintf("probe %s timeout=%d", a.ID, a.Timeout)
+		}
 		return "probe " + string(a.ID)
 	case AskAll:
 		return "askall"
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -20,6 +20,11 @@
 	// waits for a slot as long as the leader's load explains.
 	probeTimeout    = 250 * dfclock.Millisecond
 	probeTimeoutCap = dfclock.Second
+	// probeSlack times the last probe's answer is what the next one gets: a queue
+	// that grows doubles between two probes at most.
+	probeSlack = 2
+	// probeTrust is how long an answer tells of the leader's queue.
+	probeTrust = 2 * dfclock.Second
 	// probeGap is the pause between two probes, so that one lost packet or one
 	// restart of a listener does not cost a leader its lead.
 	probeGap = 100 * dfclock.Millisecond
@@ -96,6 +101,8 @@
 	Received dfposition.Position
 	// Probe is true for the answer to a Probe.
 	Probe bool
+	// AskedAt is when the question was sent.
+	AskedAt dfclock.Millis
 }
 
 // AskEnded tells that no further answers to AskAll come.
@@ -181,6 +188,9 @@
 	probing  int
 	probedAt dfclock.Millis
 	failures int
+	// probeSpan is the time of the leader's newest answer to a probe, at probeSpanAt.
+	probeSpan   dfclock.Millis
+	probeSpanAt dfclock.Millis
 	// failedAt is when the newest probe without an answer was sent.
 	failedAt dfclock.Millis
 	// silent is true while a listener's requests wait for longer than the
@@ -320,6 +330,9 @@
 func (s *Successor) reported(now dfclock.Millis, report Reported) {
 	if report.Probe {
 		s.probing--
+		if report.ID == s.leader {
+			s.probeSpan, s.probeSpanAt = now-report.AskedAt, now
+		}
 	}
 	if s.phase == asking {
 		s.reports = append(s.reports, report)
@@ -389,7 +402,7 @@
 		s.leader = situation.Leader
 		s.heard(now)
 		s.answered = false
-		s.troubledAt, s.failedAt = 0, 0
+		s.troubledAt, s.failedAt, s.probeSpan = 0, 0, 0
 		s.leavingAt = dfclock.Never
 	}
 	s.missingAt = since(now, s.missingAt, situation.Leader == "")
@@ -430,6 +443,9 @@
 
 func (s *Successor) probe(now dfclock.Millis, id dffleet.ID, patience dfclock.Millis) Action {
 	s.probing, s.probedAt = s.probing+1, now
+	if id == s.leader && now-s.probeSpanAt < probeTrust {
+		patience = max(patience, probeSlack*s.probeSpan)
+	}
 	return Probe{ID: id, Timeout: min(probeTimeoutCap, max(probeTimeout, patience))}
 }
 
