--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 KNOWN_RED   := $(shell sed -n 's/^\(Test[^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP        := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: help build demo processes test soak measure bench capacity lint format proto
+.PHONY: help build demo processes test soak soak-processes measure bench capacity lint format proto
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -33,6 +33,9 @@
 soak: ## Run the randomised tests with 10,000 seeds; takes long
 	DRAGONFLYGRADE_SEEDS=10000 $(GO) test -count=1 -timeout 6h ./dfroute ./dfsession ./dffailover ./dflease ./dfpublish ./dfspread
 
+soak-processes: ## Run hosts as processes under faults from outside, SEEDS=n fresh seeds
+	DRAGONFLYGRADE_SOAK_SEEDS=$(or $(SEEDS),50) $(GO) test -count=1 -timeout 1h -v -run 'TestSoak$$' ./platform
+
 measure: build ## Measure reads, overload and changes of primary for docs/MEASUREMENTS.md
 	DRAGONFLYGRADE_TABLES=1 $(GO) test -count=1 -timeout 30m -run Tables -v ./dfmeasure
 	./$(BINARY) changes --deployment consortium
