Explain a request's outcome from the logs of all hosts

Change: dragonflygrade explain ID reads logs from files or standard input, in any order and with what collectors put before a line, and prints the request's lines, what hosts came to believe about its service around them, and the cause in one line. Failure lines name the service, and the time stands in them once.

--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -50,6 +50,7 @@
 	Change  ChangeCommand  `cmd:"" help:"Move the lead of a database away from its present primary."`
 	Changes ChangesCommand `cmd:"" help:"Measure changes of primary of each kind under load."`
 	Load    LoadCommand    `cmd:"" help:"Drive hosts or upstreams with load and check the answers."`
+	Explain ExplainCommand `cmd:"" help:"Print what the logs of hosts say of one request, and the cause of its outcome."`
 	Standin StandinCommand `cmd:"" help:"Run a stand-in of an outside system."`
 
 	Completion CompletionCommand `cmd:"" help:"Print a script that completes commands in bash."`
--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -78,11 +77,11 @@
 		Uint64("Fleet", e.fleet.Version()).Int("Code", int(code)).Str("Why", why).Str("Last", last).
 		Int64("RetryAfterMillis", int64(retryAfter))
 	if s := e.services[route.Service]; s != nil {
-		line = line.Str("Leader", string(s.leader)).Int64("LeaderHeardMillis", int64(now-s.successor.HeardAt())).
+		line = line.Str("Service", s.name).Str("Leader", string(s.leader)).Int64("LeaderHeardMillis", int64(now-s.successor.HeardAt())).
 			Bool("Suspected", s.successor.Suspected())
 		if proof, ok := s.timeline.Newest(); ok {
 			line = line.Int64("ProofMillis", int64(now-proof.At))
 		}
 	}
-	line.Time("Now", time.Now()).Msg(text)
+	line.Msg(text)
 }
--- /dev/null
+++ b/dfexplain/line.go
@@ -0,0 +1,101 @@
+// Package dfexplain finds the cause of one request's outcome in the logs of the
+// hosts. It reads lines and decides; it does no input of its own.
+package dfexplain
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLine is the longest line that is read, in bytes: several times the longest
+// that hosts write.
+const maxLine = 1 << 20
+
+// Line is one line of a host's log.
+type Line struct {
+	// At is the time by the host's own clock.
+	At time.Time
+	// Host is empty if neither the line nor its source names one.
+	Host    string
+	Level   string
+	Message string
+	// Request and Service are empty on lines that are about neither.
+	Request string
+	Service string
+	// Fields has every field of the line.
+	Fields map[string]any
+	// Text is the line as written.
+	Text string
+}
+
+// newLine decodes a line. What stands before the JSON object, as log collectors
+// put it there, names the host with its last word.
+func newLine(text, host string) (Line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	line := Line{Host: host, Text: text[start:], Fields: map[string]any{}}
+	if err := json.Unmarshal([]byte(line.Text), &line.Fields); err != nil {
+		return Line{}, false
+	}
+	if words := strings.Fields(text[:start]); len(words) > 0 {
+		line.Host = words[len(words)-1]
+	}
+	var err error
+	line.At, err = time.Parse(time.RFC3339Nano, line.text("time"))
+	line.Level, line.Message = line.text("level"), line.text("message")
+	line.Request, line.Service = line.text("Request"), line.text("Service")
+	return line, err == nil && line.Message != ""
+}
+
+// text returns a field, or "".
+func (l Line) text(field string) string {
+	value, _ := l.Fields[field].(string)
+	return value
+}
+
+// number returns a field, or 0.
+func (l Line) number(field string) int64 {
+	value, _ := l.Fields[field].(float64)
+	return int64(value)
+}
+
+// Log is what the logs say that may matter for a request: its own lines, and
+// what hosts came to believe.
+type Log struct {
+	lines []Line
+	// Unreadable counts the lines that are not log lines of a host.
+	Unreadable int
+}
+
+// Read adds the lines of one source. Lines of other requests are left out.
+func (l *Log) Read(source io.Reader, host, request string) error {
+	scanner := bufio.NewScanner(source)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		// Decoding costs much more than this look.
+		if strings.Contains(text, `"Request":`) && !strings.Contains(text, request) {
+			continue
+		}
+		line, ok := newLine(text, host)
+		if !ok {
+			l.Unreadable++
+			continue
+		}
+		if line.Message == "edge: start" && line.Host == host {
+			host = line.text("Host")
+			line.Host = host
+		}
+		if line.Request == "" || line.Request == request {
+			l.lines = append(l.lines, line)
+		}
+	}
+	return eris.Wrap(scanner.Err(), "explain: read")
+}
