Keep a host that starts inside a cut data centre out of rotation

A host that has just started does not judge for 1.6 s and says meanwhile that it is ready as soon as a neighbour has given it its documents; its speaker may be another one that has just started. Ruled out: judgements that flap (one host did, for 50 ms) and hosts that ran before the cut (all said not ready within 0.9 s of it). Change: a new host is ready only once something tells that its data centre is not cut off: the platform, the speaker's judgement, a host or leader elsewhere, or the 1.6 s of its own judgement. Second cause, found with the same trace: a speaker's suspicion changes between two steps, by its probes, so that it was neither logged nor told to the others at once.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -44,6 +44,8 @@
 	// unreadySince is when the host stopped being ready, or Never.
 	unreadySince dfclock.Millis
 	isolation    isolation
+	// oriented is true once the host could tell whether its data centre is cut off.
+	oriented bool
 	// startedAt is when the host started.
 	startedAt dfclock.Millis
 	// stoppingAt is when the host was told to stop, or Never.
@@ -69,6 +71,9 @@
 	placer    *dfplace.Placer
 	successor *dfsuccession.Successor
 	pools     map[dffleet.ID]*dfconnection.Pool
+	// suspected is what this host last said of the leader. Probes change it
+	// between two steps.
+	suspected bool
 	// fullAt is when an upstream refused a connection because of its limit.
 	fullAt map[dffleet.ID]dfclock.Millis
 	// leader is the one that proofs and waiting statements are about.
--- a/dfedge/isolation.go
+++ b/dfedge/isolation.go
@@ -1,6 +1,9 @@
 package dfedge
 
-import "dragonflygrade/dfclock"
+import (
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfneighbour"
+)
 
 // isolation judges whether a data centre is cut off from the others. It answers
 // cuts of several seconds: callers are better served elsewhere meanwhile, and a
@@ -38,3 +41,24 @@
 	i.cut = reached*2 <= len(leaders)
 	return i.cut
 }
+
+// start is what a host that has just started knows of its surroundings. It
+// answers restarts inside a data centre that is cut off: the entry gives the new
+// host the callers of all others there.
+type start struct {
+	// platform is true if the platform answers this host.
+	platform bool
+	// told is true if the speaker of the data centre has judged.
+	told bool
+	// remote is true if a host of another data centre answers, and elsewhere if a
+	// leader there does.
+	remote, elsewhere bool
+	// up is the time since the start.
+	up dfclock.Millis
+}
+
+// oriented reports whether the host can tell that its data centre is not cut off,
+// or has waited for as long as its own judgement takes.
+func (s start) oriented() bool {
+	return s.platform || s.told || s.remote || s.elsewhere || s.up >= dfneighbour.AliveSpan
+}
--- a/dfedge/isolation_test.go
+++ b/dfedge/isolation_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfneighbour"
 )
 
 // Guards against hosts of a cut data centre that are ready for a moment each time
@@ -25,3 +26,18 @@
 	require.True(t, i.judge(false, []reach{suspected, suspected}))
 	require.False(t, i.judge(true, []reach{suspected, suspected}), "the cut is over")
 }
+
+// Guards against hosts that start inside a cut data centre and are ready until
+// they have found out, and against starts that wait where nothing is cut.
+func TestOrientation(t *testing.T) {
+	require.False(t, start{up: 500}.oriented(), "the new host has heard nobody but others like it")
+	for name, s := range map[string]start{
+		"the platform answers":           {platform: true},
+		"the speaker has judged":         {told: true},
+		"another data centre answers":    {remote: true},
+		"a leader elsewhere answers":     {elsewhere: true},
+		"the host judges by itself then": {up: dfneighbour.AliveSpan},
+	} {
+		require.True(t, s.oriented(), name)
+	}
+}
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -80,7 +80,7 @@
 // serveReadiness answers the entry's question.
 func (e *Edge) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	ready := e.unreadySince == dfclock.Never && e.loaded()
+	ready := e.unreadySince == dfclock.Never && e.loaded() && e.oriented
 	e.mu.Unlock()
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -101,6 +101,7 @@
 // off from what it needs, and hands its quiet sessions over once the entry has
 // noticed.
 func (e *Edge) stepReadiness(now dfclock.Millis) {
+	e.oriented = e.oriented || e.orient(now).oriented()
 	unready := e.stoppingAt != dfclock.Never || e.cutOff(now)
 	switch {
 	case !unready && e.unreadySince != dfclock.Never:
@@ -143,6 +144,15 @@
 	return e.isolation.judge(e.circle.Remote(now), leaders)
 }
 
+// orient returns what the host knows of its surroundings.
+func (e *Edge) orient(now dfclock.Millis) start {
+	_, judged, ok := e.circle.CutOff(now)
+	return start{
+		platform: e.following && !e.catalogLost, told: ok && judged, remote: e.circle.HearsRemote(now),
+		elsewhere: e.hearsElsewhere(now), up: now - e.startedAt,
+	}
+}
+
 // judges reports whether the host has been up for long enough to tell whether it
 // is cut off. One that has just started has heard nobody in either case.
 func (e *Edge) judges(now dfclock.Millis) bool {
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -44,11 +44,11 @@
 // stepService takes a service's decisions of this moment. The mutex is held;
 // the returned function runs without it.
 func (e *Edge) stepService(ctx context.Context, now dfclock.Millis, s *service) func() {
-	suspected := s.successor.Suspected()
 	situation := e.situation(now, s)
 	action := s.successor.Step(now, situation)
-	if s.successor.Suspected() != suspected {
-		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Bool("Suspected", !suspected).
+	if suspected := s.successor.Suspected(); suspected != s.suspected {
+		s.suspected = suspected
+		e.log.Warn().Str("Service", s.name).Str("Leader", string(s.leader)).Bool("Suspected", suspected).
 			Int64("SilentMillis", int64(now-s.successor.HeardAt())).Msg("succession: suspicion changed")
 		e.pokeAll()
 		e.wake()
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -347,12 +347,20 @@
 		if other.host.ID == "" || other.host.DataCentre == c.self.DataCentre {
 			continue
 		}
-		if other.answers(now) {
+		known = known || other.heardAt != never || other.failedAt != never
+	}
+	return !known || c.HearsRemote(now)
+}
+
+// HearsRemote reports whether a host of another data centre answered this host
+// lately.
+func (c *Circle) HearsRemote(now dfclock.Millis) bool {
+	for _, other := range c.neighbours {
+		if other.host.ID != "" && other.host.DataCentre != c.self.DataCentre && other.answers(now) {
 			return true
 		}
-		known = known || other.heardAt != never || other.failedAt != never
 	}
-	return !known
+	return false
 }
 
 // BackAt returns the earliest instant at which a neighbour that changes the
