Drop log lines that come after the log is closed

Ruled out: a crash in service; all three processes had been told to stop. Change: one writer of our own drops lines after Close; Close still writes what waits. Conclusion: no request was lost by it; a stop that ends by a panic is still wrong.

--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -42,7 +42,7 @@
 		return usageError{err}
 	}
 	debug.SetMemoryLimit(settings.MemoryLimit * memoryShare / 100)
-	writer := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	writer := newLogWriter(os.Stdout)
 	defer func() { _ = writer.Close() }()
 	logger := &log.Logger{Level: log.ParseLevel(c.Level), TimeFormat: time.RFC3339Nano, Writer: writer}
 	options := dfedge.Options{
