Leave connections free for hosts that come back after a loss of power

Change: the decision is a type of its own (dfconnection Share); a burst of one host may use a quarter of a data centre's share.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -192,9 +192,7 @@
 	}
 }
 
-// connectionLimit is how many connections this host may hold to an upstream: up
-// to what one data centre needs while the upstream accepts them, else its equal
-// share.
+// connectionLimit is how many connections this host may hold to an upstream.
 func (e *Edge) connectionLimit(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) int {
 	known, ok := e.catalog.Service(s.name)
 	if !ok {
@@ -203,15 +201,16 @@
 	if plan.Shared() {
 		return plan.Each
 	}
-	usable := max(1, known.ConnectionLimit*connectionShare/100)
-	if upstream, ok := e.fleet.Find(id); ok && upstream.Slots > 0 {
-		usable = min(usable, upstream.Slots*slotQueue)
-	}
-	share := max(1, usable/e.circle.Count(now))
-	if full, ok := s.fullAt[id]; ok && now-full < fullSpan {
-		return share
+	return e.connectionShare(now, s, known, id).Connections()
+}
+
+func (e *Edge) connectionShare(now dfclock.Millis, s *service, known dfcatalog.Service, id dffleet.ID) dfconnection.Share {
+	upstream, _ := e.fleet.Find(id)
+	fullAt, full := s.fullAt[id]
+	return dfconnection.Share{
+		Limit: known.ConnectionLimit, Slots: upstream.Slots, Hosts: e.circle.Count(now),
+		DataCentres: max(1, len(e.circle.Speakers(now))), Full: full && now-fullAt < fullSpan,
 	}
-	return max(share, usable/max(1, len(e.circle.Speakers(now)))+1)
 }
 
 // reconcile makes services and pools follow the list of upstreams.
@@ -257,7 +256,7 @@
 		plan := e.connectionPlan(now, s)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
 		known, _ := e.catalog.Service(s.name)
-		spacious := plan.Shared() || known.ConnectionLimit-e.circle.Count(now) >= upstream.Slots*slotQueue
+		spacious := plan.Shared() || e.connectionShare(now, s, known, upstream.ID).Spacious()
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, spacious, e.options.Now, e.open, e.opened, source)
 	}
 }
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -65,14 +65,6 @@
 	statusTimeout = 350 * dfclock.Millisecond
 	// connectTimeout bounds an opening: a lost packet is sent again after 1 s.
 	connectTimeout = 1200 * dfclock.Millisecond
-	// connectionShare is the part of an upstream's limit, in percent, that all
-	// hosts use together. Connections of hosts that lost power count for 3 s
-	// longer, and the restarted hosts need the rest meanwhile.
-	connectionShare = 60
-	// slotQueue times the slots of an upstream is the number of connections that
-	// all hosts use together at most: statements behind a longer queue would be
-	// late, and upstreams refuse them.
-	slotQueue = 8
 	// silenceFactor times the expected wait is the time after which an
 	// unanswered read is sent elsewhere, but at least silenceFloor.
 	silenceFactor = 6
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -87,7 +87,7 @@
 	if !ok || e.options.ForwardPort == 0 {
 		return dfforward.Plan{}
 	}
-	usable := known.ConnectionLimit * connectionShare / 100
+	usable := dfconnection.Usable(known.ConnectionLimit)
 	return dfforward.NewPlan(usable, e.circle.Count(now), len(e.circle.Speakers(now)))
 }
 
