Choose carriers as seldom as speakers

Cause: each statement counted the neighbours, and each forwarded one ranked the hosts of its data centre by hash, under the host's mutex. Tests: TestCarriersFollowTheChoice; the benchmark stands beside it.

--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -51,6 +51,13 @@
 	return n.answers(now) || n.metAt > n.failedAt && now-n.metAt < AliveSpan
 }
 
+// carriers are the hosts chosen for one upstream.
+type carriers struct {
+	// asked is how many were asked for; fewer may be there.
+	asked int
+	hosts []dfmember.Host
+}
+
 // Circle has the neighbours of one host. It is not safe for concurrent use.
 type Circle struct {
 	self       dfmember.Host
@@ -59,13 +66,22 @@
 	// speakersSpan has passed or a host did not answer.
 	speakers map[string]dfmember.Host
 	// probes is true if this host was chosen as one that probes leaders.
-	probes   bool
+	probes bool
+	// count is the number of serving hosts, and own has those of the own data
+	// centre.
+	count int
+	own   []dfmember.Host
+	// carriers are those chosen for each upstream so far; callers do not change
+	// them.
+	carriers map[dffleet.ID]carriers
+	// chosenAt is when all of these were taken. Statements ask for them too often
+	// to look at every neighbour each time.
 	chosenAt dfclock.Millis
 }
 
 // NewCircle returns the circle of a host that knows nobody.
 func NewCircle(self dfmember.Host) *Circle {
-	return &Circle{self: self, neighbours: map[string]*neighbour{}, chosenAt: never}
+	return &Circle{self: self, neighbours: map[string]*neighbour{}, carriers: map[dffleet.ID]carriers{}, chosenAt: never}
 }
 
 // Learn adds a host that somebody named.
@@ -159,13 +175,8 @@
 
 // Count returns the number of hosts that are taken to share the upstreams.
 func (c *Circle) Count(now dfclock.Millis) int {
-	count := 1
-	for _, known := range c.neighbours {
-		if known.serves(now) {
-			count++
-		}
-	}
-	return count
+	c.Speakers(now)
+	return c.count
 }
 
 // serving returns this host and those that are not passed over.
@@ -196,13 +207,18 @@
 		return c.speakers
 	}
 	speakers := map[string]dfmember.Host{}
-	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, c.serving(now), probers) {
+	serving := c.serving(now)
+	for dataCentre, chosen := range dfmember.ChoosePerDataCentre(speakerKey, serving, probers) {
 		speakers[dataCentre] = chosen[0]
 		if dataCentre == c.self.DataCentre {
 			c.probes = slices.Contains(chosen, c.self)
 		}
 	}
 	c.speakers, c.chosenAt = speakers, now
+	c.count, c.own = len(serving), slices.DeleteFunc(serving, func(host dfmember.Host) bool {
+		return host.DataCentre != c.self.DataCentre
+	})
+	clear(c.carriers)
 	return speakers
 }
 
@@ -221,10 +237,13 @@
 // Carriers returns the hosts of the own data centre that hold the connections to
 // an upstream for the others, this host among them if it is one.
 func (c *Circle) Carriers(now dfclock.Millis, upstream dffleet.ID, count int) []dfmember.Host {
-	hosts := slices.DeleteFunc(c.serving(now), func(host dfmember.Host) bool {
-		return host.DataCentre != c.self.DataCentre
-	})
-	return dfmember.Choose(string(upstream), hosts, count)
+	c.Speakers(now)
+	chosen, known := c.carriers[upstream]
+	if !known || chosen.asked != count {
+		chosen = carriers{asked: count, hosts: dfmember.Choose(string(upstream), c.own, count)}
+		c.carriers[upstream] = chosen
+	}
+	return chosen.hosts
 }
 
 // Told reports whether the speaker of the own data centre suspects a leader that
--- a/dfneighbour/circle_test.go
+++ b/dfneighbour/circle_test.go
@@ -226,3 +226,35 @@
 	_, err = ReadQuestion(bytes.NewReader([]byte{255, 255, 255, 255}))
 	require.Error(t, err, "a frame beyond the bound")
 }
+
+// Guards against carriers of an earlier moment after a host was lost, and against
+// a list of another length than asked for.
+func TestCarriersFollowTheChoice(t *testing.T) {
+	circle := NewCircle(host("a", 0))
+	for i := 1; i < 6; i++ {
+		circle.Heard(10, 10, Report{Host: host("a", i)})
+	}
+	first := circle.Carriers(10, "u", 3)
+	require.Len(t, first, 3)
+	require.Equal(t, 6, circle.Count(10))
+	require.Len(t, circle.Carriers(10, "u", 2), 2)
+	lost := first[0]
+	if lost == host("a", 0) {
+		lost = first[1]
+	}
+	circle.Failed(20, lost.Address)
+	require.NotContains(t, circle.Carriers(20, "u", 3), lost)
+	require.Equal(t, 5, circle.Count(20))
+}
+
+// BenchmarkStatement measures what each statement asks of a circle of 82 hosts.
+func BenchmarkStatement(b *testing.B) {
+	circle := NewCircle(host("a", 0))
+	for i := 1; i < 82; i++ {
+		circle.Heard(10, 10, Report{Host: host("a", i)})
+	}
+	for b.Loop() {
+		circle.Count(10)
+		circle.Carriers(10, "u", 3)
+	}
+}
