Ask so many replicas that none with a commit of its own is missed

Cause: a promotion needed answers of a majority of the upstreams. Where a commit is acknowledged by one replica of four, the three that answer may all lack it, and the promotion loses it. No deployment seen so far has more than three upstreams or synchronous replicas; others may. Change: the catalog keeps the number of synchronous replicas, and a candidate is chosen only once fewer replicas are silent than acknowledge a commit. Conclusion: nothing changes for three upstreams.

--- a/dfcatalog/catalog.go
+++ b/dfcatalog/catalog.go
@@ -41,6 +41,8 @@
 	Name string
 	// ConnectionLimit bounds the connections of all hosts to one upstream.
 	ConnectionLimit int
+	// SyncReplicas is how many replicas have a commit before it is acknowledged.
+	SyncReplicas int
 }
 
 // Catalog is one version of the desired state. The zero value is version 0
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -84,7 +84,8 @@
 		situation.Busy = true
 	}
 	upstreams := e.fleet.Of(s.name)
-	situation.Members = len(upstreams)
+	known, _ := e.catalog.Service(s.name)
+	situation.Members, situation.SyncReplicas = len(upstreams), known.SyncReplicas
 	for _, upstream := range upstreams {
 		if !e.fleet.Departing(now, upstream.ID) {
 			situation.Listed = append(situation.Listed, upstream.ID)
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -104,7 +104,7 @@
 	situation := Situation{
 		Leader: dffleet.ID(values["leader"]), LeaderLeaving: values["leaving"] != "", Busy: values["busy"] != "",
 		Listener: values["listener"] != "", Told: values["told"] != "",
-		Patience: dfclock.Millis(count("patience")), Members: count("members"), Rank: count("rank"), Alive: count("alive"), Dead: count("dead"),
+		Patience: dfclock.Millis(count("patience")), Members: count("members"), SyncReplicas: count("sync"), Rank: count("rank"), Alive: count("alive"), Dead: count("dead"),
 	}
 	for _, id := range strings.Split(values["listed"], ",") {
 		situation.Listed = append(situation.Listed, dffleet.ID(id))
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -148,6 +148,8 @@
 	Listed []dffleet.ID
 	// Members counts all upstreams in the list.
 	Members int
+	// SyncReplicas is how many replicas have each acknowledged commit.
+	SyncReplicas int
 	// Listener is true for a host that leaves the probes to others of its data
 	// centre. Probes of many hosts would fill the slots of a busy leader.
 	Listener bool
@@ -488,7 +490,7 @@
 			best = report
 		}
 	}
-	if best == nil || len(s.reports)*2 <= situation.Members || s.outranked(best) {
+	if best == nil || !s.suffices(situation) || s.outranked(best) {
 		s.giveUp(now, probeGap)
 		return Rest{}
 	}
@@ -497,6 +499,20 @@
 	return Claim{Target: best.ID, Replaced: s.leader}
 }
 
+// suffices tells whether a majority of the upstreams answered, and so many of the
+// replicas that one of them has every acknowledged commit: the others are fewer
+// than the replicas that acknowledge.
+func (s *Successor) suffices(situation Situation) bool {
+	replicas := 0
+	for _, report := range s.reports {
+		if report.ID != s.leader {
+			replicas++
+		}
+	}
+	missing := situation.Members - 1 - replicas
+	return len(s.reports)*2 > situation.Members && (situation.SyncReplicas == 0 || missing < situation.SyncReplicas)
+}
+
 // outranked tells whether some upstream has seen a newer term than the
 // candidate. Promoting it would bring back what that term discarded.
 func (s *Successor) outranked(candidate *Reported) bool {
