--- a/dfconnection/share_test.go
+++ b/dfconnection/share_test.go
@@ -97,7 +97,7 @@
 			case dfpool.Open:
 				if s.connected() > playLimit {
 					fullAt[host] = now
-					handle(now, host, dfpool.OpenFailed{Conn: a.Conn})
+					handle(now, host, dfpool.OpenFailed(a))
 					continue
 				}
 				s.queue = append(s.queue, job{host: host, conn: a.Conn, work: playOpening})
@@ -105,7 +105,7 @@
 				work := dfclock.Millis(1 + source.ExpFloat64()*(playWork-1))
 				s.queue = append(s.queue, job{host: host, conn: a.Conn, waiter: a.Waiter, work: work})
 			case dfpool.Close:
-				handle(now, host, dfpool.Closed{Conn: a.Conn})
+				handle(now, host, dfpool.Closed(a))
 			}
 		}
 	}
--- a/dfexplain/explain.go
+++ b/dfexplain/explain.go
@@ -82,10 +82,10 @@
 	switch code {
 	case dfresult.CommitUnknown:
 		return fmt.Sprintf("in doubt: the statement was sent to %s and no answer came (%s); %s",
-			final.text("Last"), final.text("Why"), leadership(final, around))
+			final.text("Last"), final.text("Why"), leadership(around))
 	case dfresult.NoPrimary:
 		return fmt.Sprintf("not run: no leader; %s had been silent for %d ms; %s",
-			final.text("Leader"), final.number("LeaderHeardMillis"), leadership(final, around))
+			final.text("Leader"), final.number("LeaderHeardMillis"), leadership(around))
 	case dfresult.NoFreshUpstream:
 		return fmt.Sprintf("not run: every upstream that was asked lacks what the read needs (%s); the newest proof of the leader was %d ms old; %s",
 			final.text("Last"), final.number("ProofMillis"), l.outage(final))
@@ -106,7 +106,7 @@
 }
 
 // leadership tells what became of the leader around the request.
-func leadership(final Line, around []Line) string {
+func leadership(around []Line) string {
 	var suspected, refused string
 	for _, line := range around {
 		switch line.Message {
