--- a/dfcli/explain.go
+++ b/dfcli/explain.go
@@ -44,6 +44,9 @@
 	if explanation.LeftOut > 0 {
 		fmt.Fprintf(env.out, "  %d earlier lines about the service are left out\n", explanation.LeftOut)
 	}
+	if logs.Unreadable > 0 {
+		fmt.Fprintf(env.out, "  %d lines of the input are not lines of a host's log\n", logs.Unreadable)
+	}
 	fmt.Fprintf(env.out, "cause: %s\n", explanation.Cause)
 	return nil
 }
--- a/dfedge/isolation.go
+++ b/dfedge/isolation.go
@@ -42,10 +42,10 @@
 	return i.cut
 }
 
-// start is what a host that has just started knows of its surroundings. It
+// surroundings is what a host that has just started knows of the others. It
 // answers restarts inside a data centre that is cut off: the entry gives the new
 // host the callers of all others there.
-type start struct {
+type surroundings struct {
 	// platform is true if the platform answers this host.
 	platform bool
 	// told is true if the speaker of the data centre has judged.
@@ -59,6 +59,6 @@
 
 // oriented reports whether the host can tell that its data centre is not cut off,
 // or has waited for as long as its own judgement takes.
-func (s start) oriented() bool {
+func (s surroundings) oriented() bool {
 	return s.platform || s.told || s.remote || s.elsewhere || s.up >= dfneighbour.AliveSpan
 }
--- a/dfedge/isolation_test.go
+++ b/dfedge/isolation_test.go
@@ -30,8 +30,8 @@
 // Guards against hosts that start inside a cut data centre and are ready until
 // they have found out, and against starts that wait where nothing is cut.
 func TestOrientation(t *testing.T) {
-	require.False(t, start{up: 500}.oriented(), "the new host has heard nobody but others like it")
-	for name, s := range map[string]start{
+	require.False(t, surroundings{up: 500}.oriented(), "the new host has heard nobody but others like it")
+	for name, s := range map[string]surroundings{
 		"the platform answers":           {platform: true},
 		"the speaker has judged":         {told: true},
 		"another data centre answers":    {remote: true},
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -101,7 +101,7 @@
 // off from what it needs, and hands its quiet sessions over once the entry has
 // noticed.
 func (e *Edge) stepReadiness(now dfclock.Millis) {
-	e.oriented = e.oriented || e.orient(now).oriented()
+	e.oriented = e.oriented || e.surroundings(now).oriented()
 	unready := e.stoppingAt != dfclock.Never || e.cutOff(now)
 	switch {
 	case !unready && e.unreadySince != dfclock.Never:
@@ -144,10 +144,10 @@
 	return e.isolation.judge(e.circle.Remote(now), leaders)
 }
 
-// orient returns what the host knows of its surroundings.
-func (e *Edge) orient(now dfclock.Millis) start {
+// surroundings returns what the host knows of the others now.
+func (e *Edge) surroundings(now dfclock.Millis) surroundings {
 	_, judged, ok := e.circle.CutOff(now)
-	return start{
+	return surroundings{
 		platform: e.following && !e.catalogLost, told: ok && judged, remote: e.circle.HearsRemote(now),
 		elsewhere: e.hearsElsewhere(now), up: now - e.startedAt,
 	}
--- a/dfexplain/explain.go
+++ b/dfexplain/explain.go
@@ -111,6 +111,10 @@
 	for _, line := range around {
 		switch line.Message {
 		case "succession: promotion ordered":
+			if failure := line.text("error"); failure != "" {
+				refused = fmt.Sprintf("the order of %s at %s failed: %s", line.Host, clock(line.At), failure)
+				continue
+			}
 			return fmt.Sprintf("%s ordered the promotion of %s at %s", line.Host, line.text("Target"), clock(line.At))
 		case "succession: no epoch":
 			refused = fmt.Sprintf("%s got no epoch at %s: %s", line.Host, clock(line.At), line.text("error"))
