Send a strong read only once its transaction is granted

Cause: a strong read went out with its BEGIN in one write. A replaced leader refuses the BEGIN, and the read behind it ran by itself, on a log that lacked commits; its answer was not used, but it ran. Ruled out: proofs of an earlier leader and the lag of replicas: reads with AFTER are refused there. Change: the read follows the grant, one round trip later.

--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -145,20 +145,27 @@
 }
 
 // readProved runs a read inside a transaction that only the leader grants. A
-// replaced leader refuses every statement of it.
+// replaced leader refuses every statement of it. The read is sent once the
+// transaction is granted: behind a refused one it would run by itself, on a log
+// that may lack commits.
 func (e *Edge) readProved(x *session, n *need, a *attempt, call dfstatement.Call) (dfstatement.Answer, error) {
-	answers, err := e.send(n, a, x.context,
-		dfstatement.Call{Statement: dfstatement.Begin{}}, call, dfstatement.Call{Statement: dfstatement.Rollback{}})
+	answers, err := e.send(n, a, x.context, dfstatement.Call{Statement: dfstatement.Begin{}})
 	if err != nil {
 		e.abandon(n, a, err)
 		return dfstatement.Answer{}, err
 	}
-	begun, answer := answers[0], answers[1]
-	e.release(n, a)
-	if !begun.OK() {
+	if begun := answers[0]; !begun.OK() {
+		e.release(n, a)
 		e.learned(n.service, a.upstream, a.sentAt, begun, false)
 		return dfstatement.Answer{}, dfresult.NewError(begun.Code, "%s", begun.Detail)
 	}
+	answers, err = e.send(n, a, x.context, call, dfstatement.Call{Statement: dfstatement.Rollback{}})
+	if err != nil {
+		e.abandon(n, a, err)
+		return dfstatement.Answer{}, err
+	}
+	answer := answers[0]
+	e.release(n, a)
 	e.learned(n.service, a.upstream, a.sentAt, answer, answer.OK())
 	return answer.WithState(dfstatement.Idle), repeatable(answer)
 }
