Open transactions in one place

That a leader lacks a position for good was noted in two places. Change: openTransaction serves both, undo is the host's, and learned notes a position that the leader lacks. Behaviour as before: the same messages in the same order.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -74,7 +74,8 @@
 	// suspected is what this host last said of the leader. Probes change it
 	// between two steps.
 	suspected bool
-	// fullAt is when an upstream refused a connection because of its limit.
+	// fullAt is when an upstream refused a connection because of its limit, or a
+	// statement because of its queue.
 	fullAt map[dffleet.ID]dfclock.Millis
 	// leader is the one that proofs and waiting statements are about.
 	leader dffleet.ID
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -6,7 +6,6 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconnection"
-	"dragonflygrade/dffleet"
 	"dragonflygrade/dfforward"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
@@ -130,43 +129,55 @@
 	}
 	answer := answers[0]
 	e.release(n, a)
-	e.learned(n.service, a.upstream, a.sentAt, answer, false)
-	if answer.Code == dfresult.NoFreshUpstream && e.leads(n.service, a.upstream) {
-		// The leader lacks the position for good; the next try asks it for proof.
-		n.discarded = true
-	}
+	e.learned(n, a, answer, false)
 	return answer, repeatable(answer)
 }
 
-func (e *Edge) leads(s *service, id dffleet.ID) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return s.leader == id
+// openTransaction sends the opening of a transaction by itself: a statement
+// behind a refused one would run outside of any transaction, on a log that may
+// lack commits. An error ends the attempt.
+func (e *Edge) openTransaction(n *need, a *attempt, context *dfconnection.Context, opening dfstatement.Call) error {
+	answers, err := e.send(n, a, context, opening)
+	if err != nil {
+		e.abandon(n, a, err)
+		return err
+	}
+	begun := answers[0]
+	if begun.OK() {
+		return nil
+	}
+	e.learned(n, a, begun, false)
+	e.undo(n, a)
+	return dfresult.NewError(begun.Code, "%s", begun.Detail)
+}
+
+// undo gives a connection back whose transaction did not get further.
+func (e *Edge) undo(n *need, a *attempt) {
+	if a.line.State() != dfstatement.Idle {
+		n.deadline, a.silence = e.options.Now().Add(statusTimeout), statusTimeout
+		if _, err := e.send(n, a, nil, dfstatement.Call{Statement: dfstatement.Rollback{}}); err != nil {
+			e.abandon(n, a, err)
+			return
+		}
+		a.line.RolledBack()
+	}
+	e.release(n, a)
 }
 
 // readProved runs a read inside a transaction that only the leader grants. A
-// replaced leader refuses every statement of it. The read is sent once the
-// transaction is granted: behind a refused one it would run by itself, on a log
-// that may lack commits.
+// replaced leader refuses every statement of it.
 func (e *Edge) readProved(x *session, n *need, a *attempt, call dfstatement.Call) (dfstatement.Answer, error) {
-	answers, err := e.send(n, a, x.context, dfstatement.Call{Statement: dfstatement.Begin{}})
-	if err != nil {
-		e.abandon(n, a, err)
+	if err := e.openTransaction(n, a, x.context, dfstatement.Call{Statement: dfstatement.Begin{}}); err != nil {
 		return dfstatement.Answer{}, err
 	}
-	if begun := answers[0]; !begun.OK() {
-		e.release(n, a)
-		e.learned(n.service, a.upstream, a.sentAt, begun, false)
-		return dfstatement.Answer{}, dfresult.NewError(begun.Code, "%s", begun.Detail)
-	}
-	answers, err = e.send(n, a, x.context, call, dfstatement.Call{Statement: dfstatement.Rollback{}})
+	answers, err := e.send(n, a, x.context, call, dfstatement.Call{Statement: dfstatement.Rollback{}})
 	if err != nil {
 		e.abandon(n, a, err)
 		return dfstatement.Answer{}, err
 	}
 	answer := answers[0]
 	e.release(n, a)
-	e.learned(n.service, a.upstream, a.sentAt, answer, answer.OK())
+	e.learned(n, a, answer, answer.OK())
 	return answer.WithState(dfstatement.Idle), repeatable(answer)
 }
 
@@ -206,7 +217,7 @@
 		}
 		answer := answers[0]
 		e.release(n, a)
-		e.learned(n.service, a.upstream, a.sentAt, answer, answer.OK())
+		e.learned(n, a, answer, answer.OK())
 		if answer.OK() {
 			x.wrote(answer.Position, e.options.Now())
 			return answer
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -235,7 +235,8 @@
 
 // learned takes what an answer tells of its upstream. proved is true if the
 // upstream led its service when the statement ran.
-func (e *Edge) learned(s *service, id dffleet.ID, sentAt dfclock.Millis, answer dfstatement.Answer, proved bool) {
+func (e *Edge) learned(n *need, a *attempt, answer dfstatement.Answer, proved bool) {
+	s, id, sentAt := n.service, a.upstream, a.sentAt
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
@@ -255,6 +256,9 @@
 	case dfresult.NeedsPrimary:
 		e.fleet.Refuted(now, id)
 		e.follow(now, s)
+	case dfresult.NoFreshUpstream:
+		// A leader lacks the position for good; the next try asks it for proof.
+		n.discarded = n.discarded || id == s.leader
 	case dfresult.WrongUpstream:
 		s.placer.Failed(now, id)
 	case dfresult.QueueFull:
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -107,7 +107,7 @@
 func (t *transaction) took(a *attempt, call dfstatement.Call, answer dfstatement.Answer) {
 	_, commits := call.Statement.(dfstatement.Commit)
 	proved := t.proved && answer.OK() && (t.wrote || !commits)
-	t.session.edge.learned(t.need.service, a.upstream, a.sentAt, answer, proved)
+	t.session.edge.learned(t.need, a, answer, proved)
 }
 
 // broken ends the upstream side after a connection failed: the upstream rolls
@@ -158,21 +158,9 @@
 	if err != nil {
 		return dfstatement.Answer{}, err
 	}
-	// The statement is sent once the transaction is open: behind a refused
-	// opening it would run outside of any transaction.
-	begun, err := e.send(t.need, a, nil, t.opening(to))
-	if err != nil {
-		e.abandon(t.need, a, err)
+	if err := e.openTransaction(t.need, a, nil, t.opening(to)); err != nil {
 		return dfstatement.Answer{}, err
 	}
-	if !begun[0].OK() {
-		e.learned(t.need.service, a.upstream, a.sentAt, begun[0], false)
-		if begun[0].Code == dfresult.NoFreshUpstream && e.leads(t.need.service, a.upstream) {
-			t.need.discarded = true
-		}
-		t.undo(a)
-		return dfstatement.Answer{}, dfresult.NewError(begun[0].Code, "%s", begun[0].Detail)
-	}
 	answers, err := e.send(t.need, a, x.context, call)
 	if err != nil {
 		e.abandon(t.need, a, err)
@@ -182,7 +170,7 @@
 	t.proved = to.proof
 	if !answer.OK() && answer.Code.Outcome() == dfresult.NotRun {
 		t.took(a, call, answer)
-		t.undo(a)
+		e.undo(t.need, a)
 		return dfstatement.Answer{}, dfresult.NewError(answer.Code, "%s", answer.Detail)
 	}
 	t.attempt = a
@@ -201,20 +189,6 @@
 	return call
 }
 
-// undo gives a connection back whose transaction did not get further.
-func (t *transaction) undo(a *attempt) {
-	e := t.session.edge
-	if a.line.State() != dfstatement.Idle {
-		t.need.deadline, a.silence = e.options.Now().Add(statusTimeout), statusTimeout
-		if _, err := e.send(t.need, a, nil, dfstatement.Call{Statement: dfstatement.Rollback{}}); err != nil {
-			e.abandon(t.need, a, err)
-			return
-		}
-		a.line.RolledBack()
-	}
-	e.release(t.need, a)
-}
-
 // commit ends the transaction and keeps its writes.
 func (t *transaction) commit(call dfstatement.Call, now dfclock.Millis) dfstatement.Answer {
 	x := t.session
@@ -234,7 +208,7 @@
 		t.free()
 		return answer
 	}
-	t.undo(t.attempt)
+	t.session.edge.undo(t.need, t.attempt)
 	t.attempt = nil
 	return x.failedAt(call, "", answer).WithState(dfstatement.Idle)
 }
@@ -298,6 +272,6 @@
 		Msg("transaction: rested too long, rolled back")
 	t.session.edge.counters.expired.Inc()
 	t.lost = dfresult.NewError(dfresult.TransactionLost, "the transaction rested too long")
-	t.undo(t.attempt)
+	t.session.edge.undo(t.need, t.attempt)
 	t.attempt = nil
 }
