--- a/dfcli/explain.go
+++ b/dfcli/explain.go
@@ -39,7 +39,7 @@
 		if line.Request == c.ID {
 			mark = ">"
 		}
-		fmt.Fprintf(env.out, "%s %s %-22s %s\n", mark, line.At.UTC().Format("15:04:05.000"), line.Host, line.Text)
+		fmt.Fprintf(env.out, "%s %s %-22s %s\n", mark, line.Clock(), line.Host, line.Text)
 	}
 	if explanation.LeftOut > 0 {
 		fmt.Fprintf(env.out, "  %d earlier lines about the service are left out\n", explanation.LeftOut)
--- a/dfexplain/explain.go
+++ b/dfexplain/explain.go
@@ -112,15 +112,15 @@
 		switch line.Message {
 		case "succession: promotion ordered":
 			if failure := line.text("error"); failure != "" {
-				refused = fmt.Sprintf("the order of %s at %s failed: %s", line.Host, clock(line.At), failure)
+				refused = fmt.Sprintf("the order of %s at %s failed: %s", line.Host, line.Clock(), failure)
 				continue
 			}
-			return fmt.Sprintf("%s ordered the promotion of %s at %s", line.Host, line.text("Target"), clock(line.At))
+			return fmt.Sprintf("%s ordered the promotion of %s at %s", line.Host, line.text("Target"), line.Clock())
 		case "succession: no epoch":
-			refused = fmt.Sprintf("%s got no epoch at %s: %s", line.Host, clock(line.At), line.text("error"))
+			refused = fmt.Sprintf("%s got no epoch at %s: %s", line.Host, line.Clock(), line.text("error"))
 		case "succession: suspicion changed":
 			if now, _ := line.Fields["Suspected"].(bool); now && suspected == "" {
-				suspected = fmt.Sprintf("%s suspected it at %s, and no promotion was ordered within %v", line.Host, clock(line.At), after)
+				suspected = fmt.Sprintf("%s suspected it at %s, and no promotion was ordered within %v", line.Host, line.Clock(), after)
 			}
 		}
 	}
@@ -135,24 +135,20 @@
 
 // outage tells whether the request's host had lost the platform.
 func (l *Log) outage(final Line) string {
-	var lostAt time.Time
-	for _, line := range l.lines {
+	var lost *Line
+	for i, line := range l.lines {
 		if line.Host != final.Host || line.At.After(final.At) || line.At.Before(final.At.Add(-outageSpan)) {
 			continue
 		}
 		switch {
-		case strings.HasPrefix(line.Message, "platform: feed lost") && lostAt.IsZero():
-			lostAt = line.At
+		case strings.HasPrefix(line.Message, "platform: feed lost") && lost == nil:
+			lost = &l.lines[i]
 		case strings.HasPrefix(line.Message, "platform: feed regained"):
-			lostAt = time.Time{}
+			lost = nil
 		}
 	}
-	if lostAt.IsZero() {
+	if lost == nil {
 		return "the host had the platform"
 	}
-	return "the host had lost the platform at " + clock(lostAt)
-}
-
-func clock(at time.Time) string {
-	return at.UTC().Format("15:04:05.000")
+	return "the host had lost the platform at " + lost.Clock()
 }
--- a/dfexplain/line.go
+++ b/dfexplain/line.go
@@ -54,6 +54,11 @@
 	return line, err == nil && line.Message != ""
 }
 
+// Clock returns the time of day of the line, in UTC.
+func (l Line) Clock() string {
+	return l.At.UTC().Format("15:04:05.000")
+}
+
 // text returns a field, or "".
 func (l Line) text(field string) string {
 	value, _ := l.Fields[field].(string)
