--- /dev/null
+++ b/dfedge/lease.go
@@ -0,0 +1,381 @@
+package dfedge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/dfneighbour"
+	"dragonflygrade/dfposition"
+	"dragonflygrade/dfresult"
+	"dragonflygrade/dfrevocation"
+	"dragonflygrade/dfstatement"
+	"dragonflygrade/dfsuccession"
+)
+
+const (
+	// noticeTimeout bounds one try of a notice: a connection, the statements that
+	// the other host lets end first, and a lost packet's worth of patience is left
+	// to the next try.
+	noticeTimeout = 400 * time.Millisecond
+	// noticeRetry is the pause before a host that did not answer is told again.
+	noticeRetry = 100 * time.Millisecond
+	// flightSpan is how long a host lets statements end at a leader that answers
+	// before it confirms a notice. Their outcome would be unknown otherwise.
+	flightSpan = 80 * dfclock.Millisecond
+	// flightPause paces the look at them.
+	flightPause = 5 * time.Millisecond
+	// claimantPause is the pause between two questions for the term of an upstream
+	// that says to lead.
+	claimantPause = 600 * dfclock.Millisecond
+	// leaderlessSpan is how long a service is without a leader before hosts beside
+	// the speaker ask for terms too.
+	leaderlessSpan = dfclock.Second
+	// informPatience is how long a host that does not probe waits to be told of
+	// the claims.
+	informPatience = 1500 * dfclock.Millisecond
+	// orderLife is how long an order without an answer may take to be carried out,
+	// with the promotion itself.
+	orderLife = 8 * dfclock.Second
+)
+
+// leases reports whether hosts lease the leaders.
+func (e *Edge) leases() bool {
+	_, leases := e.options.Fencing.(dfsuccession.HostsFence)
+	return leases
+}
+
+// leased reports whether this host may use leaders now. The mutex is held.
+func (e *Edge) leased(now dfclock.Millis) bool {
+	return !e.leases() || e.informed && e.leaseEnd(now) > now
+}
+
+// nextTerm is the lowest term of the next leader. The mutex is held.
+func (e *Edge) nextTerm(s *service) dfposition.Term {
+	return max(e.fleet.LedTerm(s.name)+1, e.fleet.Floor(s.name))
+}
+
+// inform learns at the start which leaders may be about to be replaced: an order
+// can take effect after every host that knew of it has ended. Hosts that do not
+// probe are told by those that do.
+func (e *Edge) inform(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		now := e.options.Now()
+		if !e.informed && now-e.startedAt >= orderLife {
+			e.log.Warn().Msg("lease: claims were not read, orders of earlier lives are over")
+			e.informed = true
+		}
+		known := e.informed
+		read := e.loaded() && (e.circle.Probes(now) || now-e.startedAt >= informPatience)
+		e.mu.Unlock()
+		if known {
+			return
+		}
+		if read {
+			e.readClaims(ctx)
+		}
+		time.Sleep(tick)
+	}
+}
+
+func (e *Edge) readClaims(ctx context.Context) {
+	rows, err := e.options.Platform.List(ctx, claimsTable)
+	if err != nil {
+		e.log.Info().Err(err).Msg("lease: claims not read")
+		sleep(ctx, feedRetry)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, row := range rows {
+		var last claim
+		if err := json.Unmarshal(row.Value, &last); err != nil {
+			e.log.Warn().Str("Row", row.Key).Err(err).Msg("lease: claim is unreadable")
+			continue
+		}
+		if s := e.services[strings.TrimPrefix(row.Key, claimsTable)]; s != nil {
+			e.raise(s, last.Term)
+		}
+	}
+	e.informed = true
+	e.log.Info().Int("Claims", len(rows)).Msg("lease: claims read")
+}
+
+// leaseEnd is when this host's lease of the leaders ends unless it is renewed.
+func (e *Edge) leaseEnd(now dfclock.Millis) dfclock.Millis {
+	at := e.circle.QuorumAt(now)
+	if at < 0 {
+		return at
+	}
+	return at.Add(dfrevocation.LeaseSpan)
+}
+
+// stillLeads reports whether an answer that has just arrived comes from a leader
+// that was not replaced when the statement ran.
+func (e *Edge) stillLeads(a *attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leads(e.options.Now(), a)
+}
+
+// leads is stillLeads with the mutex held.
+func (e *Edge) leads(now dfclock.Millis, a *attempt) bool {
+	if !e.leases() {
+		return true
+	}
+	return e.leased(now) && e.fleet.MayLead(a.upstream) && e.fleet.TermOf(a.upstream) == a.term
+}
+
+// errReplaced tells that an answer came after the leader's lead had ended.
+func errReplaced(id dffleet.ID) *dfresult.Error {
+	return dfresult.NewError(dfresult.NoPrimary, "the lead of %s ended before its answer came", id)
+}
+
+// adopt takes what a neighbour knows of a service's terms. The mutex is held.
+func (e *Edge) adopt(now dfclock.Millis, leads []dfneighbour.Lead) {
+	if !e.leases() {
+		return
+	}
+	for _, lead := range leads {
+		s := e.services[lead.Service]
+		if s == nil {
+			continue
+		}
+		e.fleet.Heard(s.name, lead.Led)
+		if lead.Floor > e.fleet.Floor(s.name) {
+			e.raise(s, lead.Floor)
+		}
+		if lead.Term > 0 && lead.Term >= e.fleet.Floor(s.name) && lead.Term > e.fleet.TermOf(lead.Leader) {
+			e.fleet.LedIn(lead.Leader, now, lead.Term)
+			e.follow(now, s)
+		}
+	}
+}
+
+// raise takes the lead away from terms below one. The mutex is held.
+func (e *Edge) raise(s *service, term dfposition.Term) {
+	s.voter = s.voter.WithTerm(term)
+	if term <= e.fleet.Floor(s.name) {
+		return
+	}
+	e.log.Info().Str("Service", s.name).Str("Leader", string(s.leader)).Uint64("Term", uint64(term)).
+		Msg("lease: older terms lead no more")
+	e.fleet.Raise(s.name, term)
+	e.wake()
+}
+
+// takeNotice answers a notice. Statements at a leader that answers get a moment
+// to end; no new one is sent there.
+func (e *Edge) takeNotice(notice dfrevocation.Notice) dfrevocation.Reply {
+	e.mu.Lock()
+	now := e.options.Now()
+	s := e.services[notice.Service]
+	if s == nil {
+		e.mu.Unlock()
+		return dfrevocation.Reply{Accepted: true, Term: notice.Term}
+	}
+	voter, reply := s.voter.WithNotice(now, notice, e.fleet.LedTerm(s.name))
+	s.voter = voter
+	e.log.Info().Str("Service", s.name).Str("Holder", notice.Holder).Uint64("Epoch", notice.Epoch).
+		Uint64("Term", uint64(notice.Term)).Bool("Accepted", reply.Accepted).Msg("lease: notice")
+	if !reply.Accepted {
+		e.mu.Unlock()
+		return reply
+	}
+	s.held = true
+	until := now
+	if !s.successor.Suspected() && now-s.successor.HeardAt() < flightSpan*2 {
+		until = now.Add(flightSpan)
+	}
+	for s.waiting > 0 && e.options.Now() < until {
+		e.mu.Unlock()
+		time.Sleep(flightPause)
+		e.mu.Lock()
+	}
+	s.held = false
+	e.raise(s, notice.Term)
+	e.mu.Unlock()
+	return reply
+}
+
+// revoke takes the lead away from a service's leader at all hosts, and tells the
+// leader itself where it answers.
+func (e *Edge) revoke(ctx context.Context, s *service, wanted dfsuccession.Revoke) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(dfrevocation.Patience)*time.Millisecond)
+	e.mu.Lock()
+	startedAt := e.options.Now()
+	hosts := e.circle.Others()
+	notice := dfrevocation.Notice{
+		Service: s.name, Holder: e.options.Self.ID, Target: wanted.Target, Epoch: wanted.Epoch,
+		Term: e.nextTerm(s),
+	}
+	var old []dffleet.Upstream
+	for _, upstream := range e.fleet.Of(s.name) {
+		if upstream.ID == wanted.Replaced || upstream.Primary {
+			old = append(old, upstream)
+		}
+	}
+	e.mu.Unlock()
+	names := []string{e.options.Self.ID}
+	for _, host := range hosts {
+		names = append(names, host.ID)
+	}
+	events := make(chan dfrevocation.Event, len(names)+len(old))
+	var all sync.WaitGroup
+	all.Go(func() {
+		if e.takeNotice(notice).Accepted {
+			events <- dfrevocation.Accepted{Host: e.options.Self.ID}
+			return
+		}
+		events <- dfrevocation.Refused{}
+	})
+	for _, host := range hosts {
+		all.Go(func() { events <- e.notify(ctx, host, notice) })
+	}
+	for _, upstream := range old {
+		all.Go(func() { e.demote(ctx, s, upstream, notice.Term, events) })
+	}
+	// Hosts that are not needed for the order are told all the same.
+	go func() {
+		all.Wait()
+		cancel()
+	}()
+	verdict, open := e.count(ctx, dfrevocation.NewTally(startedAt, names), events)
+	e.log.Warn().Str("Service", s.name).Str("Replaced", string(wanted.Replaced)).Uint64("Epoch", wanted.Epoch).
+		Uint64("Term", uint64(notice.Term)).Bool("Clear", verdict == dfrevocation.Clear).Strs("Open", open).
+		Int64("Millis", int64(e.options.Now()-startedAt)).Msg("lease: leader revoked")
+	if verdict == dfrevocation.Clear {
+		e.tell(s, dfsuccession.Revoked{})
+		return
+	}
+	e.tell(s, dfsuccession.RevokeFailed{})
+}
+
+// count follows a revocation to its end.
+func (e *Edge) count(ctx context.Context, tally *dfrevocation.Tally, events chan dfrevocation.Event) (dfrevocation.Verdict, []string) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-events:
+			tally.Handle(e.options.Now(), event)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return dfrevocation.Failed, tally.Open()
+		}
+		if verdict := tally.Verdict(e.options.Now()); verdict != dfrevocation.Pending {
+			return verdict, tally.Open()
+		}
+	}
+}
+
+// notify tells a host of a notice until it answers.
+func (e *Edge) notify(ctx context.Context, host dfmember.Host, notice dfrevocation.Notice) dfrevocation.Event {
+	for ctx.Err() == nil {
+		reply, err := e.askNotice(ctx, host, notice)
+		switch {
+		case err == nil && reply.Accepted:
+			return dfrevocation.Accepted{Host: host.ID}
+		case err == nil:
+			e.mu.Lock()
+			e.fleet.Heard(notice.Service, reply.Term-1)
+			e.mu.Unlock()
+			return dfrevocation.Refused{}
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return dfrevocation.Gone{Host: host.ID}
+		}
+		sleep(ctx, noticeRetry)
+	}
+	return nil
+}
+
+func (e *Edge) askNotice(ctx context.Context, host dfmember.Host, notice dfrevocation.Notice) (dfrevocation.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	conn, err := e.options.Dial(ctx, host.Address)
+	if err != nil {
+		return dfrevocation.Reply{}, eris.Wrapf(err, "lease: connect to %s", host.ID)
+	}
+	defer func() { _ = conn.Close() }()
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return dfrevocation.Reply{}, eris.Wrap(err, "lease: deadline")
+	}
+	if err := dfneighbour.WriteQuestion(conn, dfneighbour.Question{Host: e.options.Self, Notice: &notice}); err != nil {
+		return dfrevocation.Reply{}, err
+	}
+	report, err := dfneighbour.ReadReport(conn)
+	if err != nil {
+		return dfrevocation.Reply{}, err
+	}
+	if report.Reply == nil {
+		return dfrevocation.Reply{}, eris.Errorf("lease: %s did not answer the notice", host.ID)
+	}
+	return *report.Reply, nil
+}
+
+// answerNotice answers a neighbour's notice.
+func (e *Edge) answerNotice(conn net.Conn, notice dfrevocation.Notice) error {
+	reply := e.takeNotice(notice)
+	return dfneighbour.WriteReport(conn, dfneighbour.Report{Host: e.options.Self, Reply: &reply})
+}
+
+// demote tells a replaced leader that it follows from now on.
+func (e *Edge) demote(ctx context.Context, s *service, upstream dffleet.Upstream, term dfposition.Term, events chan dfrevocation.Event) {
+	for ctx.Err() == nil {
+		_, report, err := e.askUpstream(ctx, upstream, statusTimeout, dfstatement.Demote{Term: term})
+		if err == nil && !report.Primary {
+			e.log.Info().Str("Service", s.name).Str("Upstream", string(upstream.ID)).Uint64("Term", uint64(term)).
+				Msg("lease: leader demoted")
+			events <- dfrevocation.Demoted{}
+			return
+		}
+		e.log.Info().Str("Service", s.name).Str("Upstream", string(upstream.ID)).Err(err).Msg("lease: leader not demoted")
+		sleep(ctx, noticeRetry)
+	}
+}
+
+// wantedTerm returns an upstream that says to lead in a term that is not known
+// here. The speaker asks; others do if they are not told for a while.
+func (e *Edge) wantedTerm(now dfclock.Millis, s *service) (dffleet.Upstream, bool) {
+	if _, led := e.fleet.Leader(now, s.name); led || !e.leases() || s.askingTerm || !e.circle.Probes(now) {
+		if led {
+			s.leaderlessAt = dfclock.Never
+		}
+		return dffleet.Upstream{}, false
+	}
+	s.leaderlessAt = min(s.leaderlessAt, now)
+	if !e.circle.Speaks(now) && now-s.leaderlessAt < leaderlessSpan {
+		return dffleet.Upstream{}, false
+	}
+	for _, upstream := range e.fleet.Claimants(now, s.name) {
+		if now-s.termAskedAt[upstream.ID] >= claimantPause {
+			s.termAskedAt[upstream.ID] = now
+			s.askingTerm = true
+			return upstream, true
+		}
+	}
+	return dffleet.Upstream{}, false
+}
+
+// askTerm asks an upstream for its term.
+func (e *Edge) askTerm(ctx context.Context, s *service, upstream dffleet.Upstream) {
+	_, err := e.status(ctx, s, upstream, statusTimeout, false)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.askingTerm = false
+	if err != nil {
+		e.log.Info().Str("Service", s.name).Str("Upstream", string(upstream.ID)).Err(err).Msg("lease: term not learned")
+	}
+}
