Let hosts lease leaders where the platform does not fence

Cause: with fencing-enforced = false a replaced leader goes on until it is demoted or reaches its successor.

Ruled out: DEMOTE alone (nobody reaches a leader that is cut off with some hosts); leases from the store alone (they lapse while it is away).

Change: a host uses a leader only while it was in touch with a majority of the hosts within 1.5 s, and counts an answer only if the lease still runs when the answer arrives; a write whose lease ended is told as unknown. Who replaces a leader claims, tells every host and the leader itself, and orders once a majority and either the leader, all hosts or the end of the leases confirm. Leaders are told apart by term. Hosts that start read the claims first, because an order can outlive every host that knew of it. The way is a variant of a sealed interface; with a fencing platform nothing changes.

--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -14,6 +14,7 @@
 
 	"dragonflygrade/dfedge"
 	"dragonflygrade/dfmember"
+	"dragonflygrade/dfsuccession"
 	"dragonflygrade/platform"
 )
 
@@ -53,6 +54,7 @@
 		Seeds:         settings.Seeds,
 		DrainTimeout:  settings.DrainTimeout,
 		GracePeriod:   settings.GracePeriod,
+		Fencing:       fencingOf(settings),
 		Platform:      platform.NewClient(settings.StoreAddress, settings.OrdersAddress),
 		Dialect:       platform.Dialect{},
 		Dial:          platform.Dial,
@@ -69,6 +71,14 @@
 	return edge.Run(env.ctx)
 }
 
+// fencingOf translates who keeps replaced leaders from serving.
+func fencingOf(settings platform.Settings) dfsuccession.Fencing {
+	if settings.FencingEnforced {
+		return dfsuccession.PlatformFences{}
+	}
+	return dfsuccession.HostsFence{}
+}
+
 // reload reads the settings again on SIGHUP, and when the file has changed
 // without a signal.
 func (c *EdgeCommand) reload(ctx context.Context, edge *dfedge.Edge, logger *log.Logger) {
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -18,6 +18,7 @@
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
 	"dragonflygrade/dfplace"
+	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfsuccession"
 )
 
@@ -46,6 +47,9 @@
 	isolation    isolation
 	// oriented is true once the host could tell whether its data centre is cut off.
 	oriented bool
+	// informed is true once the host knows which leaders may be about to be
+	// replaced by an order from before its start.
+	informed bool
 	// startedAt is when the host started.
 	startedAt dfclock.Millis
 	// stoppingAt is when the host was told to stop, or Never.
@@ -92,6 +96,16 @@
 	// claimSeen is the version of the last claim that was read, and since when.
 	claimSeen   uint64
 	claimSeenAt dfclock.Millis
+	// voter is what this host promised to those that replace the leader.
+	voter dfrevocation.Voter
+	// held is true while statements at the leader end and no new one is sent.
+	held bool
+	// leaderlessAt is since when no leader is known, or Never. Terms are asked for
+	// meanwhile: termAskedAt is when, by upstream, and askingTerm is true while a
+	// question is under way.
+	leaderlessAt dfclock.Millis
+	termAskedAt  map[dffleet.ID]dfclock.Millis
+	askingTerm   bool
 }
 
 // New returns a host that has not started.
@@ -103,9 +117,9 @@
 		options:      options,
 		log:          logger,
 		counters:     newCounters(),
-		fleet:        dffleet.New(),
+		fleet:        newFleet(options.Fencing),
 		services:     map[string]*service{},
-		circle:       dfneighbour.NewCircle(options.Self),
+		circle:       newCircle(options),
 		changed:      make(chan struct{}),
 		sessions:     map[*session]struct{}{},
 		startedAt:    options.Now(),
@@ -117,6 +131,24 @@
 	}, nil
 }
 
+func newFleet(fencing dfsuccession.Fencing) *dffleet.Fleet {
+	switch fencing.(type) {
+	case dfsuccession.HostsFence:
+		return dffleet.NewByTerm()
+	default:
+		return dffleet.New()
+	}
+}
+
+func newCircle(options Options) *dfneighbour.Circle {
+	switch options.Fencing.(type) {
+	case dfsuccession.HostsFence:
+		return dfneighbour.NewCircle(options.Self, dfneighbour.LeasePace())
+	default:
+		return dfneighbour.NewCircle(options.Self, dfneighbour.UsualPace())
+	}
+}
+
 // Run serves callers until the context ends and the sessions are over.
 func (e *Edge) Run(ctx context.Context) error {
 	e.log.Info().Str("Host", e.options.Self.ID).Str("DataCentre", e.options.Self.DataCentre).Msg("edge: start")
@@ -130,6 +162,9 @@
 	go e.watchFleet(work)
 	go e.watchMembers(work)
 	go e.beat(work)
+	if e.leases() {
+		go e.inform(work)
+	}
 	go e.accept(listener)
 	<-ctx.Done()
 	e.drain(listener)
@@ -221,8 +256,9 @@
 		s := e.services[name]
 		if s == nil {
 			s = &service{
-				name: name, placer: dfplace.New(), successor: dfsuccession.New(now),
+				name: name, placer: dfplace.New(), successor: dfsuccession.New(now, e.options.Fencing),
 				epochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
+				leaderlessAt: dfclock.Never, termAskedAt: map[dffleet.ID]dfclock.Millis{},
 			}
 			e.services[name] = s
 		}
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -7,6 +7,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dfforward"
+	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -20,6 +21,8 @@
 	sent bool
 	// led is true if the attempt was counted as one at the leader.
 	led bool
+	// term is the one that the upstream led when the attempt was planned.
+	term dfposition.Term
 }
 
 // acquire takes a connection for an attempt. Attempts that wait for one count
@@ -34,6 +37,7 @@
 	}
 	a.line = line
 	e.mu.Lock()
+	a.term = e.fleet.TermOf(to.upstream)
 	n.service.placer.Sent(to.upstream)
 	e.mu.Unlock()
 	return a, nil
@@ -178,6 +182,9 @@
 	answer := answers[0]
 	e.release(n, a)
 	e.learned(n, a, answer, answer.OK())
+	if answer.OK() && !e.stillLeads(a) {
+		return dfstatement.Answer{}, errReplaced(a.upstream)
+	}
 	return answer.WithState(dfstatement.Idle), repeatable(answer)
 }
 
@@ -218,6 +225,9 @@
 		answer := answers[0]
 		e.release(n, a)
 		e.learned(n, a, answer, answer.OK())
+		if answer.OK() && !e.stillLeads(a) {
+			return x.doubted(call, a.upstream, errReplaced(a.upstream))
+		}
 		if answer.OK() {
 			x.wrote(answer.Position, e.options.Now())
 			return answer
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -101,8 +101,8 @@
 // off from what it needs, and hands its quiet sessions over once the entry has
 // noticed.
 func (e *Edge) stepReadiness(now dfclock.Millis) {
-	e.oriented = e.oriented || e.surroundings(now).oriented()
-	unready := e.stoppingAt != dfclock.Never || e.cutOff(now)
+	e.oriented = e.oriented || e.surroundings(now).oriented() && e.leased(now)
+	unready := e.stoppingAt != dfclock.Never || e.cutOff(now) || e.oriented && !e.leased(now)
 	switch {
 	case !unready && e.unreadySince != dfclock.Never:
 		e.unreadySince = dfclock.Never
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -143,6 +143,8 @@
 func (e *Edge) serveNeighbour(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	var host dfmember.Host
+	// toldAt is when the other side was told last; the connection itself counts.
+	toldAt := e.options.Now()
 	for {
 		if err := conn.SetDeadline(time.Now().Add(neighbourSilence)); err != nil {
 			return
@@ -154,18 +156,27 @@
 		if question.Host.ID != "" {
 			host = question.Host
 		}
-		if err := dfneighbour.WriteReport(conn, e.report(question, host)); err != nil {
+		if question.Notice != nil {
+			if err := e.answerNotice(conn, *question.Notice); err != nil {
+				return
+			}
+			continue
+		}
+		report := e.report(question, host, toldAt)
+		toldAt = e.options.Now()
+		if err := dfneighbour.WriteReport(conn, report); err != nil {
 			return
 		}
 	}
 }
 
 // report answers a question.
-func (e *Edge) report(question dfneighbour.Question, asker dfmember.Host) dfneighbour.Report {
+func (e *Edge) report(question dfneighbour.Question, asker dfmember.Host, toldAt dfclock.Millis) dfneighbour.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
-	e.circle.Met(now, asker, question.Leads)
+	e.adopt(now, question.Leads)
+	e.circle.Met(now, toldAt, asker, question.Leads)
 	report := dfneighbour.Report{
 		Host:       e.options.Self,
 		Catalog:    e.catalog.Version(),
@@ -175,6 +186,16 @@
 		CutOff:     e.cutOff(now),
 		Judged:     e.judges(now),
 	}
+	if e.leases() {
+		report.Informed = e.informed
+		report.QuorumAgo = -1
+		if at := e.circle.QuorumAt(now); at >= 0 {
+			report.QuorumAgo = now - at
+		}
+		if asker.DataCentre != e.options.Self.DataCentre {
+			report.TouchAgo = e.circle.Touches(now)
+		}
+	}
 	if question.Circle != e.circle.Digest() {
 		report.Hosts = e.circle.Hosts(now)
 	}
@@ -227,6 +248,9 @@
 	if proof, ok := s.timeline.Newest(); ok {
 		lead.ProvedAgo, lead.Position = now-proof.At, proof.Position
 	}
+	if e.leases() {
+		lead.Term, lead.Led, lead.Floor = e.fleet.TermOf(s.leader), e.fleet.LedTerm(s.name), e.fleet.Floor(s.name)
+	}
 	if s.successor.Acting() {
 		lead.BackIn = max(dfclock.Millisecond, s.successor.BackAt(now)-now)
 	}
@@ -245,6 +269,10 @@
 	if report.Upstreams != nil {
 		e.takeNeighbourFleet(report.Upstreams, report.Fleet, report.Host.ID)
 	}
+	e.adopt(now, report.Leads)
+	if report.Informed && !e.informed && e.loaded() {
+		e.informed = true
+	}
 	for _, lead := range report.Leads {
 		s := e.services[lead.Service]
 		if s == nil || lead.Leader != s.leader || lead.ProvedAgo < 0 {
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -16,6 +16,7 @@
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
+	"dragonflygrade/dfsuccession"
 )
 
 const (
@@ -148,7 +149,9 @@
 	// GracePeriod is the time from the request to stop until the process is killed.
 	GracePeriod dfclock.Millis
 	Platform    Platform
-	Dialect     Dialect
+	// Fencing is how a replaced leader is kept from serving.
+	Fencing dfsuccession.Fencing
+	Dialect Dialect
 	// Dial opens a network connection.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Now returns an instant that counts the time in which the machine stood still.
@@ -161,6 +164,8 @@
 		return eris.New("edge: a host needs a name and a data centre")
 	case o.CallerAddress == "" || o.ReadyAddress == "":
 		return eris.New("edge: addresses for callers and for readiness are required")
+	case o.Fencing == nil:
+		return eris.New("edge: it has to be said who fences replaced leaders")
 	case o.Platform == nil || o.Dialect == nil || o.Dial == nil || o.Now == nil:
 		return eris.New("edge: platform, dialect, dial and clock are required")
 	case o.GracePeriod <= 0:
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -8,6 +8,7 @@
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
+	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
 )
@@ -90,7 +91,14 @@
 	if now >= n.deadline {
 		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s", s.name)}
 	}
+	if !e.leased(now) {
+		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s: no majority of the hosts is in touch", s.name).
+			WithRetryAfter(dfrevocation.LeaseSpan)}
+	}
 	leader, ok := e.fleet.Leader(now, s.name)
+	if s.held {
+		return pause{e.changed, min(n.deadline, now.Add(refusePause))}
+	}
 	if ok && e.mayUse(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
 		if pool != nil && s.placer.OpenIn(now, leader.ID) == 0 {
@@ -241,7 +249,7 @@
 	defer e.mu.Unlock()
 	now := e.options.Now()
 	s.successor.Handle(now, dfsuccession.Answered{ID: id})
-	if proved {
+	if proved && e.leads(now, a) {
 		e.fleet.Led(id, sentAt)
 		if id == s.leader && !answer.Position.IsZero() {
 			s.timeline.Add(dffresh.Proof{At: sentAt, Position: answer.Position})
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -14,6 +14,7 @@
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
@@ -39,6 +40,9 @@
 	Holder   string
 	Replaced dffleet.ID
 	Target   dffleet.ID
+	// Term is the lowest one that may lead once the order may have been sent, or
+	// zero where the platform fences.
+	Term dfposition.Term
 }
 
 // stepService takes a service's decisions of this moment. The mutex is held;
@@ -61,9 +65,14 @@
 		return func() { e.askAll(ctx, s) }
 	case dfsuccession.Claim:
 		return func() { e.claim(ctx, s, a) }
+	case dfsuccession.Revoke:
+		return func() { e.revoke(ctx, s, a) }
 	case dfsuccession.Order:
 		return func() { e.order(ctx, s, a) }
 	}
+	if upstream, ok := e.wantedTerm(now, s); ok {
+		return func() { e.askTerm(ctx, s, upstream) }
+	}
 	if e.wantsStanding(now, s, situation) {
 		s.claiming = true
 		return func() { e.stand(ctx, s) }
@@ -77,7 +86,7 @@
 
 // situation is what the host sees of a service.
 func (e *Edge) situation(now dfclock.Millis, s *service) dfsuccession.Situation {
-	situation := dfsuccession.Situation{Busy: s.waiting > 0, Listener: !e.circle.Probes(now)}
+	situation := dfsuccession.Situation{Busy: s.waiting > 0, Listener: !e.circle.Probes(now), OutOfTouch: !e.leased(now)}
 	if e.circle.Speaks(now) && !e.circle.Remote(now) {
 		// Whether the data centre is cut off depends on all leaders, also on those
 		// that nobody waits for.
@@ -119,25 +128,33 @@
 // status asks an upstream over a fresh connection.
 func (e *Edge) status(ctx context.Context, s *service, upstream dffleet.Upstream, timeout dfclock.Millis, probe bool) (dfstatement.Report, error) {
 	startedAt := e.options.Now()
+	answer, report, err := e.askUpstream(ctx, upstream, timeout, dfstatement.Status{})
+	if err != nil {
+		return dfstatement.Report{}, err
+	}
+	e.takeStatus(s, upstream.ID, startedAt, report, answer, probe)
+	return report, nil
+}
+
+// askUpstream runs a statement of the host that is answered by a status, over a
+// fresh connection.
+func (e *Edge) askUpstream(ctx context.Context, upstream dffleet.Upstream, timeout dfclock.Millis, statement dfstatement.Statement) (dfstatement.Answer, dfstatement.Report, error) {
 	deadline := time.Now().Add(time.Duration(timeout) * time.Millisecond)
 	conn, err := e.dial(ctx, upstream, timeout)
 	if err != nil {
-		return dfstatement.Report{}, err
+		return dfstatement.Answer{}, dfstatement.Report{}, err
 	}
 	defer conn.Close()
-	answers, _, err := conn.Exchange(nil, deadline, dfstatement.Call{Statement: dfstatement.Status{}})
+	answers, _, err := conn.Exchange(nil, deadline, dfstatement.Call{Statement: statement})
 	if err != nil {
-		return dfstatement.Report{}, err
+		return dfstatement.Answer{}, dfstatement.Report{}, err
 	}
-	if !answers[0].OK() {
-		return dfstatement.Report{}, dfresult.NewError(answers[0].Code, "status of %s: %s", upstream.ID, answers[0].Detail)
-	}
-	report, err := conn.Report(answers[0])
-	if err != nil {
-		return dfstatement.Report{}, err
+	answer := answers[0]
+	if !answer.OK() {
+		return answer, dfstatement.Report{}, dfresult.NewError(answer.Code, "status of %s: %s", upstream.ID, answer.Detail)
 	}
-	e.takeStatus(s, upstream.ID, startedAt, report, answers[0], probe)
-	return report, nil
+	report, err := conn.Report(answer)
+	return answer, report, err
 }
 
 // takeStatus learns from a report that was asked for at an instant.
@@ -145,10 +162,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
+	replaced := false
+	if e.leases() {
+		replaced = report.Primary && report.Term < e.fleet.Floor(s.name)
+		if report.Primary {
+			e.fleet.LedIn(id, askedAt, report.Term)
+		} else if report.Term > e.fleet.Floor(s.name) {
+			e.raise(s, report.Term)
+		}
+	}
 	if report.Primary {
 		e.fleet.Led(id, askedAt)
 		e.follow(now, s)
-		if id == s.leader {
+		if id == s.leader && !replaced && e.leased(now) {
 			s.timeline.Add(dffresh.Proof{At: askedAt, Position: answer.Position})
 		}
 	} else if leader, ok := e.fleet.Leader(now, s.name); ok && leader.ID == id {
@@ -157,7 +183,7 @@
 	}
 	s.placer.Reached(now, id, answer.Position, s.timeline.Lag(now, answer.Position))
 	s.successor.Handle(now, dfsuccession.Reported{
-		ID: id, Primary: report.Primary, Received: report.Received, Probe: probe, AskedAt: askedAt,
+		ID: id, Primary: report.Primary, Received: report.Received, Replaced: replaced, Probe: probe, AskedAt: askedAt,
 	})
 }
 
@@ -283,7 +309,11 @@
 		return 0, eris.Wrapf(errOtherClaim, "%s claimed %s", last.Holder, last.Target)
 	}
 	e.mu.Lock()
-	value, err := json.Marshal(claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target})
+	mine := claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target}
+	if e.leases() && wanted.Target != "" {
+		mine.Term = e.nextTerm(s)
+	}
+	value, err := json.Marshal(mine)
 	source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
 	e.mu.Unlock()
 	if err != nil {
@@ -318,7 +348,7 @@
 	if s.claimSeen != version {
 		s.claimSeen, s.claimSeenAt = version, now
 	}
-	if version == 0 || last == (claim{Holder: e.options.Self.ID, Replaced: wanted.Replaced, Target: wanted.Target}) {
+	if version == 0 || last.Holder == e.options.Self.ID && last.Replaced == wanted.Replaced && last.Target == wanted.Target {
 		return false
 	}
 	// A leader that follows from the claim itself was learned after it. An epoch
@@ -330,6 +360,10 @@
 }
 
 func (e *Edge) order(ctx context.Context, s *service, order dfsuccession.Order) {
+	if e.outvoted(s, order.Epoch) {
+		e.tell(s, dfsuccession.OrderRefused{})
+		return
+	}
 	err := e.options.Platform.Promote(ctx, s.name, order.Target, e.options.Self.ID, order.Epoch)
 	e.counters.orders.Inc()
 	e.log.Warn().Str("Service", s.name).Str("Target", string(order.Target)).Uint64("Epoch", order.Epoch).Err(err).
@@ -348,6 +382,14 @@
 	}
 }
 
+// outvoted reports whether this host has accepted a newer epoch since, which the
+// platform may have seen.
+func (e *Edge) outvoted(s *service, epoch uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leases() && s.voter.Epoch() > epoch
+}
+
 // needsProof tells whether reads will soon lack a proof that is recent enough.
 func (e *Edge) needsProof(now dfclock.Millis, s *service) bool {
 	if s.proving || s.leader == "" || s.successor.Suspected() {
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -98,8 +98,26 @@
 	if err != nil {
 		return t.broken(call, err)
 	}
-	t.took(a, call, answers[0])
-	return answers[0]
+	answer := answers[0]
+	t.took(a, call, answer)
+	if answer.OK() && t.proved && !e.stillLeads(a) {
+		return t.replaced(call)
+	}
+	return answer
+}
+
+// replaced ends the upstream side after an answer that came too late to count:
+// another upstream may have led when the statement ran.
+func (t *transaction) replaced(call dfstatement.Call) dfstatement.Answer {
+	x, a := t.session, t.attempt
+	why := errReplaced(a.upstream)
+	t.drop()
+	if _, commits := call.Statement.(dfstatement.Commit); commits && t.wrote {
+		return x.doubted(call, a.upstream, why)
+	}
+	failure := dfresult.NewError(dfresult.TransactionLost, "%s", why.Error())
+	t.lost, t.failed = failure, true
+	return x.refused(call, failure, failure)
 }
 
 // took learns from an answer of the transaction's upstream. A replaced leader
@@ -173,6 +191,10 @@
 		e.undo(t.need, a)
 		return dfstatement.Answer{}, dfresult.NewError(answer.Code, "%s", answer.Detail)
 	}
+	if t.proved && !e.stillLeads(a) {
+		e.undo(t.need, a)
+		return dfstatement.Answer{}, errReplaced(a.upstream)
+	}
 	t.attempt = a
 	t.took(a, call, answer)
 	return answer, nil
--- a/dffleet/fleet.go
+++ b/dffleet/fleet.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfposition"
 )
 
 const (
@@ -57,6 +58,16 @@
 	// leadAt is the instant of the newest evidence that the upstream leads: a
 	// claim in the list or a proof of its own. Negative means none.
 	leadAt dfclock.Millis
+	// term is the newest one that the upstream is known to lead, or zero.
+	term dfposition.Term
+}
+
+// reign is what is known of the terms of one service.
+type reign struct {
+	// floor is the lowest term that may lead; it never falls.
+	floor dfposition.Term
+	// led is the newest term that had a leader; it never falls.
+	led dfposition.Term
 }
 
 // Fleet is the state of one host. It is not safe for concurrent use.
@@ -64,11 +75,23 @@
 	members map[ID]*member
 	// version is the newest version of the list that was taken whole or in part.
 	version uint64
+	// byTerm is true where a replaced leader goes on and says so in the list: only
+	// its term tells it from its successor.
+	byTerm bool
+	reigns map[string]reign
 }
 
-// New returns a fleet without upstreams.
+// New returns a fleet without upstreams whose platform takes the lead away from
+// an upstream that it replaces.
 func New() *Fleet {
-	return &Fleet{members: map[ID]*member{}}
+	return &Fleet{members: map[ID]*member{}, reigns: map[string]reign{}}
+}
+
+// NewByTerm returns a fleet without upstreams whose leaders are told by term.
+func NewByTerm() *Fleet {
+	fleet := New()
+	fleet.byTerm = true
+	return fleet
 }
 
 // Version returns the newest version of the list that was taken.
@@ -148,13 +171,85 @@
 // Led records that an upstream proved at an instant that it leads.
 func (f *Fleet) Led(id ID, at dfclock.Millis) {
 	known := f.members[id]
-	if known == nil || at <= known.refutedAt {
+	if known == nil || at <= known.refutedAt || !f.mayLead(known) {
 		return
 	}
 	known.leadAt = max(known.leadAt, at)
 	known.refutedAt = -RefutedSpan
 }
 
+// LedIn records that an upstream proved at an instant that it leads a term. An
+// older term than one that was taken away counts for nothing.
+func (f *Fleet) LedIn(id ID, at dfclock.Millis, term dfposition.Term) {
+	known := f.members[id]
+	if known == nil {
+		return
+	}
+	known.term = max(known.term, term)
+	service := known.upstream.Service
+	now := f.reigns[service]
+	now.led = max(now.led, term)
+	now.floor = max(now.floor, term)
+	f.reigns[service] = now
+	f.Led(id, at)
+}
+
+// Raise takes the lead of a service away from terms below one.
+func (f *Fleet) Raise(service string, term dfposition.Term) {
+	now := f.reigns[service]
+	now.floor = max(now.floor, term)
+	f.reigns[service] = now
+}
+
+// Heard records that a term of a service has had a leader, of whatever name.
+func (f *Fleet) Heard(service string, term dfposition.Term) {
+	now := f.reigns[service]
+	now.led = max(now.led, term)
+	f.reigns[service] = now
+}
+
+// Floor returns the lowest term that may lead a service.
+func (f *Fleet) Floor(service string) dfposition.Term {
+	return f.reigns[service].floor
+}
+
+// LedTerm returns the newest term of a service that is known to have had a leader.
+func (f *Fleet) LedTerm(service string) dfposition.Term {
+	return f.reigns[service].led
+}
+
+// TermOf returns the newest term that an upstream is known to lead, or zero.
+func (f *Fleet) TermOf(id ID) dfposition.Term {
+	if known := f.members[id]; known != nil {
+		return known.term
+	}
+	return 0
+}
+
+// mayLead reports whether the lead was not taken away from an upstream.
+func (f *Fleet) mayLead(known *member) bool {
+	return !f.byTerm || known.term > 0 && known.term >= f.reigns[known.upstream.Service].floor
+}
+
+// MayLead reports whether the lead was not taken away from an upstream.
+func (f *Fleet) MayLead(id ID) bool {
+	known := f.members[id]
+	return known != nil && f.mayLead(known)
+}
+
+// Claimants returns the upstreams of a service that say to lead in a term that is
+// not known, or that was taken away.
+func (f *Fleet) Claimants(now dfclock.Millis, service string) []Upstream {
+	var claimants []Upstream
+	for _, upstream := range f.Of(service) {
+		known := f.members[upstream.ID]
+		if upstream.Primary && known.claims(now) && !f.mayLead(known) {
+			claimants = append(claimants, upstream)
+		}
+	}
+	return claimants
+}
+
 // Refuted records that an upstream denied to lead.
 func (f *Fleet) Refuted(now dfclock.Millis, id ID) {
 	if known := f.members[id]; known != nil {
@@ -201,7 +296,7 @@
 func (f *Fleet) Leader(now dfclock.Millis, service string) (Upstream, bool) {
 	var best *member
 	for _, known := range f.members {
-		if known.upstream.Service != service || !known.claims(now) {
+		if known.upstream.Service != service || !known.claims(now) || !f.mayLead(known) {
 			continue
 		}
 		if best == nil || known.leadsBefore(best) {
@@ -224,6 +319,9 @@
 }
 
 func (m *member) leadsBefore(other *member) bool {
+	if m.term != other.term {
+		return m.term > other.term
+	}
 	if m.leadAt != other.leadAt {
 		return m.leadAt > other.leadAt
 	}
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -32,6 +32,13 @@
 	// cutOff is what it said of its own data centre, if it could judge.
 	cutOff, judged bool
 	leads          map[string]told
+	// touchedAt is when this host sent it the answer before its last question: it
+	// knew then what this host knew.
+	touchedAt dfclock.Millis
+	// touches are the instants at which hosts of its data centre knew what it knew.
+	touches []dfclock.Millis
+	// quorumAt is when it was in touch with a majority of the hosts.
+	quorumAt dfclock.Millis
 }
 
 // told is a lead with its ages as instants of this host.
@@ -74,14 +81,31 @@
 	// carriers are those chosen for each upstream so far; callers do not change
 	// them.
 	carriers map[dffleet.ID]carriers
+	// pace is how often hosts are asked.
+	pace Pace
 	// chosenAt is when all of these were taken. Statements ask for them too often
 	// to look at every neighbour each time.
 	chosenAt dfclock.Millis
 }
 
+// Pace is how often hosts ask each other.
+type Pace struct{ member, speaker dfclock.Millis }
+
+// UsualPace keeps proofs of positions young enough for reads.
+func UsualPace() Pace {
+	return Pace{member: memberPeriod, speaker: speakerPeriod}
+}
+
+// LeasePace also keeps the leases of leaders.
+func LeasePace() Pace {
+	return Pace{member: leaseMemberPeriod, speaker: leaseSpeakerPeriod}
+}
+
 // NewCircle returns the circle of a host that knows nobody.
-func NewCircle(self dfmember.Host) *Circle {
-	return &Circle{self: self, neighbours: map[string]*neighbour{}, carriers: map[dffleet.ID]carriers{}, chosenAt: never}
+func NewCircle(self dfmember.Host, pace Pace) *Circle {
+	return &Circle{
+		self: self, pace: pace, neighbours: map[string]*neighbour{}, carriers: map[dffleet.ID]carriers{}, chosenAt: never,
+	}
 }
 
 // Learn adds a host that somebody named.
@@ -91,7 +115,9 @@
 	}
 	known := c.neighbours[host.Address]
 	if known == nil {
-		known = &neighbour{heardAt: never, metAt: never, failedAt: never, currentAt: never}
+		known = &neighbour{
+			heardAt: never, metAt: never, failedAt: never, currentAt: never, touchedAt: never, quorumAt: never,
+		}
 		c.neighbours[host.Address] = known
 	}
 	known.knownAt = now
@@ -113,17 +139,26 @@
 	known.currentAt = max(known.currentAt, askedAt-report.CurrentAgo)
 	known.remote, known.cutOff, known.judged = report.Remote, report.CutOff, report.Judged
 	known.takeLeads(now, askedAt, report.Leads)
+	known.touches = known.touches[:0]
+	for _, ago := range report.TouchAgo {
+		known.touches = append(known.touches, askedAt-ago)
+	}
+	if report.QuorumAgo >= 0 {
+		known.quorumAt = max(known.quorumAt, askedAt-report.QuorumAgo)
+	}
 	for _, host := range report.Hosts {
 		c.Learn(now, host)
 	}
 }
 
 // Met takes a question. Its ages count from an unknown earlier instant, so only
-// the votes in it are used.
-func (c *Circle) Met(now dfclock.Millis, host dfmember.Host, leads []Lead) {
+// the votes in it are used. The asker has read what this host told it at
+// toldAt.
+func (c *Circle) Met(now, toldAt dfclock.Millis, host dfmember.Host, leads []Lead) {
 	c.Learn(now, host)
 	if known := c.neighbours[host.Address]; known != nil {
 		known.metAt = now
+		known.touchedAt = max(known.touchedAt, toldAt)
 		known.takeLeads(now, now, leads)
 	}
 }
@@ -263,11 +298,11 @@
 	speakers := c.Speakers(now)
 	own := speakers[c.self.DataCentre]
 	if own.Address != c.self.Address {
-		targets[own.Address] = memberPeriod
+		targets[own.Address] = c.pace.member
 	} else {
 		for _, speaker := range speakers {
 			if speaker.Address != c.self.Address {
-				targets[speaker.Address] = speakerPeriod
+				targets[speaker.Address] = c.pace.speaker
 			}
 		}
 	}
--- a/dfneighbour/circle_test.go
+++ b/dfneighbour/circle_test.go
@@ -22,7 +22,7 @@
 func circles(now dfclock.Millis, hosts []dfmember.Host) map[string]*Circle {
 	all := map[string]*Circle{}
 	for _, self := range hosts {
-		circle := NewCircle(self)
+		circle := NewCircle(self, UsualPace())
 		for _, other := range hosts {
 			circle.Learn(now, other)
 		}
@@ -76,7 +76,7 @@
 		circle.Failed(20, first.Address)
 		next := circle.Speakers(20)["a"]
 		require.NotEqual(t, first, next)
-		circle.Met(30, first, nil)
+		circle.Met(30, never, first, nil)
 		require.Equal(t, first, circle.Speakers(300)["a"], "it asks again, so it lives")
 	}
 }
@@ -84,11 +84,11 @@
 // Guards against hosts of a cut data centre that go on asking for callers, and
 // against hosts of a single data centre that count as cut off.
 func TestRemote(t *testing.T) {
-	alone := NewCircle(host("a", 1))
+	alone := NewCircle(host("a", 1), UsualPace())
 	alone.Learn(0, host("a", 2))
 	require.True(t, alone.Remote(10), "no other data centre is known")
 
-	circle := NewCircle(host("a", 1))
+	circle := NewCircle(host("a", 1), UsualPace())
 	circle.Learn(0, host("b", 1))
 	circle.Heard(100, 90, Report{Host: host("b", 1)})
 	require.True(t, circle.Remote(110))
@@ -102,7 +102,7 @@
 // Guards against a member that relies on its speaker's word for longer than the
 // speaker has it.
 func TestCurrentAtCountsFromTheQuestion(t *testing.T) {
-	circle := NewCircle(host("a", 1))
+	circle := NewCircle(host("a", 1), UsualPace())
 	circle.Heard(1000, 900, Report{Host: host("a", 2), CurrentAgo: 300})
 	require.Equal(t, dfclock.Millis(600), circle.CurrentAt())
 	circle.Heard(1100, 1050, Report{Host: host("a", 2), CurrentAgo: 5000})
@@ -112,13 +112,13 @@
 // Guards against votes of another leader, of silent hosts, and against votes of
 // another data centre that are counted host by host.
 func TestVotes(t *testing.T) {
-	circle := NewCircle(host("a", 1))
+	circle := NewCircle(host("a", 1), UsualPace())
 	lead := func(leader dffleet.ID, ago dfclock.Millis, suspected bool) []Lead {
 		return []Lead{{Service: "orders", Leader: leader, HeardAgo: ago, Suspected: suspected, Alive: 4, Dead: 2}}
 	}
-	circle.Met(1000, host("a", 2), lead("p", 10, false))
-	circle.Met(1000, host("a", 3), lead("p", 900, true))
-	circle.Met(1000, host("a", 4), lead("q", 10, false))
+	circle.Met(1000, never, host("a", 2), lead("p", 10, false))
+	circle.Met(1000, never, host("a", 3), lead("p", 900, true))
+	circle.Met(1000, never, host("a", 4), lead("q", 10, false))
 	circle.Heard(1000, 995, Report{Host: host("b", 1), Leads: lead("p", 10, false)})
 	alive, dead := circle.Votes(1010, "orders", "p", 500)
 	require.Equal(t, 1+4, alive)
@@ -160,7 +160,7 @@
 	if speaker == self {
 		self = hosts[1]
 	}
-	circle := NewCircle(self)
+	circle := NewCircle(self, UsualPace())
 	hear := func(at dfclock.Millis, suspected bool, alive int) {
 		leads := []Lead{{Service: "orders", Leader: "p", Suspected: suspected, Alive: alive}}
 		circle.Heard(at, at, Report{Host: speaker, Leads: leads})
@@ -181,7 +181,7 @@
 	hosts := []dfmember.Host{host("a", 1), host("a", 2)}
 	speaker := circles(0, hosts)[hosts[0].Address].Speakers(1)["a"]
 	for _, self := range hosts {
-		circle := NewCircle(self)
+		circle := NewCircle(self, UsualPace())
 		circle.Learn(0, hosts[0])
 		circle.Learn(0, hosts[1])
 		_, _, ok := circle.CutOff(10)
@@ -230,7 +230,7 @@
 // Guards against carriers of an earlier moment after a host was lost, and against
 // a list of another length than asked for.
 func TestCarriersFollowTheChoice(t *testing.T) {
-	circle := NewCircle(host("a", 0))
+	circle := NewCircle(host("a", 0), UsualPace())
 	for i := 1; i < 6; i++ {
 		circle.Heard(10, 10, Report{Host: host("a", i)})
 	}
@@ -249,7 +249,7 @@
 
 // BenchmarkStatement measures what each statement asks of a circle of 82 hosts.
 func BenchmarkStatement(b *testing.B) {
-	circle := NewCircle(host("a", 0))
+	circle := NewCircle(host("a", 0), UsualPace())
 	for i := 1; i < 82; i++ {
 		circle.Heard(10, 10, Report{Host: host("a", i)})
 	}
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -15,6 +15,7 @@
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfmessage"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfrevocation"
 )
 
 const (
@@ -26,6 +27,10 @@
 	// younger than the shortest staleness of the two users.
 	speakerPeriod = 400 * dfclock.Millisecond
 	memberPeriod  = 500 * dfclock.Millisecond
+	// leaseSpeakerPeriod and leaseMemberPeriod are the same where hosts lease the
+	// leaders: contact has to travel well within the span of a lease.
+	leaseSpeakerPeriod = 200 * dfclock.Millisecond
+	leaseMemberPeriod  = 250 * dfclock.Millisecond
 	// forgetSpan is how long an unreachable neighbour is still named and tried.
 	forgetSpan = 90 * dfclock.Second
 	// passOverSpan is how long a host that did not answer is no speaker.
@@ -60,6 +65,9 @@
 	// Alive and Dead count the hosts of the data centre that heard from the
 	// leader lately and that suspect it. Only speakers fill them in.
 	Alive, Dead int
+	// Term is the one that Leader leads, Led the newest that had a leader, and
+	// Floor the lowest that may lead. They are zero where the platform fences.
+	Term, Led, Floor dfposition.Term
 }
 
 // Question asks a neighbour for its report.
@@ -74,6 +82,8 @@
 	Circle uint64
 	// Leads are the asker's own, for the votes of its data centre.
 	Leads []Lead
+	// Notice takes a leader's lead away; the answer has only the reply then.
+	Notice *dfrevocation.Notice
 }
 
 // Report answers a question.
@@ -96,6 +106,16 @@
 	// Document and Upstreams are sent to an asker whose versions are lower.
 	Document  []byte
 	Upstreams []dffleet.Upstream
+	// TouchAgo has, for each host of the data centre, the time since it knew what
+	// the reporting host told it. It is sent to other data centres only.
+	TouchAgo []dfclock.Millis
+	// QuorumAgo is the time since the host was in touch with a majority of the
+	// hosts, or negative if it never was.
+	QuorumAgo dfclock.Millis
+	// Informed is true if the host knows of every order that may still take effect.
+	Informed bool
+	// Reply answers a notice.
+	Reply *dfrevocation.Reply
 }
 
 // WriteQuestion sends a question.
--- a/dfstatement/statement.go
+++ b/dfstatement/statement.go
@@ -46,6 +46,10 @@
 // Status asks an upstream for its role and log position.
 type Status struct{}
 
+// Demote asks an upstream that leads an older term to follow. It is answered like
+// a status.
+type Demote struct{ Term dfposition.Term }
+
 // Malformed is a text that no statement has.
 type Malformed struct{}
 
@@ -60,6 +64,7 @@
 func (Deallocate) statement() {}
 func (Reset) statement()      {}
 func (Status) statement()     {}
+func (Demote) statement()     {}
 func (Malformed) statement()  {}
 
 // Plan is what a prepared statement does.
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -46,7 +46,7 @@
 	require.NoError(t, scanner.Err())
 	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
-			s := &script{successor: New(0)}
+			s := &script{successor: New(0, PlatformFences{})}
 			for _, line := range cases[name] {
 				s.run(t, line)
 			}
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -48,6 +48,20 @@
 	standDown = 1500 * dfclock.Millisecond
 )
 
+// Fencing is how a replaced leader is kept from serving.
+type Fencing interface{ fencing() }
+
+// PlatformFences is the way of platforms that take the lead away from a replaced
+// leader and refuse orders of an older epoch.
+type PlatformFences struct{}
+
+// HostsFence is the way of platforms that do neither: before an order every host
+// has to stop using the leader.
+type HostsFence struct{}
+
+func (PlatformFences) fencing() {}
+func (HostsFence) fencing()     {}
+
 // Action is what the owner of a Successor has to do. Results come back as events.
 type Action interface{ action() }
 
@@ -67,6 +81,12 @@
 // leader that the decision was about.
 type Claim struct{ Target, Replaced dffleet.ID }
 
+// Revoke asks all hosts to stop using the leader.
+type Revoke struct {
+	Target, Replaced dffleet.ID
+	Epoch            uint64
+}
+
 // Order asks the platform to promote.
 type Order struct {
 	Target dffleet.ID
@@ -77,6 +97,7 @@
 func (Probe) action()  {}
 func (AskAll) action() {}
 func (Claim) action()  {}
+func (Revoke) action() {}
 func (Order) action()  {}
 
 // Event is the result of an action, or news of the leader.
@@ -99,6 +120,8 @@
 	ID       dffleet.ID
 	Primary  bool
 	Received dfposition.Position
+	// Replaced is true if the upstream leads a term that was taken away from it.
+	Replaced bool
 	// Probe is true for the answer to a Probe.
 	Probe bool
 	// AskedAt is when the question was sent.
@@ -114,6 +137,12 @@
 // ClaimLost ends a Claim: another host acts, or the platform does not answer.
 type ClaimLost struct{}
 
+// Revoked ends a Revoke: no host uses the leader any more.
+type Revoked struct{}
+
+// RevokeFailed ends a Revoke that hosts refused or too few confirmed.
+type RevokeFailed struct{}
+
 // Ordered ends an Order that the platform accepted.
 type Ordered struct{}
 
@@ -130,6 +159,8 @@
 func (AskEnded) event()     {}
 func (Claimed) event()      {}
 func (ClaimLost) event()    {}
+func (Revoked) event()      {}
+func (RevokeFailed) event() {}
 func (Ordered) event()      {}
 func (OrderRefused) event() {}
 func (OrderLost) event()    {}
@@ -156,6 +187,9 @@
 	// Told is true if the host that probes for a listener suspects the leader and
 	// no host of the data centre hears from it.
 	Told bool
+	// OutOfTouch is true if the host can't reach a majority of the hosts, which it
+	// needs to take the lead away from the leader.
+	OutOfTouch bool
 	// Rank is this host's place among the live hosts for the service.
 	Rank int
 	// Alive and Dead count hosts, this one left out, that heard from the leader
@@ -169,13 +203,15 @@
 	watching phase = iota
 	asking
 	claiming
+	revoking
 	ordering
 	settling
 )
 
 // Successor watches one service at one host. It is not safe for concurrent use.
 type Successor struct {
-	phase phase
+	fencing Fencing
+	phase   phase
 	// since is when the phase began.
 	since dfclock.Millis
 	// leader is the upstream that the watch is about.
@@ -207,9 +243,11 @@
 	reports   []Reported
 	askEnded  bool
 	target    dffleet.ID
-	epoch     uint64
-	tries     int
-	// sent is true while an order waits for its answer.
+	// replaced is the leader that the decision is about.
+	replaced dffleet.ID
+	epoch    uint64
+	tries    int
+	// sent is true while a revocation or an order waits for its answer.
 	sent bool
 	// restUntil is the instant before which nothing is decided.
 	restUntil dfclock.Millis
@@ -219,9 +257,10 @@
 }
 
 // New returns the state of a host that knows nothing yet.
-func New(now dfclock.Millis) *Successor {
+func New(now dfclock.Millis, fencing Fencing) *Successor {
 	return &Successor{
-		since: now, answeredAt: now, suspectAt: dfclock.Never,
+		fencing: fencing,
+		since:   now, answeredAt: now, suspectAt: dfclock.Never,
 		missingAt: dfclock.Never, leavingAt: dfclock.Never, promotion: usualPromotion,
 	}
 }
@@ -300,10 +339,19 @@
 	case Claimed:
 		if s.phase == claiming {
 			s.epoch, s.tries, s.sent = e.Epoch, 0, false
-			s.enter(now, ordering)
+			s.enter(now, s.afterClaim())
 		}
 	case ClaimLost:
 		s.giveUp(now, standDown)
+	case Revoked:
+		if s.phase == revoking {
+			s.sent = false
+			s.enter(now, ordering)
+		}
+	case RevokeFailed:
+		if s.phase == revoking {
+			s.giveUp(now, standDown)
+		}
 	case Ordered:
 		if s.phase == ordering {
 			s.orderedAt = now
@@ -322,6 +370,16 @@
 	}
 }
 
+// afterClaim is the phase that follows a claim.
+func (s *Successor) afterClaim() phase {
+	switch s.fencing.(type) {
+	case HostsFence:
+		return revoking
+	default:
+		return ordering
+	}
+}
+
 func (s *Successor) heard(now dfclock.Millis) {
 	s.answeredAt = now
 	s.failures = 0
@@ -368,6 +426,8 @@
 		return s.choose(now, situation)
 	case settling:
 		return s.settle(now, situation)
+	case revoking:
+		return s.revoke()
 	case ordering:
 		return s.order(now)
 	}
@@ -380,6 +440,15 @@
 	return s.phase == asking || s.phase == claiming || s.phase == ordering && !s.sent
 }
 
+// revoke asks once; the question has a bound of its own.
+func (s *Successor) revoke() Action {
+	if s.sent {
+		return Rest{}
+	}
+	s.sent = true
+	return Revoke{Target: s.target, Replaced: s.replaced, Epoch: s.epoch}
+}
+
 // order repeats an order whose answer was lost. Repeats carry the same epoch
 // and target, so that a late first try changes nothing.
 func (s *Successor) order(now dfclock.Millis) Action {
@@ -397,7 +466,7 @@
 // observe follows changes of the leader.
 func (s *Successor) observe(now dfclock.Millis, situation Situation) {
 	if situation.Leader != s.leader {
-		if s.phase != watching && s.phase != settling {
+		if s.phase != watching && s.phase != settling && !s.takenAway(situation) {
 			// The decision was about another leader.
 			s.giveUp(now, standDown)
 		}
@@ -414,6 +483,11 @@
 	}
 }
 
+// takenAway reports whether the leader is gone because of this host's revocation.
+func (s *Successor) takenAway(situation Situation) bool {
+	return situation.Leader == "" && (s.phase == revoking || s.phase == ordering)
+}
+
 func since(now, known dfclock.Millis, holds bool) dfclock.Millis {
 	if !holds {
 		return dfclock.Never
@@ -454,7 +528,7 @@
 // due tells whether it is time for this host to change the leader. Hosts of a
 // higher rank wait longer, so that usually one acts.
 func (s *Successor) due(now dfclock.Millis, situation Situation, delay dfclock.Millis) bool {
-	if len(situation.Listed) == 0 {
+	if len(situation.Listed) == 0 || situation.OutOfTouch {
 		return false
 	}
 	switch {
@@ -478,7 +552,7 @@
 	var best *Reported
 	for i := range s.reports {
 		report := &s.reports[i]
-		if report.Primary && (report.ID != s.leader || !situation.LeaderLeaving) {
+		if report.Primary && !report.Replaced && (report.ID != s.leader || !situation.LeaderLeaving) {
 			// The service has a leader that answers.
 			s.giveUp(now, probeGap)
 			return Rest{}
@@ -494,7 +568,7 @@
 		s.giveUp(now, probeGap)
 		return Rest{}
 	}
-	s.target = best.ID
+	s.target, s.replaced = best.ID, s.leader
 	s.enter(now, claiming)
 	return Claim{Target: best.ID, Replaced: s.leader}
 }
