--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -105,6 +105,9 @@
 			continue
 		}
 		if s := e.services[strings.TrimPrefix(row.Key, claimsTable)]; s != nil {
+			s.voter = s.voter.WithClaim(e.options.Now(), dfrevocation.Notice{
+				Holder: last.Holder, Target: last.Target, Epoch: row.Version, Term: last.Term,
+			})
 			e.raise(s, last.Term)
 		}
 	}
@@ -163,6 +166,16 @@
 	}
 }
 
+// beInformed takes what an informed neighbour promised. The mutex is held.
+func (e *Edge) beInformed(leads []dfneighbour.Lead) {
+	for _, lead := range leads {
+		if s := e.services[lead.Service]; s != nil {
+			s.voter = s.voter.WithEpoch(lead.Epoch)
+		}
+	}
+	e.informed = true
+}
+
 // raise takes the lead away from terms below one. The mutex is held.
 func (e *Edge) raise(s *service, term dfposition.Term) {
 	s.voter = s.voter.WithTerm(term)
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -250,6 +250,7 @@
 	}
 	if e.leases() {
 		lead.Term, lead.Led, lead.Floor = e.fleet.TermOf(s.leader), e.fleet.LedTerm(s.name), e.fleet.Floor(s.name)
+		lead.Epoch = s.voter.Epoch()
 	}
 	if s.successor.Acting() {
 		lead.BackIn = max(dfclock.Millisecond, s.successor.BackAt(now)-now)
@@ -271,7 +272,7 @@
 	}
 	e.adopt(now, report.Leads)
 	if report.Informed && !e.informed && e.loaded() {
-		e.informed = true
+		e.beInformed(report.Leads)
 	}
 	for _, lead := range report.Leads {
 		s := e.services[lead.Service]
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -16,6 +16,7 @@
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
+	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
 )
@@ -24,9 +25,10 @@
 // the epoch of the promotion that the claim stands for.
 const claimsTable = "Claims/"
 
-// claimHold is how long another host's claim against the same leader is given
-// to take effect. It is longer than the slowest promotion.
-const claimHold = 2500 * dfclock.Millisecond
+// fencedClaimHold is how long another host's claim against the same leader is
+// given to take effect where the platform fences. It is longer than the slowest
+// promotion.
+const fencedClaimHold = 2500 * dfclock.Millisecond
 
 // claimTimeout bounds the claim of an epoch in the table: several times the time
 // of its three calls while the platform is well.
@@ -356,7 +358,15 @@
 	if last.Target == wanted.Replaced || last.Target == "" {
 		return false
 	}
-	return now-s.claimSeenAt < claimHold
+	return now-s.claimSeenAt < e.claimHold()
+}
+
+// claimHold is how long another host's claim is given to take effect.
+func (e *Edge) claimHold() dfclock.Millis {
+	if e.leases() {
+		return dfrevocation.HoldSpan
+	}
+	return fencedClaimHold
 }
 
 func (e *Edge) order(ctx context.Context, s *service, order dfsuccession.Order) {
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -68,6 +68,8 @@
 	// Term is the one that Leader leads, Led the newest that had a leader, and
 	// Floor the lowest that may lead. They are zero where the platform fences.
 	Term, Led, Floor dfposition.Term
+	// Epoch is the highest one that the host promised.
+	Epoch uint64
 }
 
 // Question asks a neighbour for its report.
--- a/dfrevocation/revocation.go
+++ b/dfrevocation/revocation.go
@@ -19,10 +19,13 @@
 	LeaseSpan = 1500 * dfclock.Millisecond
 	// Patience bounds a revocation: a lease and the exchanges that end it.
 	Patience = LeaseSpan + 700*dfclock.Millisecond
-	// promiseSpan is how long a host that accepted a notice refuses those of other
-	// holders with another target. It covers a revocation and the repeats of an
-	// order; an order that comes late would otherwise meet a newer leader.
-	promiseSpan = 5 * dfclock.Second
+	// HoldSpan is how long a host that accepted a notice refuses those of other
+	// holders. Whoever holds the promise sends no order after it, counted from
+	// before the first notice.
+	HoldSpan = 3 * dfclock.Second
+	// targetSpan is the same for notices with another target: an order that is
+	// carried out late would otherwise replace a newer leader.
+	targetSpan = 5 * dfclock.Second
 )
 
 // Notice asks a host to stop using the leaders of a service below a term.
@@ -73,14 +76,28 @@
 	return v
 }
 
+// WithEpoch returns the voter after it learned that an epoch was promised.
+func (v Voter) WithEpoch(epoch uint64) Voter {
+	v.epoch = max(v.epoch, epoch)
+	return v
+}
+
+// WithClaim returns the voter of a host that starts and finds a claim in the
+// platform's table: it may have promised the claim's epoch in an earlier life.
+func (v Voter) WithClaim(now dfclock.Millis, claim Notice) Voter {
+	if claim.Epoch <= v.epoch {
+		return v.WithTerm(claim.Term)
+	}
+	return Voter{
+		epoch: claim.Epoch, term: max(v.term, claim.Term), holder: claim.Holder, target: claim.Target, at: now,
+	}
+}
+
 // WithNotice returns the voter after a notice, and its reply. A notice is refused
 // if a newer one was accepted, if its term has a leader already, or while another
 // host's order for another target may still be carried out.
 func (v Voter) WithNotice(now dfclock.Millis, notice Notice, led dfposition.Term) (Voter, Reply) {
-	pending := v.epoch > 0 && now-v.at < promiseSpan && led < v.term
-	switch {
-	case notice.Epoch < v.epoch, notice.Term <= led, notice.Term < v.term,
-		pending && notice.Holder != v.holder && notice.Target != v.target:
+	if notice.Epoch < v.epoch || notice.Term <= led || notice.Term < v.term || v.promised(now, notice, led) {
 		return v, Reply{Term: max(v.term, led)}
 	}
 	v.epoch, v.term = notice.Epoch, notice.Term
@@ -88,6 +105,16 @@
 	return v, Reply{Accepted: true, Term: v.term}
 }
 
+// promised reports whether an order of another holder may still be sent, or be
+// carried out for another target.
+func (v Voter) promised(now dfclock.Millis, notice Notice, led dfposition.Term) bool {
+	if v.epoch == 0 || notice.Holder == v.holder || led >= v.term {
+		return false
+	}
+	age := now - v.at
+	return age < HoldSpan || notice.Target != v.target && age < targetSpan
+}
+
 // Event is news of a revocation.
 type Event interface{ event() }
 
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -10,6 +10,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfrevocation"
 )
 
 const (
@@ -44,6 +45,9 @@
 	settleSpan = 2500 * dfclock.Millisecond
 	// orderTries bounds repeats of an order without an answer.
 	orderTries = 4
+	// orderTravel is the end of the other hosts' promises in which no order is sent
+	// any more: some times the way to the platform.
+	orderTravel = 200 * dfclock.Millisecond
 	// standDown is the pause after another host acted.
 	standDown = 1500 * dfclock.Millisecond
 )
@@ -247,6 +251,8 @@
 	replaced dffleet.ID
 	epoch    uint64
 	tries    int
+	// orderUntil is the instant from which no order is sent.
+	orderUntil dfclock.Millis
 	// sent is true while a revocation or an order waits for its answer.
 	sent bool
 	// restUntil is the instant before which nothing is decided.
@@ -339,7 +345,7 @@
 	case Claimed:
 		if s.phase == claiming {
 			s.epoch, s.tries, s.sent = e.Epoch, 0, false
-			s.enter(now, s.afterClaim())
+			s.claimed(now)
 		}
 	case ClaimLost:
 		s.giveUp(now, standDown)
@@ -370,13 +376,16 @@
 	}
 }
 
-// afterClaim is the phase that follows a claim.
-func (s *Successor) afterClaim() phase {
+// claimed goes on after a claim.
+func (s *Successor) claimed(now dfclock.Millis) {
 	switch s.fencing.(type) {
 	case HostsFence:
-		return revoking
+		// Others count from the claim, which was written after this phase began.
+		s.orderUntil = s.since.Add(dfrevocation.HoldSpan - orderTravel)
+		s.enter(now, revoking)
 	default:
-		return ordering
+		s.orderUntil = now.Add(settleSpan)
+		s.enter(now, ordering)
 	}
 }
 
@@ -452,7 +461,7 @@
 // order repeats an order whose answer was lost. Repeats carry the same epoch
 // and target, so that a late first try changes nothing.
 func (s *Successor) order(now dfclock.Millis) Action {
-	if now-s.since >= settleSpan {
+	if now >= s.orderUntil {
 		s.giveUp(now, probeGap)
 		return Rest{}
 	}
