Know all hosts before a lease, and fetch long documents apart

Change: a host has no lease before it read the table of hosts or was told by a host that did; the fallback after 8 s went. Documents travel packed, and above 10 KB in a fetch of their own, two at a time.

Also: where hosts consent to an order, the host of the next rank holds an epoch ahead of need too, because the first may be cut off together with the leader.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -47,9 +47,17 @@
 	isolation    isolation
 	// oriented is true once the host could tell whether its data centre is cut off.
 	oriented bool
-	// informed is true once the host knows which leaders may be about to be
-	// replaced by an order from before its start.
-	informed bool
+	// informed is true once the host knows all hosts, and which leaders may be about
+	// to be replaced by an order from before its start. membersRead is true once it
+	// read the table of hosts.
+	informed    bool
+	membersRead bool
+	// packed is the document as it is sent to neighbours, or nil until one asks.
+	packed []byte
+	// fetching is true while a neighbour's document is on its way, and handing
+	// counts the documents that are sent.
+	fetching bool
+	handing  int
 	// startedAt is when the host started.
 	startedAt dfclock.Millis
 	// stoppingAt is when the host was told to stop, or Never.
--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -44,9 +44,6 @@
 	// informPatience is how long a host that does not probe waits to be told of
 	// the claims.
 	informPatience = 1500 * dfclock.Millisecond
-	// orderLife is how long an order without an answer may take to be carried out,
-	// with the promotion itself.
-	orderLife = 8 * dfclock.Second
 )
 
 // leases reports whether hosts lease the leaders.
@@ -66,18 +63,15 @@
 }
 
 // inform learns at the start which leaders may be about to be replaced: an order
-// can take effect after every host that knew of it has ended. Hosts that do not
-// probe are told by those that do.
+// can take effect after every host that knew of it has ended. The hosts have to
+// be known too, since a host that knows few of them takes few for a majority.
+// Hosts that do not probe are told by those that do.
 func (e *Edge) inform(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		now := e.options.Now()
-		if !e.informed && now-e.startedAt >= orderLife {
-			e.log.Warn().Msg("lease: claims were not read, orders of earlier lives are over")
-			e.informed = true
-		}
 		known := e.informed
-		read := e.loaded() && (e.circle.Probes(now) || now-e.startedAt >= informPatience)
+		read := e.loaded() && e.membersRead && (e.circle.Probes(now) || now-e.startedAt >= informPatience)
 		e.mu.Unlock()
 		if known {
 			return
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -121,6 +121,7 @@
 		return nil, closed(conn, err)
 	}
 	e.takeReport(askedAt, answer)
+	e.fetchNewer(address, answer)
 	return conn, nil
 }
 
@@ -156,6 +157,12 @@
 		if question.Host.ID != "" {
 			host = question.Host
 		}
+		if question.Fetch {
+			if err := e.handDocument(conn, question); err != nil {
+				return
+			}
+			continue
+		}
 		if question.Notice != nil {
 			if err := e.answerNotice(conn, *question.Notice); err != nil {
 				return
@@ -200,7 +207,7 @@
 		report.Hosts = e.circle.Hosts(now)
 	}
 	if question.Catalog < report.Catalog {
-		report.Document = e.document
+		report.Document = e.documentFor(question)
 	}
 	if question.Fleet < report.Fleet {
 		report.Upstreams = e.fleet.All()
@@ -260,9 +267,7 @@
 
 // takeReport learns from a neighbour's answer to a question of an instant.
 func (e *Edge) takeReport(askedAt dfclock.Millis, report dfneighbour.Report) {
-	if report.Document != nil {
-		e.takeDocument(report.Document, report.Host.ID)
-	}
+	e.takePacked(report)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -274,13 +274,23 @@
 }
 
 // wantsStanding tells whether to take an epoch ahead of need. The host that acts
-// first holds one, so that it can order a promotion while the store is away.
+// first holds one, so that it can order a promotion while the store is away. Where
+// the other hosts have to consent to an order, the next one holds one too: the
+// first may be cut off together with the leader.
 func (e *Edge) wantsStanding(now dfclock.Millis, s *service, situation dfsuccession.Situation) bool {
-	return s.epoch == 0 && !s.claiming && now-s.epochAt >= standingPause && situation.Rank == 0 &&
+	return s.epoch == 0 && !s.claiming && now-s.epochAt >= standingPause && situation.Rank <= e.standingRank() &&
 		situation.Leader != "" && !s.successor.Suspected() && !s.successor.Acting() &&
 		e.circle.Speaks(now) && e.following && !e.catalogLost
 }
 
+// standingRank is the last rank of hosts that hold an epoch.
+func (e *Edge) standingRank() int {
+	if e.leases() {
+		return 1
+	}
+	return 0
+}
+
 // stand takes an epoch ahead of need.
 func (e *Edge) stand(ctx context.Context, s *service) {
 	epoch, err := e.takeEpoch(ctx, s, dfsuccession.Claim{})
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -139,7 +139,7 @@
 	}
 	e.log.Info().Uint64("Before", e.catalog.Version()).Uint64("Version", catalog.Version()).
 		Int("Routes", catalog.Routes()).Str("From", from).Msg("catalog: version in force")
-	e.catalog, e.document = catalog, document
+	e.catalog, e.document, e.packed = catalog, document, nil
 	e.reconcile()
 }
 
@@ -218,6 +218,11 @@
 			}
 			e.learn(host)
 		}
+		if err == nil {
+			e.mu.Lock()
+			e.membersRead = true
+			e.mu.Unlock()
+		}
 		sleep(ctx, pause)
 	}
 }
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -84,6 +84,8 @@
 	Circle uint64
 	// Leads are the asker's own, for the votes of its data centre.
 	Leads []Lead
+	// Fetch asks for the document of the desired state, however long it is.
+	Fetch bool
 	// Notice takes a leader's lead away; the answer has only the reply then.
 	Notice *dfrevocation.Notice
 }
@@ -105,7 +107,9 @@
 	CutOff, Judged bool
 	// Hosts are those that the host knows, if the asker knows others.
 	Hosts []dfmember.Host
-	// Document and Upstreams are sent to an asker whose versions are lower.
+	// Document, packed, and Upstreams are sent to an asker whose versions are lower.
+	// A long document is sent only to those that fetch it, because it would keep
+	// them from hearing anything else.
 	Document  []byte
 	Upstreams []dffleet.Upstream
 	// TouchAgo has, for each host of the data centre, the time since it knew what
