Count hosts in touch by name, not by speaker

Cause: while a data centre changes its speaker, the old and the new one each are asked by a part of its hosts.

Ruled out: slow exchanges; their time-outs had ended with the fetch of documents.

Change: reports name the hosts that are in touch, and the instants of all reports are kept. A host counts once, whoever told of it.

--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -200,7 +200,7 @@
 			report.QuorumAgo = now - at
 		}
 		if asker.DataCentre != e.options.Self.DataCentre {
-			report.TouchAgo = e.circle.Touches(now)
+			report.Touches = e.circle.Touches(now)
 		}
 	}
 	if question.Circle != e.circle.Digest() {
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -32,13 +32,6 @@
 	// cutOff is what it said of its own data centre, if it could judge.
 	cutOff, judged bool
 	leads          map[string]told
-	// touchedAt is when this host sent it the answer before its last question: it
-	// knew then what this host knew.
-	touchedAt dfclock.Millis
-	// touches are the instants at which hosts of its data centre knew what it knew.
-	touches []dfclock.Millis
-	// quorumAt is when it was in touch with a majority of the hosts.
-	quorumAt dfclock.Millis
 }
 
 // told is a lead with its ages as instants of this host.
@@ -83,6 +76,15 @@
 	carriers map[dffleet.ID]carriers
 	// pace is how often hosts are asked.
 	pace Pace
+	// touched has the latest instant at which each host knew what this host, or a
+	// speaker that told this host, knew of it.
+	touched map[uint32]dfclock.Millis
+	// quorumAt is the latest instant at which a neighbour that told this host what
+	// it knew had known what a majority of the hosts knew.
+	quorumAt dfclock.Millis
+	// countedAt is when the hosts in touch were counted, or never. Statements ask
+	// too often to count them each time; an old count only ends a lease early.
+	countedAt dfclock.Millis
 	// chosenAt is when all of these were taken. Statements ask for them too often
 	// to look at every neighbour each time.
 	chosenAt dfclock.Millis
@@ -105,6 +107,7 @@
 func NewCircle(self dfmember.Host, pace Pace) *Circle {
 	return &Circle{
 		self: self, pace: pace, neighbours: map[string]*neighbour{}, carriers: map[dffleet.ID]carriers{}, chosenAt: never,
+		touched: map[uint32]dfclock.Millis{}, quorumAt: never, countedAt: never,
 	}
 }
 
@@ -116,12 +119,15 @@
 	known := c.neighbours[host.Address]
 	if known == nil {
 		known = &neighbour{
-			heardAt: never, metAt: never, failedAt: never, currentAt: never, touchedAt: never, quorumAt: never,
+			heardAt: never, metAt: never, failedAt: never, currentAt: never,
 		}
 		c.neighbours[host.Address] = known
 	}
 	known.knownAt = now
 	if host.ID != "" {
+		if known.host.ID == "" {
+			c.countedAt = never
+		}
 		known.host = host
 	}
 	known.host.Address = host.Address
@@ -139,12 +145,11 @@
 	known.currentAt = max(known.currentAt, askedAt-report.CurrentAgo)
 	known.remote, known.cutOff, known.judged = report.Remote, report.CutOff, report.Judged
 	known.takeLeads(now, askedAt, report.Leads)
-	known.touches = known.touches[:0]
-	for _, ago := range report.TouchAgo {
-		known.touches = append(known.touches, askedAt-ago)
+	for _, touch := range report.Touches {
+		c.touch(touch.Host, askedAt-touch.Ago)
 	}
 	if report.QuorumAgo >= 0 {
-		known.quorumAt = max(known.quorumAt, askedAt-report.QuorumAgo)
+		c.quorumAt = max(c.quorumAt, askedAt-report.QuorumAgo)
 	}
 	for _, host := range report.Hosts {
 		c.Learn(now, host)
@@ -158,7 +163,7 @@
 	c.Learn(now, host)
 	if known := c.neighbours[host.Address]; known != nil {
 		known.metAt = now
-		known.touchedAt = max(known.touchedAt, toldAt)
+		c.touch(touchKey(host.Address), toldAt)
 		known.takeLeads(now, now, leads)
 	}
 }
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -35,6 +35,9 @@
 	forgetSpan = 90 * dfclock.Second
 	// passOverSpan is how long a host that did not answer is no speaker.
 	passOverSpan = 4 * dfclock.Second
+	// countSpan is how long a count of the hosts in touch is kept: a small part of
+	// a lease.
+	countSpan = 20 * dfclock.Millisecond
 	// speakersSpan is how long a choice of speakers is kept.
 	speakersSpan = 200 * dfclock.Millisecond
 	// probers is the number of hosts of a data centre that probe leaders: enough
@@ -72,6 +75,14 @@
 	Epoch uint64
 }
 
+// Touch tells how long ago a host knew what the reporting host told it.
+type Touch struct {
+	_ struct{} `cbor:",toarray"`
+	// Host is the hash of its address.
+	Host uint32
+	Ago  dfclock.Millis
+}
+
 // Question asks a neighbour for its report.
 type Question struct {
 	_ struct{} `cbor:",toarray"`
@@ -112,9 +123,9 @@
 	// them from hearing anything else.
 	Document  []byte
 	Upstreams []dffleet.Upstream
-	// TouchAgo has, for each host of the data centre, the time since it knew what
-	// the reporting host told it. It is sent to other data centres only.
-	TouchAgo []dfclock.Millis
+	// Touches are those of the hosts of the data centre. They are sent to other
+	// data centres only.
+	Touches []Touch
 	// QuorumAgo is the time since the host was in touch with a majority of the
 	// hosts, or negative if it never was.
 	QuorumAgo dfclock.Millis
--- a/dfneighbour/touch.go
+++ b/dfneighbour/touch.go
@@ -3,61 +3,71 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfmember"
 )
 
-// Touches returns, for this host and the others of its data centre, the time
-// since each knew what this host knew. Hosts that never asked are left out.
-func (c *Circle) Touches(now dfclock.Millis) []dfclock.Millis {
-	ages := []dfclock.Millis{0}
-	for _, known := range c.neighbours {
-		if known.host.DataCentre == c.self.DataCentre && known.touchedAt != never {
-			ages = append(ages, now-known.touchedAt)
+// touchKey stands for a host in messages. Two hosts of one key count as one, so
+// that a majority is never taken for larger than it is.
+func touchKey(address string) uint32 {
+	return uint32(xxhash.Sum64String(address)) // #nosec G115 -- the lower half is a hash as well
+}
+
+func (c *Circle) touch(host uint32, at dfclock.Millis) {
+	if known, ok := c.touched[host]; !ok || known < at {
+		c.touched[host] = at
+	}
+}
+
+// Touches returns those of this host and of the others of its data centre.
+func (c *Circle) Touches(now dfclock.Millis) []Touch {
+	touches := []Touch{{Host: touchKey(c.self.Address)}}
+	for address, known := range c.neighbours {
+		key := touchKey(address)
+		if at, ok := c.touched[key]; ok && known.host.DataCentre == c.self.DataCentre {
+			touches = append(touches, Touch{Host: key, Ago: now - at})
 		}
 	}
-	return ages
+	return touches
 }
 
 // QuorumAt returns the latest instant at which this host knew what a majority of
-// the hosts knew, by itself or from its speaker, or a negative value. Whatever a
+// the hosts knew, by itself or through others, or a negative value. Whatever a
 // majority was told later than that may be unknown here.
 func (c *Circle) QuorumAt(now dfclock.Millis) dfclock.Millis {
-	if speaker := c.neighbours[c.Speakers(now)[c.self.DataCentre].Address]; speaker != nil {
-		return max(speaker.quorumAt, c.ownQuorumAt(now))
+	if c.countedAt == never || now-c.countedAt >= countSpan {
+		c.countedAt, c.quorumAt = now, max(c.quorumAt, c.countTouches(now))
 	}
-	return c.ownQuorumAt(now)
+	return c.quorumAt
 }
 
-// ownQuorumAt counts the hosts that this host is in touch with as a speaker.
-func (c *Circle) ownQuorumAt(now dfclock.Millis) dfclock.Millis {
-	instants := make([]dfclock.Millis, 0, len(c.neighbours)+1)
-	for _, age := range c.Touches(now) {
-		instants = append(instants, now-age)
-	}
+// countTouches counts the hosts that this host is in touch with itself.
+func (c *Circle) countTouches(now dfclock.Millis) dfclock.Millis {
+	own := touchKey(c.self.Address)
+	instants := map[uint32]dfclock.Millis{own: now}
 	total := 1
-	// Of two hosts that spoke for a data centre one after the other only the newer
-	// counts: both counted the same hosts.
-	newest := map[string]*neighbour{}
-	for _, known := range c.neighbours {
+	for address, known := range c.neighbours {
 		if known.host.ID == "" {
 			continue
 		}
 		total++
-		dataCentre := known.host.DataCentre
-		if dataCentre != c.self.DataCentre && (newest[dataCentre] == nil || newest[dataCentre].heardAt < known.heardAt) {
-			newest[dataCentre] = known
+		key := touchKey(address)
+		if at, ok := c.touched[key]; ok && key != own {
+			instants[key] = at
 		}
 	}
-	for _, speaker := range newest {
-		instants = append(instants, speaker.touches...)
-	}
 	majority := total/2 + 1
 	if len(instants) < majority {
 		return never
 	}
-	slices.Sort(instants)
-	return instants[len(instants)-majority]
+	order := make([]dfclock.Millis, 0, len(instants))
+	for _, at := range instants {
+		order = append(order, at)
+	}
+	slices.Sort(order)
+	return order[len(order)-majority]
 }
 
 // Others returns the other hosts that are known by name.
