Count no majority before all hosts are known

Change: a circle has no majority before its hosts are complete. Test: TestNoMajorityBeforeAllHostsAreKnown failed before.

--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -106,6 +106,7 @@
 		}
 	}
 	e.informed = true
+	e.circle.Complete()
 	e.log.Info().Int("Claims", len(rows)).Msg("lease: claims read")
 }
 
@@ -168,6 +169,7 @@
 		}
 	}
 	e.informed = true
+	e.circle.Complete()
 }
 
 // raise takes the lead away from terms below one. The mutex is held.
--- a/dfneighbour/circle.go
+++ b/dfneighbour/circle.go
@@ -82,6 +82,8 @@
 	// quorumAt is the latest instant at which a neighbour that told this host what
 	// it knew had known what a majority of the hosts knew.
 	quorumAt dfclock.Millis
+	// complete is true once all hosts are known. Before, few may pass for a majority.
+	complete bool
 	// countedAt is when the hosts in touch were counted, or never. Statements ask
 	// too often to count them each time; an old count only ends a lease early.
 	countedAt dfclock.Millis
--- a/dfneighbour/touch.go
+++ b/dfneighbour/touch.go
@@ -33,10 +33,18 @@
 	return touches
 }
 
+// Complete notes that all hosts are known.
+func (c *Circle) Complete() {
+	c.complete = true
+}
+
 // QuorumAt returns the latest instant at which this host knew what a majority of
 // the hosts knew, by itself or through others, or a negative value. Whatever a
 // majority was told later than that may be unknown here.
 func (c *Circle) QuorumAt(now dfclock.Millis) dfclock.Millis {
+	if !c.complete {
+		return never
+	}
 	if c.countedAt == never || now-c.countedAt >= countSpan {
 		c.countedAt, c.quorumAt = now, max(c.quorumAt, c.countTouches(now))
 	}
