Free the connections of hosts that do not carry

Cause: after all hosts started at once each opened connections of its own before it knew of the others, and kept the last one for 15 s.

Ruled out: dead connections of hosts that lost power (processes were killed, and the span was 15 s, not 3 s); resting transactions.

Change: how long connections rest follows from what the host holds them for, at every step; a host that does not carry gives them back after 100 ms.

--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -21,6 +21,9 @@
 	// because an opening takes a slot for longer than many statements do.
 	idleClose     = 2 * dfclock.Second
 	lastIdleClose = 15 * dfclock.Second
+	// strayIdleClose is the same for a host that holds no connections by the plan:
+	// those from before it knew the plan keep the carriers from opening theirs.
+	strayIdleClose = 100 * dfclock.Millisecond
 	// reopenFirst and reopenCap pace openings after a failure. The first is
 	// several times the time that an opening takes.
 	reopenFirst = 100 * dfclock.Millisecond
@@ -32,6 +35,37 @@
 	waiters = 256
 )
 
+// Idle is how long connections may rest: any of them, and the last one.
+type Idle struct{ Any, Last dfclock.Millis }
+
+// Use is what a host holds connections to an upstream for.
+type Use int
+
+// Uses.
+const (
+	// Own is for its own statements, at an upstream that is short of connections.
+	Own Use = iota
+	// Spare is the same at an upstream with room for an idle one of each host.
+	Spare
+	// Carried is for the statements of other hosts too.
+	Carried
+	// Stray is none: other hosts carry its statements.
+	Stray
+)
+
+// IdleFor returns how long connections may rest. It answers the seconds after all
+// hosts started at once: before they know of each other each opens connections of
+// its own, and the upstream has none left for the carriers.
+func IdleFor(use Use) Idle {
+	switch use {
+	case Spare, Carried:
+		return Idle{Any: idleClose, Last: lastIdleClose}
+	case Stray:
+		return Idle{Any: strayIdleClose, Last: strayIdleClose}
+	}
+	return Idle{Any: idleClose, Last: idleClose}
+}
+
 // Opener opens a connection. A refusal by the upstream is a *dfresult.Error.
 type Opener func(ctx context.Context, upstream dffleet.Upstream) (*Conn, error)
 
@@ -58,26 +92,24 @@
 	cancel   context.CancelFunc
 
 	mu       sync.Mutex
+	use      Use
 	decision *dfpool.Pool
 	conns    map[dfpool.ConnID]*Conn
 	waiting  map[dfpool.WaiterID]chan grant
 	last     dfpool.WaiterID
 }
 
-// NewPool returns a pool without connections. Spacious tells that the upstream
-// has room for an idle connection of each host beside those in use.
-func NewPool(upstream dffleet.Upstream, limit int, spacious bool, clock Clock, open Opener, observe Observer, source *rand.Rand) *Pool {
+// NewPool returns a pool without connections.
+func NewPool(upstream dffleet.Upstream, limit int, use Use, clock Clock, open Opener, observe Observer, source *rand.Rand) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
+	idle := IdleFor(use)
 	config := dfpool.Config{
 		Limit: limit, Waiters: waiters,
-		IdleClose: idleClose, LastIdleClose: idleClose, ReopenFirst: reopenFirst, ReopenCap: reopenCap,
+		IdleClose: idle.Any, LastIdleClose: idle.Last, ReopenFirst: reopenFirst, ReopenCap: reopenCap,
 		OpenWait: openWait,
 	}
-	if spacious {
-		config.LastIdleClose = lastIdleClose
-	}
 	return &Pool{
-		upstream: upstream, open: open, clock: clock, observe: observe, ctx: ctx, cancel: cancel,
+		use: use, upstream: upstream, open: open, clock: clock, observe: observe, ctx: ctx, cancel: cancel,
 		decision: dfpool.New(config, source),
 		conns:    map[dfpool.ConnID]*Conn{},
 		waiting:  map[dfpool.WaiterID]chan grant{},
@@ -142,10 +174,15 @@
 }
 
 // Tick lets waiters expire and unused connections close.
-func (p *Pool) Tick(limit int) {
+func (p *Pool) Tick(limit int, use Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
+	if use != p.use {
+		p.use = use
+		idle := IdleFor(use)
+		p.run(p.decision.Handle(now, dfpool.IdleChanged{IdleClose: idle.Any, LastIdleClose: idle.Last}))
+	}
 	if limit != p.decision.Stats().Limit {
 		p.run(p.decision.Handle(now, dfpool.LimitChanged{Limit: limit}))
 		return
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -226,7 +227,7 @@
 		}
 		plan := e.connectionPlan(now, s)
 		for id, pool := range s.pools {
-			pool.Tick(e.connectionLimit(now, s, id, plan))
+			pool.Tick(e.connectionLimit(now, s, id, plan), e.connectionUse(now, s, id, plan))
 		}
 	}
 	e.stepReadiness(now)
@@ -248,6 +249,20 @@
 	return e.connectionShare(now, s, known, id).Connections()
 }
 
+// connectionUse is what this host holds connections to an upstream for.
+func (e *Edge) connectionUse(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) dfconnection.Use {
+	known, _ := e.catalog.Service(s.name)
+	switch {
+	case plan.Shared() && slices.Contains(e.circle.Carriers(now, id, plan.Carriers), e.options.Self):
+		return dfconnection.Carried
+	case plan.Shared():
+		return dfconnection.Stray
+	case e.connectionShare(now, s, known, id).Spacious():
+		return dfconnection.Spare
+	}
+	return dfconnection.Own
+}
+
 func (e *Edge) connectionShare(now dfclock.Millis, s *service, known dfcatalog.Service, id dffleet.ID) dfconnection.Share {
 	upstream, _ := e.fleet.Find(id)
 	fullAt, full := s.fullAt[id]
@@ -300,9 +315,8 @@
 		source := rand.New(rand.NewPCG(e.source.Uint64(), e.source.Uint64()))
 		plan := e.connectionPlan(now, s)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
-		known, _ := e.catalog.Service(s.name)
-		spacious := plan.Shared() || e.connectionShare(now, s, known, upstream.ID).Spacious()
-		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, spacious, e.options.Now, e.open, e.opened, source)
+		use := e.connectionUse(now, s, upstream.ID, plan)
+		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, use, e.options.Now, e.open, e.opened, source)
 	}
 }
 
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -162,7 +162,7 @@
 		return dfconnection.New("u", next, nil), nil
 	}
 	upstream := dffleet.Upstream{ID: "u", Slots: 1}
-	h.pool = dfconnection.NewPool(upstream, 1, true, now, open, func(dffleet.ID, error) {}, rand.New(rand.NewPCG(1, 2)))
+	h.pool = dfconnection.NewPool(upstream, 1, dfconnection.Carried, now, open, func(dffleet.ID, error) {}, rand.New(rand.NewPCG(1, 2)))
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() {
@@ -184,7 +184,7 @@
 			case <-done:
 				return
 			case <-time.After(10 * time.Millisecond):
-				h.pool.Tick(1)
+				h.pool.Tick(1, dfconnection.Carried)
 			}
 		}
 	}()
--- a/dfpool/event.go
+++ b/dfpool/event.go
@@ -67,6 +67,9 @@
 // LimitChanged sets the largest number of connections.
 type LimitChanged struct{ Limit int }
 
+// IdleChanged sets how long connections may rest, as in Config.
+type IdleChanged struct{ IdleClose, LastIdleClose dfclock.Millis }
+
 // Suspended means that the upstream's administrator ended connections: nothing
 // is opened before the span passed.
 type Suspended struct{ For dfclock.Millis }
@@ -84,6 +87,7 @@
 func (ProbeAnswered) event() {}
 func (Tick) event()          {}
 func (LimitChanged) event()  {}
+func (IdleChanged) event()   {}
 func (Suspended) event()     {}
 
 // Action is something that the runner has to do.
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -155,6 +155,8 @@
 		p.probeAnswered(now, e)
 	case LimitChanged:
 		p.config.Limit = max(0, e.Limit)
+	case IdleChanged:
+		p.config.IdleClose, p.config.LastIdleClose = e.IdleClose, e.LastIdleClose
 	case Suspended:
 		p.suspendedUntil = max(p.suspendedUntil, now.Add(e.For))
 		p.openAfter = max(p.openAfter, p.suspendedUntil)
