Withdraw a claim under which nothing was ordered

Cause: a host in a data centre that was being cut off claimed two services and got no majority.

Change: a revocation that fails withdraws its claim. Test: TestFailedRevocationIsWithdrawn failed before (the claim stayed for 10 s).

--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -16,6 +16,7 @@
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
+	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfrevocation"
@@ -269,6 +270,20 @@
 		return
 	}
 	e.tell(s, dfsuccession.RevokeFailed{})
+	e.withdraw(s, wanted.Epoch)
+}
+
+// withdraw takes a claim back under which nothing was ordered. Hosts that start
+// would otherwise take the leader for one that is about to be replaced.
+func (e *Edge) withdraw(s *service, epoch uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	value, err := json.Marshal(claim{Holder: e.options.Self.ID})
+	if err == nil {
+		write := dfplatform.Write{Key: claimsTable + s.name, IfVersion: epoch, Value: value}
+		err = e.options.Platform.Commit(ctx, e.options.Self.ID, write)
+	}
+	e.log.Info().Str("Service", s.name).Uint64("Epoch", epoch).Err(err).Msg("lease: claim withdrawn")
 }
 
 // count follows a revocation to its end.
