Learn of terms from the logs of replicas

The next term was taken for the first one; the leader came back as leader of that term, was used, and reads missed what was written at its successor.

Change: the term of a replica's log counts as one that had a leader. Test: TestUnheardLeaderComesBack failed before.

--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -167,6 +167,8 @@
 	replaced := false
 	if e.leases() {
 		replaced = report.Primary && report.Term < e.fleet.Floor(s.name)
+		// A log tells of leaders that nobody reaches.
+		e.fleet.Heard(s.name, report.Received.Term)
 		if report.Primary {
 			e.fleet.LedIn(id, askedAt, report.Term)
 		} else if report.Term > e.fleet.Floor(s.name) {
