Give promises back when a revocation fails

Each holder renewed promises that made the next one fail, for ever.

Change: a holder whose revocation failed tells the others that it sends no order. Test: case "a promise that is given back binds no more".

--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -197,6 +197,10 @@
 	}
 	voter, reply := s.voter.WithNotice(now, notice, e.fleet.LedTerm(s.name))
 	s.voter = voter
+	if notice.Released {
+		e.mu.Unlock()
+		return reply
+	}
 	e.log.Info().Str("Service", s.name).Str("Holder", notice.Holder).Uint64("Epoch", notice.Epoch).
 		Uint64("Term", uint64(notice.Term)).Bool("Accepted", reply.Accepted).Msg("lease: notice")
 	if !reply.Accepted {
@@ -270,6 +274,15 @@
 		return
 	}
 	e.tell(s, dfsuccession.RevokeFailed{})
+	notice.Released = true
+	e.takeNotice(notice)
+	for _, host := range hosts {
+		go func() {
+			if _, err := e.askNotice(context.Background(), host, notice); err != nil {
+				e.log.Info().Str("Neighbour", host.ID).Err(err).Msg("lease: promise not given back")
+			}
+		}()
+	}
 	e.withdraw(s, wanted.Epoch)
 }
 
--- a/dfrevocation/revocation.go
+++ b/dfrevocation/revocation.go
@@ -39,6 +39,8 @@
 	Epoch uint64
 	// Term is the lowest term that may lead from now on.
 	Term dfposition.Term
+	// Released is true once the holder sends no order under the epoch.
+	Released bool
 }
 
 // Reply answers a notice.
@@ -97,6 +99,12 @@
 // if a newer one was accepted, if its term has a leader already, or while another
 // host's order for another target may still be carried out.
 func (v Voter) WithNotice(now dfclock.Millis, notice Notice, led dfposition.Term) (Voter, Reply) {
+	if notice.Released {
+		if notice.Epoch == v.epoch && notice.Holder == v.holder {
+			v.at = now - targetSpan
+		}
+		return v, Reply{Accepted: true, Term: v.term}
+	}
 	if notice.Epoch < v.epoch || notice.Term <= led || notice.Term < v.term || v.promised(now, notice, led) {
 		return v, Reply{Term: max(v.term, led)}
 	}
--- a/dfrevocation/script_test.go
+++ b/dfrevocation/script_test.go
@@ -36,6 +36,10 @@
 					tally = NewTally(now, fields[1:])
 				case "verdict":
 					require.Equal(t, fields[1], []string{"pending", "clear", "failed"}[tally.Verdict(now)], "at %s", now)
+				case "released":
+					voter, _ = voter.WithNotice(now, Notice{
+						Holder: fields[1], Epoch: uint64(number(t, fields[2])), Released: true,
+					}, 0)
 				case "notice":
 					notice := Notice{
 						Holder: fields[1], Target: dffleet.ID(fields[2]), Epoch: uint64(number(t, fields[3])),
