--- a/dfrevocation/revocation.go
+++ b/dfrevocation/revocation.go
@@ -62,11 +62,6 @@
 	at     dfclock.Millis
 }
 
-// Term returns the lowest term that may lead.
-func (v Voter) Term() dfposition.Term {
-	return v.term
-}
-
 // Epoch returns the highest epoch that was accepted.
 func (v Voter) Epoch() uint64 {
 	return v.epoch
@@ -85,10 +80,11 @@
 }
 
 // WithClaim returns the voter of a host that starts and finds a claim in the
-// platform's table: it may have promised the claim's epoch in an earlier life.
+// platform's table: it may have promised the claim's epoch in an earlier life. A
+// claim without a target stands for no order.
 func (v Voter) WithClaim(now dfclock.Millis, claim Notice) Voter {
-	if claim.Epoch <= v.epoch {
-		return v.WithTerm(claim.Term)
+	if claim.Epoch <= v.epoch || claim.Target == "" {
+		return v.WithTerm(claim.Term).WithEpoch(claim.Epoch)
 	}
 	return Voter{
 		epoch: claim.Epoch, term: max(v.term, claim.Term), holder: claim.Holder, target: claim.Target, at: now,
--- a/dfrevocation/script_test.go
+++ b/dfrevocation/script_test.go
@@ -36,6 +36,11 @@
 					tally = NewTally(now, fields[1:])
 				case "verdict":
 					require.Equal(t, fields[1], []string{"pending", "clear", "failed"}[tally.Verdict(now)], "at %s", now)
+				case "claim":
+					voter = voter.WithClaim(now, Notice{
+						Holder: fields[1], Target: dffleet.ID(strings.Trim(fields[2], "-")), Epoch: uint64(number(t, fields[3])),
+						Term: dfposition.Term(number(t, fields[4])),
+					})
 				case "released":
 					voter, _ = voter.WithNotice(now, Notice{
 						Holder: fields[1], Epoch: uint64(number(t, fields[2])), Released: true,
