--- a/dfrevocation/revocation.go
+++ b/dfrevocation/revocation.go
@@ -55,8 +55,10 @@
 // Voter is what a host promised for one service. The zero value promised nothing.
 type Voter struct {
 	// epoch and term never fall.
-	epoch  uint64
-	term   dfposition.Term
+	epoch uint64
+	term  dfposition.Term
+	// holder and target are of the notice that was accepted at an instant; holder is
+	// empty if none was.
 	holder string
 	target dffleet.ID
 	at     dfclock.Millis
@@ -112,7 +114,7 @@
 // promised reports whether an order of another holder may still be sent, or be
 // carried out for another target.
 func (v Voter) promised(now dfclock.Millis, notice Notice, led dfposition.Term) bool {
-	if v.epoch == 0 || notice.Holder == v.holder || led >= v.term {
+	if v.holder == "" || notice.Holder == v.holder || led >= v.term {
 		return false
 	}
 	age := now - v.at
