Reserve the ports of hosts that stop and start again

Test processes run side by side and draw ports from one range; a stopped host's port was free for another one, and the new tests of leases draw many.

Ruled out: ports of outgoing connections (29153 lies below their range).

Change: an address that was given out stays reserved until its process ends. Test: TestStoppedHostKeepsItsPort; before, the same address was given twice.

--- a/dfport/port.go
+++ b/dfport/port.go
@@ -21,17 +21,26 @@
 	portTries = 100
 )
 
-// Stable returns a free address of an IP that a stopped host can take again.
+// Stable returns a free address of an IP that a stopped host can take again. No
+// other call of this or another process returns it while this process runs.
 func Stable(ctx context.Context, ip string) (string, error) {
+	return between(ctx, ip, firstPort, lastPort)
+}
+
+func between(ctx context.Context, ip string, first, last int) (string, error) {
 	var config net.ListenConfig
 	for range portTries {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := config.Listen(ctx, "tcp4", net.JoinHostPort(ip, strconv.Itoa(port)))
+		address := net.JoinHostPort(ip, strconv.Itoa(first+rand.IntN(last-first)))
+		listener, err := config.Listen(ctx, "tcp4", address)
 		if err != nil {
 			continue
 		}
-		address := listener.Addr().String()
+		// An abstract socket goes away with its process, whatever ends that.
+		if _, err := config.Listen(ctx, "unix", "@dragonflygrade/port/"+address); err != nil {
+			_ = listener.Close()
+			continue
+		}
 		return address, listener.Close()
 	}
-	return "", eris.Errorf("port: no free port between %d and %d", firstPort, lastPort)
+	return "", eris.Errorf("port: no free port between %d and %d", first, last)
 }
--- a/dfport/port_test.go
+++ b/dfport/port_test.go
@@ -43,3 +43,15 @@
 	_, err = net.Listen("tcp4", address)
 	require.Error(t, err, "the host cannot come back")
 }
+
+// Guards against a stopped host's port that another test takes meanwhile.
+func TestStoppedHostKeepsItsPort(t *testing.T) {
+	address, err := Stable(context.Background(), "127.0.0.1")
+	require.NoError(t, err)
+	_, text, err := net.SplitHostPort(address)
+	require.NoError(t, err)
+	port, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	_, err = between(context.Background(), "127.0.0.1", port, port+1)
+	require.Error(t, err, "%s was given twice", address)
+}
