--- a/dfedge/revocation.go
+++ b/dfedge/revocation.go
@@ -127,9 +127,10 @@
 	e.tell(s, dfsuccession.RevokeFailed{})
 	notice.Released = true
 	e.takeNotice(notice)
+	release := context.WithoutCancel(ctx)
 	for _, host := range hosts {
 		go func() {
-			if _, err := e.askNotice(context.Background(), host, notice); err != nil {
+			if _, err := e.askNotice(release, host, notice); err != nil {
 				e.log.Info().Str("Neighbour", host.ID).Err(err).Msg("lease: promise not given back")
 			}
 		}()
