Count every reply to a revocation

Cause, found when reading the change: the context of a revocation ends once every host has answered. The count looked at that end and at the replies still in the channel in any order, and could call a revocation failed that all had confirmed; its claim was then withdrawn and tried again 1.5 s later. Safe, but the service stayed without a leader meanwhile.

Change: the count ends by the tally alone, which has a bound of its own. Test: TestEveryReplyCounts; the same with the ended context failed at the code before. Run after it: tests of dfedge, of leases in platform, the linter.

--- a/dfedge/revocation.go
+++ b/dfedge/revocation.go
@@ -116,7 +116,7 @@
 		all.Wait()
 		cancel()
 	}()
-	verdict, open := e.count(ctx, dfrevocation.NewTally(startedAt, names), events)
+	verdict, open := e.count(dfrevocation.NewTally(startedAt, names), events)
 	e.log.Warn().Str("Service", s.name).Str("Replaced", string(wanted.Replaced)).Uint64("Epoch", wanted.Epoch).
 		Uint64("Term", uint64(notice.Term)).Bool("Clear", verdict == dfrevocation.Clear).Strs("Open", open).
 		Int64("Millis", int64(e.options.Now()-startedAt)).Msg("lease: leader revoked")
@@ -151,8 +151,9 @@
 	e.log.Info().Str("Service", s.name).Uint64("Epoch", epoch).Err(err).Msg("lease: claim withdrawn")
 }
 
-// count follows a revocation to its end.
-func (e *Edge) count(ctx context.Context, tally *dfrevocation.Tally, events chan dfrevocation.Event) (dfrevocation.Verdict, []string) {
+// count follows a revocation to its end, which the tally bounds. Replies count also
+// after the last of them has come.
+func (e *Edge) count(tally *dfrevocation.Tally, events chan dfrevocation.Event) (dfrevocation.Verdict, []string) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -160,8 +161,6 @@
 		case event := <-events:
 			tally.Handle(e.options.Now(), event)
 		case <-ticker.C:
-		case <-ctx.Done():
-			return dfrevocation.Failed, tally.Open()
 		}
 		if verdict := tally.Verdict(e.options.Now()); verdict != dfrevocation.Pending {
 			return verdict, tally.Open()
