Log the era of the platform's store and the entries that are ignored

Callers saw: changes of the desired state that were confirmed and not in force after the store had come back from an older copy. Cause: not fixed here. The logs named row versions only, and 22 before the restore looks like 22 after it, so a position of the lost history could not be told from an entry that is ignored for its row version. Ruled out: nothing yet; no decision changes.

--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -30,6 +30,8 @@
 	statementsCarried   *metrics.Counter
 	carriersLost        *metrics.Counter
 	logLinesDropped     *metrics.Counter
+	feedHistoryLost     *metrics.Counter
+	entriesIgnored      *metrics.Counter
 	// logSecond and logLines limit the rate of failure lines; they are guarded by
 	// Edge.mu.
 	logSecond dfclock.Millis
@@ -52,6 +54,8 @@
 		statementsCarried:   set.NewCounter("dragonflygrade_edge_carried_total"),
 		carriersLost:        set.NewCounter("dragonflygrade_edge_carriers_lost_total"),
 		logLinesDropped:     set.NewCounter("dragonflygrade_edge_log_lines_dropped_total"),
+		feedHistoryLost:     set.NewCounter("dragonflygrade_edge_feed_history_lost_total"),
+		entriesIgnored:      set.NewCounter("dragonflygrade_edge_fleet_entries_ignored_total"),
 	}
 }
 
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -55,7 +55,7 @@
 }
 
 func (e *Edge) watchFeed(ctx context.Context, name string, f feed) {
-	var version uint64
+	var version, era uint64
 	full, lost := true, false
 	for ctx.Err() == nil {
 		if !full && !e.followsFeeds() {
@@ -70,13 +70,14 @@
 			changes, err = f.poll(ctx, version, feedPollTimeout)
 		}
 		if eris.Is(err, dfplatform.ErrHistoryLost) {
-			e.log.Warn().Str("Feed", name).Uint64("Version", version).Msg("platform: change history lost, reading the whole table")
+			e.counters.feedHistoryLost.Inc()
+			e.log.Warn().Str("Feed", name).Uint64("Era", era).Uint64("Version", version).Msg("platform: change history lost, reading the whole table")
 			full = true
 			continue
 		}
 		if err != nil {
 			if !lost && ctx.Err() == nil {
-				e.log.Warn().Str("Feed", name).Uint64("Version", version).Err(err).Msg("platform: feed lost")
+				e.log.Warn().Str("Feed", name).Uint64("Era", era).Uint64("Version", version).Err(err).Msg("platform: feed lost")
 			}
 			lost = true
 			f.setLost(true)
@@ -84,7 +85,12 @@
 			continue
 		}
 		if lost {
-			e.log.Info().Str("Feed", name).Uint64("Version", changes.Version).Msg("platform: feed regained")
+			e.log.Info().Str("Feed", name).Uint64("Era", changes.Era).Uint64("Version", changes.Version).Msg("platform: feed regained")
+		}
+		if changes.Era != era {
+			e.log.Info().Str("Feed", name).Uint64("EraBefore", era).Uint64("VersionBefore", version).
+				Uint64("Era", changes.Era).Uint64("Version", changes.Version).Msg("platform: another era of the store")
+			era = changes.Era
 		}
 		lost = false
 		f.apply(changes, full)
@@ -154,6 +160,12 @@
 		if known && before == upstream {
 			continue
 		}
+		if known && before.Version > upstream.Version {
+			e.counters.entriesIgnored.Inc()
+			e.log.Info().Str("Upstream", string(upstream.ID)).Uint64("Known", before.Version).Uint64("Entry", upstream.Version).
+				Msg("fleet: entry ignored, a newer one is known")
+			continue
+		}
 		e.log.Info().Str("Service", upstream.Service).Str("Upstream", string(upstream.ID)).
 			Str("DataCentre", upstream.DataCentre).Bool("Primary", upstream.Primary).Bool("Draining", upstream.Draining).
 			Uint64("Entry", upstream.Version).Msg("fleet: entry changed")
--- a/dfplatform/feed.go
+++ b/dfplatform/feed.go
@@ -23,6 +23,9 @@
 type Changes struct {
 	// Version orders reads and feeds of all tables.
 	Version uint64
+	// Era is how often the platform's store has come back from an older copy, in
+	// which case versions are given out again.
+	Era uint64
 	// Catalog is the newest document of the desired state, or nil.
 	Catalog []byte
 	// Upstreams changed, and Lapsed vanished.
