Order what is read at the store by its era before its row version

Callers saw: after the store had come back from an older copy, a route that had been added was not served, or a request ran as an older version said (CONFIG); a draining upstream could go unnoticed and every promotion be refused. Cause: hosts trusted that row versions only grow. A feed position from the lost history asked for a version that the store did not have (410 and a read of the whole table, without end), or, once that version was given out again, for one that meant another row: the change in between was passed over. The list of upstreams, its entries, neighbours' lists and epochs are ordered by the same number. Ruled out: an older document was never adopted; no log shows a version in force that fell. The era alone in the feed is not enough: a long poll that starts after the restore waits without an answer, so with it alone the test still failed. Change: dfrevision.Revision has the era and the version and takes the place of row versions in feeds, entries, neighbours' lists, rows and epochs. An answer of another era ends a feed's history. A feed that loses its history again right after a read pauses.

--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -79,7 +79,7 @@
 		return
 	}
 	line := e.log.Warn().Str("Request", call.ID).Str("Database", route.Database).Uint64("Catalog", e.catalog.Version()).
-		Uint64("Fleet", e.fleet.Version()).Int("Code", int(code)).Str("Why", why).Str("Last", lastFailure).
+		Stringer("Fleet", e.fleet.Version()).Int("Code", int(code)).Str("Why", why).Str("Last", lastFailure).
 		Int64("RetryAfterMillis", int64(retryAfter))
 	if s := e.services[route.Service]; s != nil {
 		line = line.Str("Service", s.name).Str("Leader", string(s.leader)).Int64("LeaderHeardMillis", int64(now-s.successor.AnsweredAt())).
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -19,6 +19,7 @@
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
 	"dragonflygrade/dfplace"
+	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfsuccession"
 )
@@ -35,6 +36,7 @@
 	document []byte
 	// catalogFeedLost is true while the platform's catalog feed is unavailable.
 	catalogFeedLost bool
+	storeEra        storeEra
 	fleet           *dffleet.Fleet
 	fleetLoaded     bool
 	services        map[string]*service
@@ -107,7 +109,7 @@
 	reservingEpoch  bool
 	// lastClaimVersion is the version of the newest claim that was read, and
 	// lastClaimSeenAt when it was first seen.
-	lastClaimVersion uint64
+	lastClaimVersion dfrevision.Revision
 	lastClaimSeenAt  dfclock.Millis
 	// voter has this host's promises to hosts that replace the leader.
 	voter dfrevocation.Voter
@@ -131,6 +133,7 @@
 		options:          options,
 		log:              logger,
 		counters:         newCounters(),
+		storeEra:         newStoreEra(0),
 		fleet:            newFleet(options.Fencing),
 		services:         map[string]*service{},
 		neighbours:       newNeighbours(options),
@@ -332,7 +335,7 @@
 		return
 	}
 	e.log.Info().Str("Service", s.name).Str("Before", string(s.leader)).Str("Leader", string(leader.ID)).
-		Uint64("Entry", leader.Version).Msg("fleet: another upstream leads")
+		Stringer("Entry", leader.Version).Msg("fleet: another upstream leads")
 	s.leader = leader.ID
 	s.timeline.Discard()
 	e.counters.leaderChanges.Inc()
--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -84,7 +84,7 @@
 		}
 		if s := e.services[strings.TrimPrefix(row.Key, claimsTable)]; s != nil {
 			s.voter = s.voter.WithClaim(e.options.Now(), dfrevocation.Notice{
-				Holder: last.Holder, Target: last.Target, Epoch: row.Version, Term: last.Term,
+				Holder: last.Holder, Target: last.Target, Epoch: uint64(row.Version), Term: last.Term,
 			})
 			e.raiseMinTerm(s, last.Term)
 		}
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -59,6 +59,8 @@
 	// feedPollTimeout is the timeout of a long poll; the platform allows 30 s. Dead
 	// connections are detected by keep-alive probes.
 	feedPollTimeout = 20 * dfclock.Second
+	// feedMaxGap is the longest time from an answer of a feed to the next long poll.
+	feedMaxGap = 100 * dfclock.Millisecond
 	// feedRetryDelay is the pause after a failed call to the platform.
 	feedRetryDelay = 250 * time.Millisecond
 	// membersPollPeriod is how often the host table is read. It only helps hosts
--- a/dfedge/revocation.go
+++ b/dfedge/revocation.go
@@ -17,6 +17,7 @@
 	"dragonflygrade/dfneighbour"
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
@@ -148,7 +149,7 @@
 	defer cancel()
 	value, err := json.Marshal(claim{Holder: e.options.Self.ID})
 	if err == nil {
-		write := dfplatform.Write{Key: claimsTable + s.name, IfVersion: epoch, Value: value}
+		write := dfplatform.Write{Key: claimsTable + s.name, IfVersion: dfrevision.Revision(epoch), Value: value}
 		err = e.options.Platform.Commit(ctx, e.options.Self.ID, write)
 	}
 	e.log.Info().Str("Service", s.name).Uint64("Epoch", epoch).Err(err).Msg("lease: claim withdrawn")
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -16,6 +16,7 @@
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfresult"
+	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
@@ -347,7 +348,7 @@
 	if row.Attempt != attempt {
 		return 0, eris.Wrap(errOtherClaim, "claim overwritten")
 	}
-	return row.Version, nil
+	return uint64(row.Version), nil
 }
 
 // claimBackoff bounds the retries of a claim. After a second, a new decision is
@@ -356,7 +357,7 @@
 
 // claimPending reports whether an earlier claim may still take effect, or may
 // have taken effect without this host's knowledge.
-func (e *Edge) claimPending(s *service, version uint64, last claim, wanted dfsuccession.Claim) bool {
+func (e *Edge) claimPending(s *service, version dfrevision.Revision, last claim, wanted dfsuccession.Claim) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -11,6 +11,7 @@
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfrevision"
 )
 
 // membersTable has a row for each host. It helps hosts whose seeds are all gone.
@@ -49,14 +50,17 @@
 // feed is a table of the platform that the host follows.
 type feed struct {
 	read    func(context.Context) (dfplatform.Changes, error)
-	poll    func(context.Context, uint64, dfclock.Millis) (dfplatform.Changes, error)
+	poll    func(context.Context, dfrevision.Revision, dfclock.Millis) (dfplatform.Changes, error)
 	apply   func(changes dfplatform.Changes, full bool)
 	setLost func(lost bool)
 }
 
 func (e *Edge) watchFeed(ctx context.Context, name string, f feed) {
-	var version, era uint64
-	full, lost := true, false
+	// position is the revision of the newest changes that were applied. answeredAt is
+	// when they were.
+	var position dfrevision.Revision
+	var answeredAt dfclock.Millis
+	full, lost, hasRead := true, false, false
 	for ctx.Err() == nil {
 		if !full && !e.followsFeeds() {
 			sleep(ctx, feedRetryDelay)
@@ -67,17 +71,29 @@
 		if full {
 			changes, err = f.read(ctx)
 		} else {
-			changes, err = f.poll(ctx, version, feedPollTimeout)
+			wait := feedPollTimeout
+			if e.options.Now()-answeredAt > feedMaxGap {
+				// The store may have come back from an older copy since. A long poll would
+				// not tell before the next change.
+				wait = 0
+			}
+			changes, err = e.pollInEra(ctx, position, func(ctx context.Context) (dfplatform.Changes, error) {
+				return f.poll(ctx, position, wait)
+			})
 		}
 		if eris.Is(err, dfplatform.ErrHistoryLost) {
 			e.counters.feedHistoryLost.Inc()
-			e.log.Warn().Str("Feed", name).Uint64("Era", era).Uint64("Version", version).Msg("platform: change history lost, reading the whole table")
-			full = true
+			e.log.Warn().Str("Feed", name).Stringer("Version", position).Msg("platform: change history lost, reading the whole table")
+			if hasRead {
+				// A store that loses its history again and again must not be read without pause.
+				sleep(ctx, feedRetryDelay)
+			}
+			full, hasRead = true, false
 			continue
 		}
 		if err != nil {
 			if !lost && ctx.Err() == nil {
-				e.log.Warn().Str("Feed", name).Uint64("Era", era).Uint64("Version", version).Err(err).Msg("platform: feed lost")
+				e.log.Warn().Str("Feed", name).Stringer("Version", position).Err(err).Msg("platform: feed lost")
 			}
 			lost = true
 			f.setLost(true)
@@ -85,18 +101,64 @@
 			continue
 		}
 		if lost {
-			e.log.Info().Str("Feed", name).Uint64("Era", changes.Era).Uint64("Version", changes.Version).Msg("platform: feed regained")
+			e.log.Info().Str("Feed", name).Stringer("Version", changes.Version).Msg("platform: feed regained")
 		}
-		if changes.Era != era {
-			e.log.Info().Str("Feed", name).Uint64("EraBefore", era).Uint64("VersionBefore", version).
-				Uint64("Era", changes.Era).Uint64("Version", changes.Version).Msg("platform: another era of the store")
-			era = changes.Era
+		if changes.Version.Era() != position.Era() {
+			e.log.Info().Str("Feed", name).Stringer("Before", position).Stringer("Version", changes.Version).
+				Msg("platform: another era of the store")
 		}
 		lost = false
+		e.observeEra(changes.Version.Era())
 		f.apply(changes, full)
 		f.setLost(false)
-		full = false
-		version = max(version, changes.Version)
+		full, hasRead = false, full
+		position, answeredAt = changes.Version, e.options.Now()
+	}
+}
+
+// pollInEra runs a poll that is valid in the era of a position. If a later era is
+// known or gets known meanwhile, it fails with dfplatform.ErrHistoryLost.
+func (e *Edge) pollInEra(ctx context.Context, position dfrevision.Revision, poll func(context.Context) (dfplatform.Changes, error)) (dfplatform.Changes, error) {
+	e.mu.Lock()
+	era := e.storeEra
+	e.mu.Unlock()
+	if position.Era() >= era.number {
+		pollCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(era.ended, cancel)()
+		changes, err := poll(pollCtx)
+		if err == nil || era.ended.Err() == nil {
+			return changes, err
+		}
+	}
+	return dfplatform.Changes{}, eris.Wrapf(dfplatform.ErrHistoryLost, "position %s", position)
+}
+
+// storeEra is the latest known era of the platform's store.
+type storeEra struct {
+	number uint64
+	// ended is done once a later era is known. end ends it.
+	ended context.Context
+	end   context.CancelFunc
+}
+
+func newStoreEra(number uint64) storeEra {
+	ended, end := context.WithCancel(context.Background())
+	return storeEra{number: number, ended: ended, end: end}
+}
+
+// observeEra records an era of the store that this host or a neighbour has seen.
+func (e *Edge) observeEra(number uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observeEraLocked(number)
+}
+
+// observeEraLocked is observeEra with e.mu held.
+func (e *Edge) observeEraLocked(number uint64) {
+	if number > e.storeEra.number {
+		e.storeEra.end()
+		e.storeEra = newStoreEra(number)
 	}
 }
 
@@ -162,21 +224,21 @@
 		}
 		if known && before.Version > upstream.Version {
 			e.counters.entriesIgnored.Inc()
-			e.log.Info().Str("Upstream", string(upstream.ID)).Uint64("Known", before.Version).Uint64("Entry", upstream.Version).
+			e.log.Info().Str("Upstream", string(upstream.ID)).Stringer("Known", before.Version).Stringer("Entry", upstream.Version).
 				Msg("fleet: entry ignored, a newer one is known")
 			continue
 		}
 		e.log.Info().Str("Service", upstream.Service).Str("Upstream", string(upstream.ID)).
 			Str("DataCentre", upstream.DataCentre).Bool("Primary", upstream.Primary).Bool("Draining", upstream.Draining).
-			Uint64("Entry", upstream.Version).Msg("fleet: entry changed")
+			Stringer("Entry", upstream.Version).Msg("fleet: entry changed")
 	}
 	for _, id := range changes.Lapsed {
 		e.fleet.Lapse(now, id, changes.Version)
-		e.log.Info().Str("Upstream", string(id)).Uint64("Entry", changes.Version).Msg("fleet: entry removed from the list")
+		e.log.Info().Str("Upstream", string(id)).Stringer("Entry", changes.Version).Msg("fleet: entry removed from the list")
 	}
 	for _, id := range changes.Unreadable {
 		e.fleet.Lapse(now, id, changes.Version)
-		e.log.Warn().Str("Upstream", string(id)).Uint64("Entry", changes.Version).Msg("fleet: cannot decode entry")
+		e.log.Warn().Str("Upstream", string(id)).Stringer("Entry", changes.Version).Msg("fleet: cannot decode entry")
 	}
 	if full {
 		e.fleet.Replace(now, changes.Upstreams, changes.Version)
@@ -186,12 +248,13 @@
 }
 
 // adoptNeighbourFleet adopts a neighbour's list of upstreams if it is newer.
-func (e *Edge) adoptNeighbourFleet(upstreams []dffleet.Upstream, version uint64, from string) {
+func (e *Edge) adoptNeighbourFleet(upstreams []dffleet.Upstream, version dfrevision.Revision, from string) {
 	if version <= e.fleet.Version() {
 		return
 	}
-	e.log.Info().Uint64("Before", e.fleet.Version()).Uint64("Version", version).Str("From", from).
+	e.log.Info().Stringer("Before", e.fleet.Version()).Stringer("Version", version).Str("From", from).
 		Msg("fleet: list adopted from neighbour")
+	e.observeEraLocked(version.Era())
 	e.fleet.Replace(e.options.Now(), upstreams, version)
 	e.fleetLoaded = true
 	e.reconcile()
--- a/dffleet/fleet.go
+++ b/dffleet/fleet.go
@@ -7,6 +7,7 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfrevision"
 )
 
 const (
@@ -44,7 +45,7 @@
 	// Primary is true if the upstream reports itself as the leader.
 	Primary bool
 	// Version orders entries of the same ID; it increases with each change.
-	Version uint64
+	Version dfrevision.Revision
 }
 
 // member is an upstream and the state that was learned about it.
@@ -76,7 +77,7 @@
 	members map[ID]*member
 	// version is the newest version of the list that was applied in whole or in
 	// part.
-	version uint64
+	version dfrevision.Revision
 	// requireTerm is true where a replaced leader continues and still reports
 	// itself as the leader in the list. Only its term distinguishes it from its
 	// successor.
@@ -99,7 +100,7 @@
 }
 
 // Version returns the newest version of the list that was applied.
-func (f *Fleet) Version() uint64 {
+func (f *Fleet) Version() dfrevision.Revision {
 	return f.version
 }
 
@@ -133,7 +134,7 @@
 }
 
 // Lapse records that an entry vanished from the list.
-func (f *Fleet) Lapse(now dfclock.Millis, id ID, version uint64) {
+func (f *Fleet) Lapse(now dfclock.Millis, id ID, version dfrevision.Revision) {
 	f.version = max(f.version, version)
 	known := f.members[id]
 	if known == nil || known.upstream.Version > version || known.lapsedAt != dfclock.Never {
@@ -144,7 +145,7 @@
 
 // Replace applies a whole list. Entries that are not in it have vanished. It
 // returns the upstreams of which the list has a new incarnation.
-func (f *Fleet) Replace(now dfclock.Millis, upstreams []Upstream, version uint64) (newIncarnations []ID) {
+func (f *Fleet) Replace(now dfclock.Millis, upstreams []Upstream, version dfrevision.Revision) (newIncarnations []ID) {
 	listed := make(map[ID]bool, len(upstreams))
 	for _, upstream := range upstreams {
 		listed[upstream.ID] = true
--- a/dffleet/fleet_test.go
+++ b/dffleet/fleet_test.go
@@ -6,9 +6,10 @@
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfrevision"
 )
 
-func entry(id ID, version uint64, primary bool) Upstream {
+func entry(id ID, version dfrevision.Revision, primary bool) Upstream {
 	return Upstream{ID: id, Born: 1, Service: "orders", Address: string(id) + ":1", Version: version, Primary: primary}
 }
 
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -17,6 +17,7 @@
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfmessage"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
 )
 
@@ -104,7 +105,7 @@
 	// Catalog and Fleet are the sender's versions of the desired state and of the
 	// list of upstreams.
 	Catalog uint64
-	Fleet   uint64
+	Fleet   dfrevision.Revision
 	// HostsDigest is the digest of the hosts that the sender knows.
 	HostsDigest uint64
 	// Leaders are the sender's votes, for the speaker of its data centre.
@@ -120,7 +121,7 @@
 	_       struct{} `cbor:",toarray"`
 	Host    dfmember.Host
 	Catalog uint64
-	Fleet   uint64
+	Fleet   dfrevision.Revision
 	Leaders []LeaderState
 	// CurrentAge is the time since the host was last known to have the newest
 	// desired state.
--- a/dfplatform/feed.go
+++ b/dfplatform/feed.go
@@ -8,11 +8,13 @@
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfrevision"
 )
 
 // Errors of feeds and orders, possibly wrapped.
 var (
-	// ErrHistoryLost means that changes can no longer be told one by one.
+	// ErrHistoryLost means that changes can no longer be told one by one: the platform
+	// dropped its history, or came back from an older copy.
 	ErrHistoryLost = eris.New("platform: history is gone")
 	// ErrSuperseded means that an order was refused: a higher epoch was used, or
 	// the upstream that it names does not run.
@@ -22,10 +24,7 @@
 // Changes is what a read or a feed of the platform told.
 type Changes struct {
 	// Version orders reads and feeds of all tables.
-	Version uint64
-	// Era is how often the platform's store has come back from an older copy, in
-	// which case versions are given out again.
-	Era uint64
+	Version dfrevision.Revision
 	// Catalog is the newest document of the desired state, or nil.
 	Catalog []byte
 	// Upstreams changed, and Lapsed vanished.
@@ -42,8 +41,8 @@
 	Upstreams(ctx context.Context) (Changes, error)
 	// WaitCatalog and WaitUpstreams return as soon as something is newer than
 	// the version, or after the wait. ErrHistoryLost asks for a read of everything.
-	WaitCatalog(ctx context.Context, after uint64, wait dfclock.Millis) (Changes, error)
-	WaitUpstreams(ctx context.Context, after uint64, wait dfclock.Millis) (Changes, error)
+	WaitCatalog(ctx context.Context, after dfrevision.Revision, wait dfclock.Millis) (Changes, error)
+	WaitUpstreams(ctx context.Context, after dfrevision.Revision, wait dfclock.Millis) (Changes, error)
 	// DecodeCatalog reads a document of the desired state.
 	DecodeCatalog(document []byte) (dfcatalog.Catalog, error)
 }
--- a/dfplatform/platform.go
+++ b/dfplatform/platform.go
@@ -6,6 +6,8 @@
 	"context"
 
 	"github.com/rotisserie/eris"
+
+	"dragonflygrade/dfrevision"
 )
 
 // Errors that implementations return, possibly wrapped.
@@ -24,8 +26,8 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version rises with each change of the row and is at least 1.
-	Version uint64
+	// Version rises with each change of the row, and is never 0.
+	Version dfrevision.Revision
 	// Attempt identifies the commit that wrote the row.
 	Attempt string
 }
@@ -34,7 +36,7 @@
 type Write struct {
 	Key string
 	// IfVersion must equal the row's version; zero means that the row is absent.
-	IfVersion uint64
+	IfVersion dfrevision.Revision
 	// Unconditional ignores IfVersion.
 	Unconditional bool
 	Value         []byte
--- a/dfplatform/settle_test.go
+++ b/dfplatform/settle_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfrevision"
 )
 
 // script is a table with one row whose calls go as the script says.
@@ -86,7 +87,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			table := &script{commits: c.commits, failReads: c.failReads, row: Row{Version: c.version}}
+			table := &script{commits: c.commits, failReads: c.failReads, row: Row{Version: dfrevision.Revision(c.version)}}
 			settler := NewSettler(table, Backoff{First: 1, Max: 4, Tries: 4}, rand.New(rand.NewPCG(1, 2)), noSleep)
 			err := settler.Commit(context.Background(), "mine", Write{Key: "k", IfVersion: 0})
 			if c.want == nil {
--- a/dfpublish/plan.go
+++ b/dfpublish/plan.go
@@ -9,12 +9,13 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconfig"
+	"dragonflygrade/dfrevision"
 )
 
 // headState is the current version as it was read: the head's row version and the index.
 type headState struct {
 	// rowVersion is the row version of the head, 0 if there is no row.
-	rowVersion uint64
+	rowVersion dfrevision.Revision
 	index      dfconfig.Index
 }
 
--- a/dfremote/client.go
+++ b/dfremote/client.go
@@ -15,6 +15,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfproto"
+	"dragonflygrade/dfrevision"
 )
 
 // Client implements dfplatform.Platform. It is safe for concurrent use.
@@ -99,7 +100,7 @@
 	request := &dfproto.CommitRequest{Attempt: attempt}
 	for _, write := range writes {
 		request.Writes = append(request.Writes, &dfproto.RowWrite{
-			Key: write.Key, IfVersion: write.IfVersion, Unconditional: write.Unconditional,
+			Key: write.Key, IfVersion: uint64(write.IfVersion), Unconditional: write.Unconditional,
 			Value: write.Value, Delete: write.Delete,
 		})
 	}
@@ -167,7 +168,7 @@
 }
 
 func rowFrom(row *dfproto.Row) dfplatform.Row {
-	return dfplatform.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Attempt: row.GetAttempt()}
+	return dfplatform.Row{Key: row.GetKey(), Value: row.GetValue(), Version: dfrevision.Revision(row.GetVersion()), Attempt: row.GetAttempt()}
 }
 
 // mapped turns a status into one of dfplatform's errors. Any status that does
--- a/dfstandinplatform/server.go
+++ b/dfstandinplatform/server.go
@@ -12,6 +12,7 @@
 
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfproto"
+	"dragonflygrade/dfrevision"
 )
 
 // Server offers a store over gRPC.
@@ -66,7 +67,7 @@
 }
 
 func wireRow(row dfplatform.Row) *dfproto.Row {
-	return &dfproto.Row{Key: row.Key, Value: row.Value, Version: row.Version, Attempt: row.Attempt}
+	return &dfproto.Row{Key: row.Key, Value: row.Value, Version: uint64(row.Version), Attempt: row.Attempt}
 }
 
 // GetRow returns one row.
@@ -95,7 +96,7 @@
 func (s *Server) Commit(ctx context.Context, request *dfproto.CommitRequest) (*dfproto.CommitReply, error) {
 	var writes []dfplatform.Write
 	for _, write := range request.GetWrites() {
-		writes = append(writes, dfplatform.Write{Key: write.GetKey(), IfVersion: write.GetIfVersion(),
+		writes = append(writes, dfplatform.Write{Key: write.GetKey(), IfVersion: dfrevision.Revision(write.GetIfVersion()),
 			Unconditional: write.GetUnconditional(), Value: write.GetValue(), Delete: write.GetDelete()})
 	}
 	if err := s.store.Commit(ctx, request.GetAttempt(), writes...); err != nil {
--- a/dfstandinplatform/store.go
+++ b/dfstandinplatform/store.go
@@ -20,6 +20,7 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfrevision"
 )
 
 // Defaults of the platform's rates, in calls per second.
@@ -241,7 +242,7 @@
 			continue
 		}
 		s.sequence++
-		s.rows[write.Key] = dfplatform.Row{Key: write.Key, Value: bytes.Clone(write.Value), Version: s.sequence, Attempt: attempt}
+		s.rows[write.Key] = dfplatform.Row{Key: write.Key, Value: bytes.Clone(write.Value), Version: dfrevision.Revision(s.sequence), Attempt: attempt}
 	}
 	return s.leave()
 }
