Refuse conditions that were read before the store came back

Callers saw: nothing yet; found by looking for the cause elsewhere. Cause: a conditional write names a row version, and the store gives versions out again after it came back from an older copy. A host that withdraws its claim, or takes an epoch, could so replace the claim of another host. Ruled out: a condition in the store itself. It knows row versions only; a row that names the era is restored like any other. Change: the client knows the latest era and refuses a condition of an earlier one as a conflict. What remains: a write that is the first call after the restore can replace another's row; it is then read back under a higher epoch.

--- a/dfplatform/platform.go
+++ b/dfplatform/platform.go
@@ -43,6 +43,17 @@
 	Delete        bool
 }
 
+// CheckConditions returns ErrConflict if a condition names a version of an earlier
+// era than the store's. The store may have given that version to another row since.
+func CheckConditions(era uint64, writes ...Write) error {
+	for _, write := range writes {
+		if !write.Unconditional && write.IfVersion > 0 && write.IfVersion.Era() < era {
+			return eris.Wrapf(ErrConflict, "%s was read at version %s, the store is in era %d", write.Key, write.IfVersion, era)
+		}
+	}
+	return nil
+}
+
 // Table is the transactional table.
 type Table interface {
 	// Get returns one row or ErrNotFound.
