Write rows again that the store loses when it comes back

Callers saw: nothing yet; found by looking for the cause elsewhere. Cause: a host wrote its row in the host table once, and a claim stayed as it was acknowledged. After a restore a host that starts finds fewer hosts than there are, and takes few for a majority; and where the platform does not fence it finds no claim and may use a leader whose successor is being promoted. Ruled out: rows of the operator and of the upstreams, which these write again. Neighbours tell terms and hosts to a host that starts, so only the loss of all hosts after the restore is left to the table. Change: once a later era is known, each host writes its row again, spread over two seconds, and where leases are used the speakers write the lowest term that may lead, unless the claim has it. Failures and conflicts are retried.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -178,6 +178,7 @@
 	go e.watchCatalog(work)
 	go e.watchFleet(work)
 	go e.watchMembers(work)
+	go e.rewriteLostRows(work)
 	go e.tickLoop(work)
 	if e.usesLeases() {
 		go e.loadClaims(work)
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -311,16 +311,10 @@
 func (e *Edge) acquireEpoch(ctx context.Context, s *service, wanted dfsuccession.Claim) (uint64, error) {
 	key := claimsTable + s.name
 	platform := e.options.Platform
-	row, err := platform.Get(ctx, key)
-	if err != nil && !eris.Is(err, dfplatform.ErrNotFound) {
+	row, last, err := e.readClaim(ctx, s.name)
+	if err != nil {
 		return 0, err
 	}
-	var last claim
-	if row.Version > 0 {
-		if err := json.Unmarshal(row.Value, &last); err != nil {
-			return 0, eris.Wrap(err, "succession: decode claim")
-		}
-	}
 	if e.claimPending(s, row.Version, last, wanted) {
 		return 0, eris.Wrapf(errOtherClaim, "%s claimed %s", last.Holder, last.Target)
 	}
@@ -351,6 +345,23 @@
 	return uint64(row.Version), nil
 }
 
+// readClaim returns the newest claim of a service and its row, which are zero if there
+// is none.
+func (e *Edge) readClaim(ctx context.Context, service string) (dfplatform.Row, claim, error) {
+	row, err := e.options.Platform.Get(ctx, claimsTable+service)
+	if eris.Is(err, dfplatform.ErrNotFound) {
+		return dfplatform.Row{}, claim{}, nil
+	}
+	if err != nil {
+		return dfplatform.Row{}, claim{}, err
+	}
+	var last claim
+	if err := json.Unmarshal(row.Value, &last); err != nil {
+		return dfplatform.Row{}, claim{}, eris.Wrap(err, "succession: decode claim")
+	}
+	return row, last, nil
+}
+
 // claimBackoff bounds the retries of a claim. After a second, a new decision is
 // better than an old one.
 var claimBackoff = dfplatform.Backoff{First: 50 * dfclock.Millisecond, Max: 200 * dfclock.Millisecond, Tries: 3}
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -134,34 +134,6 @@
 	return dfplatform.Changes{}, eris.Wrapf(dfplatform.ErrHistoryLost, "position %s", position)
 }
 
-// storeEra is the latest known era of the platform's store.
-type storeEra struct {
-	number uint64
-	// ended is done once a later era is known. end ends it.
-	ended context.Context
-	end   context.CancelFunc
-}
-
-func newStoreEra(number uint64) storeEra {
-	ended, end := context.WithCancel(context.Background())
-	return storeEra{number: number, ended: ended, end: end}
-}
-
-// observeEra records an era of the store that this host or a neighbour has seen.
-func (e *Edge) observeEra(number uint64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.observeEraLocked(number)
-}
-
-// observeEraLocked is observeEra with e.mu held.
-func (e *Edge) observeEraLocked(number uint64) {
-	if number > e.storeEra.number {
-		e.storeEra.end()
-		e.storeEra = newStoreEra(number)
-	}
-}
-
 // followsFeeds reports whether the host polls the feeds, and clears
 // followingFeeds if it no longer does. A host that its neighbours keep up to date
 // saves the platform these calls.
