Do not take the leader from a list that was restored

Callers saw: nothing yet; found by looking for the cause elsewhere. Cause: an entry with a higher version counts as newer. The first list after a restore comes from an older copy: it can say that a replaced upstream leads, that its successor does not, and that an upstream that left is there and leads. Ruled out: keeping the known entry instead. A host can be behind the copy, and the upstreams write again what changed. Change: the first list of an era is applied, but is no evidence of who leads; the upstreams' later entries and answers are. An entry that is already known changes nothing.

--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -190,7 +190,9 @@
 	now := e.options.Now()
 	for _, upstream := range changes.Upstreams {
 		before, known := e.fleet.Find(upstream.ID)
-		e.fleet.Put(now, upstream)
+		if !full {
+			e.fleet.Put(now, upstream)
+		}
 		if known && before == upstream {
 			continue
 		}
--- a/dffleet/fleet.go
+++ b/dffleet/fleet.go
@@ -107,9 +107,20 @@
 // Put applies an entry of the list. It reports whether the entry is a new
 // incarnation of a known upstream, whose earlier state was discarded.
 func (f *Fleet) Put(now dfclock.Millis, upstream Upstream) (newIncarnation bool) {
+	return f.put(now, upstream, false)
+}
+
+// put is Put. restored is true if the entry may be older than the known one although
+// its version is higher. It is then no evidence of who leads.
+func (f *Fleet) put(now dfclock.Millis, upstream Upstream, restored bool) (newIncarnation bool) {
 	f.version = max(f.version, upstream.Version)
 	known := f.members[upstream.ID]
-	if known != nil && known.upstream.Version > upstream.Version {
+	switch {
+	case known == nil:
+	case known.upstream.Version > upstream.Version:
+		return false
+	case known.upstream == upstream:
+		known.lapsedAt = dfclock.Never
 		return false
 	}
 	isNew := known == nil || known.upstream.Born != upstream.Born || known.upstream.Address != upstream.Address
@@ -119,6 +130,7 @@
 		f.members[upstream.ID] = known
 	}
 	switch {
+	case restored:
 	case !upstream.Primary:
 		known.leaderEvidenceAt = noEvidence
 	case isNew || !known.upstream.Primary:
@@ -144,12 +156,14 @@
 }
 
 // Replace applies a whole list. Entries that are not in it have vanished. It
-// returns the upstreams of which the list has a new incarnation.
+// returns the upstreams of which the list has a new incarnation. The first list of an
+// era was restored from an older copy and may say that a replaced leader leads.
 func (f *Fleet) Replace(now dfclock.Millis, upstreams []Upstream, version dfrevision.Revision) (newIncarnations []ID) {
+	restored := f.version > 0 && version.Era() > f.version.Era()
 	listed := make(map[ID]bool, len(upstreams))
 	for _, upstream := range upstreams {
 		listed[upstream.ID] = true
-		if f.Put(now, upstream) {
+		if f.put(now, upstream, restored) {
 			newIncarnations = append(newIncarnations, upstream.ID)
 		}
 	}
--- a/dffleet/fleet_test.go
+++ b/dffleet/fleet_test.go
@@ -94,3 +94,29 @@
 	require.Equal(t, dfclock.Millis(100), f.LeavingSince("b"))
 	require.Len(t, f.Listed(), 1)
 }
+
+// Guards against a replaced leader that leads again, or an upstream that left and
+// leads again, because the list was restored from an older copy.
+func TestRestoredListDoesNotChangeTheLeader(t *testing.T) {
+	f := New()
+	f.Replace(10, []Upstream{entry("a", revision(t, 1, 1), true), entry("b", revision(t, 1, 2), false)}, revision(t, 1, 2))
+	f.Put(100, entry("b", revision(t, 1, 5), true))
+	f.Put(100, entry("a", revision(t, 1, 6), false))
+	older := []Upstream{entry("a", revision(t, 2, 1), true), entry("b", revision(t, 2, 2), false), entry("gone", revision(t, 2, 3), true)}
+	f.Replace(200, older, revision(t, 2, 3))
+	require.Equal(t, ID("b"), leader(t, f, 210))
+	f.Replace(220, older, revision(t, 2, 3))
+	require.Equal(t, ID("b"), leader(t, f, 230), "the same list again")
+	f.Put(300, entry("b", revision(t, 2, 4), true))
+	f.Put(310, entry("a", revision(t, 2, 5), false))
+	require.Equal(t, ID("b"), leader(t, f, 320))
+	f.Put(400, entry("a", revision(t, 2, 6), true))
+	require.Equal(t, ID("a"), leader(t, f, 410), "a later change of the leader")
+}
+
+func revision(t *testing.T, era, version uint64) dfrevision.Revision {
+	t.Helper()
+	result, err := dfrevision.New(era, version)
+	require.NoError(t, err)
+	return result
+}
