Let the stand-in platform come back from an older copy, with its era

Change: Store takes copies and comes back from one in the next era, also by the commands "copy" and "restore"; row versions are given out again. The server sends the era as a header, calls during a restore get no answer. Clients order rows by era and version, refuse conditions of an earlier era as conflicts, and tell the latest era (Platform.Era).

--- a/dfcapacity/lease.go
+++ b/dfcapacity/lease.go
@@ -52,7 +52,7 @@
 func (t *table) Commit(ctx context.Context, attempt string, writes ...dfplatform.Write) error {
 	request := &dfproto.CommitRequest{Attempt: attempt}
 	for _, write := range writes {
-		request.Writes = append(request.Writes, &dfproto.RowWrite{Key: write.Key, IfVersion: uint64(write.IfVersion), Value: write.Value})
+		request.Writes = append(request.Writes, &dfproto.RowWrite{Key: write.Key, IfVersion: write.IfVersion.Version(), Value: write.Value})
 	}
 	t.writes++
 	t.bytes += proto.Size(request)
@@ -60,7 +60,7 @@
 }
 
 func wireRow(row dfplatform.Row) *dfproto.Row {
-	return &dfproto.Row{Key: row.Key, Value: row.Value, Version: uint64(row.Version), Attempt: row.Attempt}
+	return &dfproto.Row{Key: row.Key, Value: row.Value, Version: row.Version.Version(), Attempt: row.Attempt}
 }
 
 func wireRows(rows []dfplatform.Row) *dfproto.ListRowsReply {
--- a/dfplatform/platform.go
+++ b/dfplatform/platform.go
@@ -104,4 +104,8 @@
 	Table
 	ObjectStore
 	HostList
+	// Era returns the latest era that was seen in the answers of the table and the
+	// object store, or 0. It rises each time that they come back from an older copy,
+	// without what they acknowledged since.
+	Era() uint64
 }
--- a/dfpublish/fake_test.go
+++ b/dfpublish/fake_test.go
@@ -162,3 +162,6 @@
 	time.Sleep(time.Duration(duration) * time.Millisecond)
 	return ctx.Err()
 }
+
+// Era implements dfplatform.Platform. The fake never comes back from an older copy.
+func (c *client) Era() uint64 { return 0 }
--- a/dfremote/client.go
+++ b/dfremote/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"dragonflygrade/dfclock"
@@ -23,6 +25,8 @@
 	connection *grpc.ClientConn
 	platform   dfproto.PlatformClient
 	timeout    time.Duration
+	// eras has the latest era of the platform's store.
+	eras dfrevision.Eras
 }
 
 var _ dfplatform.Platform = (*Client)(nil)
@@ -71,58 +75,80 @@
 func (c *Client) Get(ctx context.Context, key string) (dfplatform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	reply, err := c.platform.GetRow(ctx, &dfproto.GetRowRequest{Key: key})
+	var header metadata.MD
+	reply, err := c.platform.GetRow(ctx, &dfproto.GetRowRequest{Key: key}, grpc.Header(&header))
+	era, err := c.finish(header, err, "get row", key)
 	if err != nil {
-		return dfplatform.Row{}, mapped(err, "get row", key)
+		return dfplatform.Row{}, err
 	}
-	return rowFrom(reply.GetRow()), nil
+	return rowFrom(era, reply.GetRow())
 }
 
 // List implements dfplatform.Table.
 func (c *Client) List(ctx context.Context, prefix string) ([]dfplatform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	reply, err := c.platform.ListRows(ctx, &dfproto.ListRowsRequest{Prefix: prefix})
+	var header metadata.MD
+	reply, err := c.platform.ListRows(ctx, &dfproto.ListRowsRequest{Prefix: prefix}, grpc.Header(&header))
+	era, err := c.finish(header, err, "list rows", prefix)
 	if err != nil {
-		return nil, mapped(err, "list rows", prefix)
+		return nil, err
 	}
 	rows := make([]dfplatform.Row, len(reply.GetRows()))
 	for i, row := range reply.GetRows() {
-		rows[i] = rowFrom(row)
+		if rows[i], err = rowFrom(era, row); err != nil {
+			return nil, err
+		}
 	}
 	return rows, nil
 }
 
-// Commit implements dfplatform.Table.
+// Commit implements dfplatform.Table. If the store came back from an older copy since
+// a condition was read, the result is dfplatform.ErrConflict, or
+// dfplatform.ErrUnavailable if only the answer shows it.
 func (c *Client) Commit(ctx context.Context, attempt string, writes ...dfplatform.Write) error {
+	if err := dfplatform.CheckConditions(c.eras.Latest(), writes...); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	request := &dfproto.CommitRequest{Attempt: attempt}
 	for _, write := range writes {
 		request.Writes = append(request.Writes, &dfproto.RowWrite{
-			Key: write.Key, IfVersion: uint64(write.IfVersion), Unconditional: write.Unconditional,
+			Key: write.Key, IfVersion: write.IfVersion.Version(), Unconditional: write.Unconditional,
 			Value: write.Value, Delete: write.Delete,
 		})
 	}
-	_, err := c.platform.Commit(ctx, request)
-	return mapped(err, "commit", attempt)
+	var header metadata.MD
+	_, err := c.platform.Commit(ctx, request, grpc.Header(&header))
+	era, err := c.finish(header, err, "commit", attempt)
+	if err != nil {
+		return err
+	}
+	if err := dfplatform.CheckConditions(era, writes...); err != nil {
+		return eris.Wrapf(dfplatform.ErrUnavailable, "commit %s: %v", attempt, err)
+	}
+	return nil
 }
 
 // Put implements dfplatform.ObjectStore.
 func (c *Client) Put(ctx context.Context, name string, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	_, err := c.platform.PutObject(ctx, &dfproto.PutObjectRequest{Name: name, Data: data})
-	return mapped(err, "put object", name)
+	var header metadata.MD
+	_, err := c.platform.PutObject(ctx, &dfproto.PutObjectRequest{Name: name, Data: data}, grpc.Header(&header))
+	_, err = c.finish(header, err, "put object", name)
+	return err
 }
 
 // Fetch implements dfplatform.ObjectStore.
 func (c *Client) Fetch(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	reply, err := c.platform.FetchObject(ctx, &dfproto.FetchObjectRequest{Name: name})
-	if err != nil {
-		return nil, mapped(err, "fetch object", name)
+	var header metadata.MD
+	reply, err := c.platform.FetchObject(ctx, &dfproto.FetchObjectRequest{Name: name}, grpc.Header(&header))
+	if _, err := c.finish(header, err, "fetch object", name); err != nil {
+		return nil, err
 	}
 	return reply.GetData(), nil
 }
@@ -131,9 +157,10 @@
 func (c *Client) Names(ctx context.Context, prefix string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	reply, err := c.platform.ListObjects(ctx, &dfproto.ListObjectsRequest{Prefix: prefix})
-	if err != nil {
-		return nil, mapped(err, "list objects", prefix)
+	var header metadata.MD
+	reply, err := c.platform.ListObjects(ctx, &dfproto.ListObjectsRequest{Prefix: prefix}, grpc.Header(&header))
+	if _, err := c.finish(header, err, "list objects", prefix); err != nil {
+		return nil, err
 	}
 	return reply.GetNames(), nil
 }
@@ -167,8 +194,29 @@
 	return mapped(err, "set member", member.ID)
 }
 
-func rowFrom(row *dfproto.Row) dfplatform.Row {
-	return dfplatform.Row{Key: row.GetKey(), Value: row.GetValue(), Version: dfrevision.Revision(row.GetVersion()), Attempt: row.GetAttempt()}
+func rowFrom(era uint64, row *dfproto.Row) (dfplatform.Row, error) {
+	version, err := dfrevision.New(era, row.GetVersion())
+	return dfplatform.Row{Key: row.GetKey(), Value: row.GetValue(), Version: version, Attempt: row.GetAttempt()}, err
+}
+
+// Era implements dfplatform.Platform.
+func (c *Client) Era() uint64 {
+	return c.eras.Latest()
+}
+
+// finish returns the era in the header of an answer, or 0 if there is none, and the
+// error of the call.
+func (c *Client) finish(header metadata.MD, err error, call, subject string) (uint64, error) {
+	var era uint64
+	if values := header.Get(dfproto.HeaderEra); len(values) > 0 {
+		number, parseErr := strconv.ParseUint(values[0], 10, 64)
+		if parseErr != nil {
+			return 0, eris.Wrapf(dfplatform.ErrUnavailable, "%s %s: era: %v", call, subject, parseErr)
+		}
+		era = number
+		c.eras.Observe(era)
+	}
+	return era, mapped(err, call, subject)
 }
 
 // mapped turns a status into one of dfplatform's errors. Any status that does
--- a/dfstandinplatform/server.go
+++ b/dfstandinplatform/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"dragonflygrade/dfplatform"
@@ -29,12 +31,28 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "platform: listen on %s", address)
 	}
-	s := &Server{store: store, server: grpc.NewServer(), listener: listener}
+	s := &Server{store: store, server: grpc.NewServer(grpc.UnaryInterceptor(addEra(store))), listener: listener}
 	dfproto.RegisterPlatformServer(s.server, s)
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
 
+// addEra adds the era of the store to the header of each answer. Calls during a
+// restore get no answer.
+func addEra(store *Store) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+		era := store.Era()
+		reply, err := handler(ctx, request)
+		if store.Era() != era {
+			return nil, status.Error(codes.Unavailable, "the store came back from an older copy")
+		}
+		if headerErr := grpc.SetHeader(ctx, metadata.Pairs(dfproto.HeaderEra, strconv.FormatUint(era, 10))); headerErr != nil {
+			return nil, status.Error(codes.Internal, headerErr.Error())
+		}
+		return reply, err
+	}
+}
+
 // Address returns "ip:port".
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
@@ -67,7 +85,7 @@
 }
 
 func wireRow(row dfplatform.Row) *dfproto.Row {
-	return &dfproto.Row{Key: row.Key, Value: row.Value, Version: uint64(row.Version), Attempt: row.Attempt}
+	return &dfproto.Row{Key: row.Key, Value: row.Value, Version: row.Version.Version(), Attempt: row.Attempt}
 }
 
 // GetRow returns one row.
@@ -95,8 +113,16 @@
 // Commit applies all writes or none.
 func (s *Server) Commit(ctx context.Context, request *dfproto.CommitRequest) (*dfproto.CommitReply, error) {
 	var writes []dfplatform.Write
+	era := s.store.Era()
 	for _, write := range request.GetWrites() {
-		writes = append(writes, dfplatform.Write{Key: write.GetKey(), IfVersion: dfrevision.Revision(write.GetIfVersion()),
+		ifVersion, err := dfrevision.New(era, write.GetIfVersion())
+		if err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+		if write.GetIfVersion() == 0 {
+			ifVersion = 0
+		}
+		writes = append(writes, dfplatform.Write{Key: write.GetKey(), IfVersion: ifVersion,
 			Unconditional: write.GetUnconditional(), Value: write.GetValue(), Delete: write.GetDelete()})
 	}
 	if err := s.store.Commit(ctx, request.GetAttempt(), writes...); err != nil {
--- a/dfstandinplatform/store.go
+++ b/dfstandinplatform/store.go
@@ -80,10 +80,16 @@
 	reads  *rate.Limiter
 
 	mu sync.Mutex
-	// sequence numbers row versions, so that a row made anew gets a fresh version.
+	// era counts from 1 how often the store came back from an older copy.
+	era uint64
+	// sequence numbers row versions, so that a row made anew gets a fresh version. It
+	// goes back with the store.
 	sequence uint64
-	rows     map[string]dfplatform.Row
-	objects  map[string][]byte
+	// rows have versions without an era, as the platform gives them out.
+	rows    map[string]dfplatform.Row
+	objects map[string][]byte
+	// older is the copy that "restore" comes back from.
+	older Copy
 	// lists is in rising order of since and has at least one entry.
 	lists  []memberList
 	lag    dfclock.Millis
@@ -105,7 +111,7 @@
 		origin := time.Now()
 		options.Now = func() dfclock.Millis { return dfclock.Millis(time.Since(origin).Milliseconds()) }
 	}
-	return &Store{now: options.Now, writes: limiter(options.WritesPerSecond), reads: limiter(options.ReadsPerSecond),
+	return &Store{now: options.Now, era: 1, writes: limiter(options.WritesPerSecond), reads: limiter(options.ReadsPerSecond),
 		rows: map[string]dfplatform.Row{}, objects: map[string][]byte{}, lag: options.MemberLag,
 		lists: []memberList{{since: -dfclock.Never}}, random: rand.New(rand.NewPCG(options.Seed, 0))}
 }
@@ -123,8 +129,23 @@
 
 // Fault changes the faults in force by a command: "outage:refused",
 // "outage:silent", "slow:milliseconds", "lost:probability",
-// "memberlag:milliseconds" or "heal".
+// "memberlag:milliseconds" or "heal". "copy" takes a copy of rows and objects, and
+// "restore" makes the store come back from it.
 func (s *Store) Fault(command string) error {
+	switch command {
+	case "copy":
+		older := s.TakeCopy()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.older = older
+		return nil
+	case "restore":
+		s.mu.Lock()
+		older := s.older
+		s.mu.Unlock()
+		s.Restore(older)
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name, argument, _ := strings.Cut(command, ":")
@@ -149,6 +170,41 @@
 	return nil
 }
 
+// Copy is the content of a store at one moment. It is never modified. The zero value
+// is the copy of an empty store.
+type Copy struct {
+	sequence uint64
+	rows     map[string]dfplatform.Row
+	objects  map[string][]byte
+}
+
+// TakeCopy returns a copy of the rows and objects.
+func (s *Store) TakeCopy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{sequence: s.sequence, rows: maps.Clone(s.rows), objects: maps.Clone(s.objects)}
+}
+
+// Restore makes the store come back from an older copy, in the next era. All that was
+// acknowledged since is lost, and row versions are given out again. The host list is
+// not part of the store.
+func (s *Store) Restore(older Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.sequence, s.rows, s.objects = older.sequence, maps.Clone(older.rows), maps.Clone(older.objects)
+	if s.rows == nil {
+		s.rows, s.objects = map[string]dfplatform.Row{}, map[string][]byte{}
+	}
+}
+
+// Era returns the era of the store.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // SetMemberLag changes the age of the host list that is shown.
 func (s *Store) SetMemberLag(lag dfclock.Millis) {
 	s.mu.Lock()
@@ -202,12 +258,15 @@
 	if !found {
 		return dfplatform.Row{}, eris.Wrapf(dfplatform.ErrNotFound, "row %s", key)
 	}
-	return copied(row), nil
+	return s.answered(row)
 }
 
-func copied(row dfplatform.Row) dfplatform.Row {
-	row.Value = bytes.Clone(row.Value)
-	return row
+// answered returns a copy of a row with its version in the present era. The caller
+// holds mu.
+func (s *Store) answered(row dfplatform.Row) (dfplatform.Row, error) {
+	version, err := dfrevision.New(s.era, uint64(row.Version))
+	row.Value, row.Version = bytes.Clone(row.Value), version
+	return row, err
 }
 
 // List returns the rows whose keys have the prefix, by key.
@@ -219,9 +278,14 @@
 	defer s.mu.Unlock()
 	var rows []dfplatform.Row
 	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, copied(s.rows[key]))
+		if !strings.HasPrefix(key, prefix) {
+			continue
 		}
+		row, err := s.answered(s.rows[key])
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
 	}
 	return rows, s.leave()
 }
@@ -233,6 +297,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := dfplatform.CheckConditions(s.era, writes...); err != nil {
+		return err
+	}
 	if err := s.check(writes); err != nil {
 		return err
 	}
@@ -254,8 +321,8 @@
 			return eris.Wrapf(ErrInvalid, "row %s is written twice in one commit", write.Key)
 		}
 		seen[write.Key] = true
-		if !write.Unconditional && s.rows[write.Key].Version != write.IfVersion {
-			return eris.Wrapf(dfplatform.ErrConflict, "row %s has version %d, not %d", write.Key, s.rows[write.Key].Version, write.IfVersion)
+		if have := uint64(s.rows[write.Key].Version); !write.Unconditional && have != write.IfVersion.Version() {
+			return eris.Wrapf(dfplatform.ErrConflict, "row %s has version %d, not %d", write.Key, have, write.IfVersion.Version())
 		}
 	}
 	return nil
--- a/dfstandinplatform/store_test.go
+++ b/dfstandinplatform/store_test.go
@@ -44,7 +44,7 @@
 		s.SetFaults(Faults{})
 		row, err := s.Get(ctx, "x")
 		require.NoError(t, err)
-		require.Equal(t, uint64(20), uint64(row.Version))
+		require.Equal(t, uint64(20), row.Version.Version())
 	}
 	require.Equal(t, outcomes[0], outcomes[1])
 	require.Contains(t, outcomes[0], true)
