Bring the head forward after the platform came back from an older copy

Callers saw: nothing yet; found by looking for the cause on the other interface. Operators would see a publication that was accepted and is gone, and a later one that gets its version number and is put in force by no host. Cause: publishers and hosts trust that the head that was acknowledged only grows. After a restore a publisher builds on the older head, and the hosts refuse the result as older than what they serve. A host that starts takes the older version. Ruled out: an era in the version number. Hosts would then adopt the version that was built on the older head, without the change that it lacks. Change: the head names the era in which it was written. A host that polls it brings it forward to the version that it has in force, 2 s after it first saw the later era, with the documents that were lost; publishers wait up to 6 s for that and then refuse without a change. What remains: a version that was accepted and that no host has read before the restore is lost, and one that only other hosts than the polling ones know for 2 s can be built over; the host then reports two versions of one number.

--- a/dfconfig/index.go
+++ b/dfconfig/index.go
@@ -101,6 +101,16 @@
 	Index   string
 	Author  string
 	Attempt string
+	// Era is the era of the platform in which the head was written. If the platform is
+	// in a later one, the head may be from an older copy: a host that knows a later
+	// version has not confirmed it yet.
+	Era uint64 `json:",omitempty"`
+}
+
+// WithEra returns the head as written in an era of the platform.
+func (h Head) WithEra(era uint64) Head {
+	h.Era = era
+	return h
 }
 
 // HeadKey is the key of the head's row.
--- a/dfdemo/restore_test.go
+++ b/dfdemo/restore_test.go
@@ -11,6 +11,7 @@
 	"dragonflygrade/dfconfig"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfhost"
+	"dragonflygrade/dfstandinplatform"
 )
 
 // restoredInForce bounds the time from the restore until a publication is accepted and
@@ -54,8 +55,18 @@
 // Guards against a host that starts after the restore and serves an older version than
 // the others, because only the restored head tells it one.
 func TestRestoredHeadIsBroughtForward(t *testing.T) {
+	for name, hasHead := range map[string]bool{"older": true, "absent": false} {
+		t.Run(name, func(t *testing.T) { testRestoredHead(t, hasHead) })
+	}
+}
+
+func testRestoredHead(t *testing.T, hasHead bool) {
+	t.Helper()
 	stack := newTestStack(t, 4, time.Second)
-	older := stack.store.TakeCopy()
+	var older dfstandinplatform.Copy
+	if hasHead {
+		older = stack.store.TakeCopy()
+	}
 	version := stack.publishLimit(t, 0, 14)
 	stack.awaitVersion(t, version, patience)
 	stack.store.Restore(older)
--- a/dfhost/adoption.go
+++ b/dfhost/adoption.go
@@ -42,8 +42,10 @@
 	done     chan struct{}
 	spreader *dfspread.Disseminator
 
-	mu      sync.Mutex
-	state   *dfconfig.Adoption
+	mu    sync.Mutex
+	state *dfconfig.Adoption
+	// unconfirmed is the head that this host is about to bring forward.
+	unconfirmed unconfirmedHead
 	current atomic.Pointer[dfconfig.Snapshot]
 }
 
@@ -124,16 +126,19 @@
 	platform := a.host.settings.Platform
 	row, err := platform.Get(ctx, dfconfig.HeadKey)
 	if errors.Is(err, dfplatform.ErrNotFound) {
-		return 0, nil
+		return 0, a.confirmHead(ctx, dfplatform.Row{}, dfconfig.Head{})
 	}
 	if err != nil {
 		return 0, err
 	}
 	head, err := dfconfig.DecodeHead(row.Value)
-	if err != nil || head.Version <= a.inForce().Version() {
-		return head.Version, err
+	if err != nil {
+		return 0, err
+	}
+	if head.Version > a.inForce().Version() {
+		return head.Version, a.fetchIndex(ctx, head)
 	}
-	return head.Version, a.fetchIndex(ctx, head)
+	return head.Version, a.confirmHead(ctx, row, head)
 }
 
 func (a *adoption) fetchIndex(ctx context.Context, head dfconfig.Head) error {
--- a/dfpublish/constants.go
+++ b/dfpublish/constants.go
@@ -13,6 +13,9 @@
 	// pollInterval is the interval between queries of the applied versions, a
 	// fraction of the seconds in which a version spreads to all hosts.
 	pollInterval = 200 * dfclock.Millisecond
+	// confirmTimeout limits the wait for a host that confirms the head after the
+	// platform came back from an older copy. Hosts do so within about 3 s.
+	confirmTimeout = 6 * dfclock.Second
 	// maxAuditedDiagnostics limits the diagnostics that an audit record repeats.
 	maxAuditedDiagnostics = 5
 )
--- a/dfpublish/publish.go
+++ b/dfpublish/publish.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return false, dfresult.NewError(dfresult.ConfigurationInvalid, "%s", err)
 	}
-	row, err := index.Head().Encode()
+	row, err := index.Head().WithEra(p.platform.Era()).Encode()
 	if err != nil {
 		return false, dfresult.NewError(dfresult.ConfigurationInvalid, "%s", err)
 	}
@@ -288,8 +288,35 @@
 	return p.fetchIndex(ctx, dfconfig.IndexObject(index.Version-1, index.Previous))
 }
 
-// readHead returns the current version, or version 0 if there is no head.
+// errUnconfirmed means that the head may be from an older copy of the platform's store.
+var errUnconfirmed = eris.New("the platform came back from an older copy, and no host has confirmed the configuration since")
+
+// readHead returns the current version, or version 0 if there is no head. While the
+// head may be older than versions that were confirmed, it waits for a host to bring it
+// forward.
 func (p *Publisher) readHead(ctx context.Context) (headState, error) {
+	waited := dfclock.Millis(0)
+	for {
+		row, head, err := p.fetchHead(ctx)
+		if err != nil || row.Version == 0 {
+			return headState{}, err
+		}
+		if head.Era >= row.Version.Era() {
+			index, err := p.fetchIndex(ctx, head.Index)
+			return headState{rowVersion: row.Version, index: index}, err
+		}
+		if waited >= confirmTimeout {
+			return headState{}, eris.Wrapf(errUnconfirmed, "publish: head of version %d", head.Version)
+		}
+		if err := p.options.Sleep(ctx, pollInterval); err != nil {
+			return headState{}, eris.Wrap(err, "publish: read the head")
+		}
+		waited += pollInterval
+	}
+}
+
+// fetchHead returns the head and its row, which are zero if there is no head.
+func (p *Publisher) fetchHead(ctx context.Context) (dfplatform.Row, dfconfig.Head, error) {
 	var row dfplatform.Row
 	err := p.settler.Retry(ctx, func(ctx context.Context) error {
 		var err error
@@ -297,17 +324,13 @@
 		return err
 	})
 	if eris.Is(err, dfplatform.ErrNotFound) {
-		return headState{}, nil
+		return dfplatform.Row{}, dfconfig.Head{}, nil
 	}
 	if err != nil {
-		return headState{}, eris.Wrap(err, "publish: read the head")
+		return dfplatform.Row{}, dfconfig.Head{}, eris.Wrap(err, "publish: read the head")
 	}
 	head, err := dfconfig.DecodeHead(row.Value)
-	if err != nil {
-		return headState{}, err
-	}
-	index, err := p.fetchIndex(ctx, head.Index)
-	return headState{rowVersion: row.Version, index: index}, err
+	return row, head, err
 }
 
 func (p *Publisher) fetchIndex(ctx context.Context, name string) (dfconfig.Index, error) {
