Store audit segments again that the platform lost

Operators would see: a trail with a hole from the restore on, and records gone that the platform had acknowledged. Found by looking for the cause elsewhere. Cause: a host dropped a segment once it was stored. A platform that comes back from an older copy has lost the last ones, and later ones follow a hole, so that every later record counts as unverified. What remains: segments of a process that ended before the restore, such as a publisher's, are lost with it.

--- a/dfaudit/trail.go
+++ b/dfaudit/trail.go
@@ -12,8 +12,11 @@
 type Segment struct {
 	Name string
 	Data []byte
-	// count is the number of records, which are the oldest in the buffer.
+	// count is the number of records, which are the oldest in the buffer. It is 0 for a
+	// segment that is stored again.
 	count int
+	// storedAt is when the segment was stored.
+	storedAt dfclock.Millis
 }
 
 // Trail decides what to write of one host's records, and when. It is used by
@@ -31,6 +34,10 @@
 	dropped uint64
 	// sequence is the number of the last segment stored.
 	sequence uint64
+	// kept has the segments stored within keptAge, at most maxKept, oldest first. lost
+	// has those that the store may have lost since and that are stored again.
+	kept []Segment
+	lost []Segment
 	// current is handed out until it is stored; its content does not change,
 	// so that a repeat after a lost answer finds the same object.
 	current Segment
@@ -99,12 +106,18 @@
 			return Segment{}, false, err
 		}
 	}
-	if len(t.buffer) == 0 || !flush && !now.Reached(t.notBefore) {
+	if !flush && !now.Reached(t.notBefore) {
 		return Segment{}, false, nil
 	}
-	if t.current.count > 0 {
+	if t.current.Name == "" && len(t.lost) > 0 {
+		t.current, t.lost = t.lost[0], t.lost[1:]
+	}
+	if t.current.Name != "" {
 		return t.current, true, nil
 	}
+	if len(t.buffer) == 0 {
+		return Segment{}, false, nil
+	}
 	if !flush && len(t.buffer) < maxSegment && now.Since(t.oldest) < segmentAge {
 		return Segment{}, false, nil
 	}
@@ -118,16 +131,35 @@
 }
 
 // Stored tells that the current segment is in the object store.
-func (t *Trail) Stored() {
-	t.buffer = append([]Record(nil), t.buffer[t.current.count:]...)
-	if len(t.buffer) > 0 {
-		t.oldest = t.buffer[0].When
+func (t *Trail) Stored(now dfclock.Millis) {
+	if t.current.count > 0 {
+		t.buffer = append([]Record(nil), t.buffer[t.current.count:]...)
+		if len(t.buffer) > 0 {
+			t.oldest = t.buffer[0].When
+		}
+		t.sequence++
 	}
+	t.keep(now)
 	t.current = Segment{}
-	t.sequence++
 	t.failures, t.notBefore = 0, 0
 }
 
+// keep keeps the current segment and drops those that are too old.
+func (t *Trail) keep(now dfclock.Millis) {
+	stored := t.current
+	stored.count, stored.storedAt = 0, now
+	t.kept = append(t.kept, stored)
+	for len(t.kept) > maxKept || now.Since(t.kept[0].storedAt) > keptAge {
+		t.kept = t.kept[1:]
+	}
+}
+
+// Restored tells that the object store came back from an older copy. Segments that it
+// may have lost are stored again.
+func (t *Trail) Restored() {
+	t.lost, t.kept = append(t.lost, t.kept...), nil
+}
+
 // Failed tells that the current segment may not have been stored.
 func (t *Trail) Failed(now dfclock.Millis) {
 	wait := retryMax
--- a/dfaudit/trail_test.go
+++ b/dfaudit/trail_test.go
@@ -21,8 +21,11 @@
 	objects map[string][]byte
 	down    bool
 	lost    bool
+	era     uint64
 }
 
+func (m *memory) Era() uint64 { return m.era }
+
 func (m *memory) Put(_ context.Context, name string, data []byte) error {
 	if m.down {
 		return eris.Wrap(dfplatform.ErrUnavailable, "put")
@@ -169,3 +172,35 @@
 		require.False(t, filter.Matches(record))
 	}
 }
+
+// Guards against a hole in the trail after the store came back from an older copy, and
+// against segments that are stored again and again.
+func TestLostSegmentsAreStoredAgain(t *testing.T) {
+	store := &memory{objects: make(map[string][]byte), era: 1}
+	now, puts := dfclock.Millis(0), 0
+	writer := NewWriter(NewTrail("h1", "i1"), store, func() dfclock.Millis { return now }, nil)
+	add := func() {
+		now += dfclock.Second
+		require.NoError(t, writer.Add(Entry{Who: "ada", Kind: KindPublication, Outcome: "accepted"}))
+		require.NoError(t, writer.Flush(context.Background()))
+	}
+	for range 5 {
+		add()
+	}
+	for sequence := uint64(3); sequence <= 5; sequence++ {
+		delete(store.objects, SegmentName("h1", "i1", sequence))
+	}
+	store.era = 2
+	add()
+	require.NoError(t, read(t, store).Fault)
+	require.Len(t, read(t, store).Records, 6)
+	for {
+		stored, err := writer.write(context.Background(), false)
+		require.NoError(t, err)
+		if !stored {
+			break
+		}
+		puts++
+	}
+	require.Zero(t, puts)
+}
--- a/dfaudit/writer.go
+++ b/dfaudit/writer.go
@@ -15,21 +15,30 @@
 // writeInterval is how often the writer looks for a due segment.
 const writeInterval = 200 * dfclock.Millisecond
 
+// Store is the object store of a trail. Its era rises each time that it comes back
+// from an older copy, without what it acknowledged since.
+type Store interface {
+	dfplatform.ObjectStore
+	Era() uint64
+}
+
 // Writer stores the segments of a trail. Its methods may be called by several
 // goroutines.
 type Writer struct {
-	store dfplatform.ObjectStore
+	store Store
 	now   func() dfclock.Millis
 	sleep dfplatform.Sleep
 
 	// writing is held while a segment is stored, so that each is stored once.
 	writing sync.Mutex
-	mu      sync.Mutex
+	// era is the era of the store that the trail knows of, or 0.
+	era uint64
+	mu  sync.Mutex
 	trail   *Trail
 }
 
 // NewWriter returns a writer of a trail. The clock counts milliseconds since 1970.
-func NewWriter(trail *Trail, store dfplatform.ObjectStore, now func() dfclock.Millis, sleep dfplatform.Sleep) *Writer {
+func NewWriter(trail *Trail, store Store, now func() dfclock.Millis, sleep dfplatform.Sleep) *Writer {
 	return &Writer{store: store, now: now, sleep: sleep, trail: trail}
 }
 
@@ -90,6 +99,7 @@
 func (w *Writer) write(ctx context.Context, flush bool) (bool, error) {
 	w.writing.Lock()
 	defer w.writing.Unlock()
+	w.observeEra()
 	w.mu.Lock()
 	segment, due, err := w.trail.Due(w.now(), flush)
 	w.mu.Unlock()
@@ -97,16 +107,33 @@
 		return false, err
 	}
 	err = w.store.Put(ctx, segment.Name, segment.Data)
+	if w.era == 0 {
+		w.era = w.store.Era()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
 		w.trail.Failed(w.now())
 		return false, eris.Wrapf(err, "audit: store %s", segment.Name)
 	}
-	w.trail.Stored()
+	w.trail.Stored(w.now())
 	return true, nil
 }
 
+// observeEra tells the trail of a later era. The caller holds writing.
+func (w *Writer) observeEra() {
+	era := w.store.Era()
+	if era <= w.era {
+		return
+	}
+	if w.era > 0 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.trail.Restored()
+	}
+	w.era = era
+}
+
 // Chain is the verified part of one incarnation's trail.
 type Chain struct {
 	Host        string
--- a/dfcapacity/session.go
+++ b/dfcapacity/session.go
@@ -95,7 +95,7 @@
 				return err
 			}
 			stored += len(segment.Data)
-			trail.Stored()
+			trail.Stored(dfclock.Millis(size))
 		}
 		m.add("audit.bytes", size, float64(stored))
 	}
