Give each era of the table slot epochs of its own

Callers saw: nothing yet; found by looking for the cause on the other interface. An upstream could have more connections than its limit. Cause: the epoch of a slot is counted up in its row. After a restore the row can lack later owners, so the next owner gets the epoch of a lost one, and does not end its connections: they have the same application name, or the row says that none are left. Ruled out: owners that write their rows again. A killed or paused owner cannot, and its connections are the ones that count. Change: the first claim in a later era starts a range of epochs of its own. While the row was not cleared within that range, the owner ends all connections of the slot but its own, by the prefix of their names. Epochs of the first era stay as they were, so hosts of earlier builds agree until the first restore. TestLostOwnersAreTerminated is new.

--- a/dfhost/adoption.go
+++ b/dfhost/adoption.go
@@ -46,7 +46,7 @@
 	state *dfconfig.Adoption
 	// unconfirmed is the head that this host is about to bring forward.
 	unconfirmed unconfirmedHead
-	current atomic.Pointer[dfconfig.Snapshot]
+	current     atomic.Pointer[dfconfig.Snapshot]
 }
 
 func newAdoption(h *Host) *adoption {
--- a/dfhost/terminate.go
+++ b/dfhost/terminate.go
@@ -21,7 +21,7 @@
 		if upstream.ID != action.Upstream {
 			continue
 		}
-		err := terminateAt(ctx, k.host.settings, database, upstream.Address, action.Names)
+		err := terminateAt(ctx, k.host.settings, database, upstream.Address, action)
 		if err != nil {
 			k.host.log.Warn().Err(err).Str("Upstream", string(upstream.ID)).Msg("slots: earlier connections not ended")
 		}
@@ -30,8 +30,8 @@
 	return event
 }
 
-// terminateAt ends connections by application name over a control connection.
-func terminateAt(ctx context.Context, settings Settings, database dfconfig.Database, address string, names []string) error {
+// terminateAt ends the connections that the action matches, over a control connection.
+func terminateAt(ctx context.Context, settings Settings, database dfconfig.Database, address string, action dflease.Terminate) error {
 	// The host is never resolved: the dial function knows the address.
 	config, err := pgconn.ParseConfig("host=127.0.0.1 port=5432 sslmode=disable")
 	if err != nil {
@@ -47,11 +47,19 @@
 		return eris.Wrapf(err, "slots: control connection to %s", address)
 	}
 	defer func() { _ = conn.Close(ctx) }()
-	quoted := make([]string, len(names))
-	for i, name := range names {
-		quoted[i] = "'" + strings.ReplaceAll(name, "'", "''") + "'"
-	}
-	sql := "SELECT pg_terminate_backend(pid) FROM pg_stat_activity WHERE application_name IN (" + strings.Join(quoted, ", ") + ")"
-	_, err = conn.Exec(ctx, sql).ReadAll()
+	_, err = conn.Exec(ctx, "SELECT pg_terminate_backend(pid) FROM pg_stat_activity WHERE "+terminateCondition(action)).ReadAll()
 	return eris.Wrapf(err, "slots: terminate at %s", address)
 }
+
+// terminateCondition returns the SQL condition for the connections that the action
+// matches.
+func terminateCondition(action dflease.Terminate) string {
+	if action.Prefix != "" {
+		return "application_name LIKE " + quoted(action.Prefix+"%") + " AND application_name <> " + quoted(action.Own)
+	}
+	literals := make([]string, len(action.Names))
+	for i, name := range action.Names {
+		literals[i] = quoted(name)
+	}
+	return "application_name IN (" + strings.Join(literals, ", ") + ")"
+}
--- a/dflease/claim.go
+++ b/dflease/claim.go
@@ -124,9 +124,9 @@
 	earlier := SlotRow{Epoch: row.Epoch - 1, Cleared: row.Cleared}
 	return &slot{
 		group: group, index: index, epoch: row.Epoch, clearedEpoch: row.Cleared,
-		earlierNames: earlierNames(group, index, earlier),
-		upstreams:    make(map[dfgroup.UpstreamID]clearingProgress),
-		probeSentAt:  make(map[dfgroup.UpstreamID]dfclock.Millis),
+		earlierNames: earlierNames(group, index, earlier), lacksOwners: row.lacksOwners(),
+		upstreams:   make(map[dfgroup.UpstreamID]clearingProgress),
+		probeSentAt: make(map[dfgroup.UpstreamID]dfclock.Millis),
 	}
 }
 
@@ -165,7 +165,7 @@
 		row := m.slotRow(group, index)
 		next := SlotRow{
 			Host: m.settings.Host, Incarnation: m.Incarnation(), Address: m.settings.Address,
-			Epoch: row.Epoch + 1, Cleared: row.Cleared,
+			Epoch: nextEpoch(row.Epoch, m.era()), Cleared: row.Cleared,
 		}
 		writes := []dfplatform.Write{{
 			Key: SlotKey(group, index), IfVersion: m.observations[SlotKey(group, index)].row.Version, Value: encode(next),
@@ -181,6 +181,12 @@
 	return nil
 }
 
+// era returns the era of the table in which the own host row was read. A claim is
+// committed together with that row, so it fails in a later one.
+func (m *Manager) era() uint64 {
+	return m.observations[HostKey(m.settings.Host)].row.Version.Era()
+}
+
 // chooseSlot returns the slot of a group that this host should claim now. With v
 // vacant slots the first v candidates without a slot claim one each at once; each
 // further candidate waits claimStagger longer than the one before it.
--- a/dflease/event.go
+++ b/dflease/event.go
@@ -1,6 +1,9 @@
 package dflease
 
 import (
+	"slices"
+	"strings"
+
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
 	"dragonflygrade/dfplatform"
@@ -127,6 +130,18 @@
 	// Again is true for the second termination.
 	Again bool
 	Names []string
+	// Prefix selects all names that start with it except Own, if it is not empty.
+	// Names is empty then.
+	Prefix string
+	Own    string
+}
+
+// Matches reports whether connections with an application name are to be terminated.
+func (t Terminate) Matches(name string) bool {
+	if t.Prefix != "" {
+		return strings.HasPrefix(name, t.Prefix) && name != t.Own
+	}
+	return slices.Contains(t.Names, name)
 }
 
 // Ready reports that earlier owners have no connections left at an upstream.
--- a/dflease/manager_test.go
+++ b/dflease/manager_test.go
@@ -185,7 +185,7 @@
 func (sim *simulation) terminate(action Terminate) {
 	for _, c := range sim.sorted(sim.open) {
 		name := ApplicationName(c.held.Group, c.held.Index, c.held.Epoch)
-		if c.upstream != action.Upstream || !contains(action.Names, name) {
+		if c.upstream != action.Upstream || !action.Matches(name) {
 			continue
 		}
 		delete(sim.open, c)
@@ -222,15 +222,6 @@
 	return all
 }
 
-func contains(names []string, name string) bool {
-	for _, known := range names {
-		if known == name {
-			return true
-		}
-	}
-	return false
-}
-
 // step advances the simulation by one tick.
 func (sim *simulation) step() {
 	sim.now += tick
@@ -600,6 +591,25 @@
 		earlierNames("g", 1, SlotRow{Epoch: 5, Cleared: 3}))
 }
 
+// Guards against connections of an owner whose claim the table lost: the next owner
+// must not get its epoch, and has to terminate its connections.
+func TestLostOwnersAreTerminated(t *testing.T) {
+	require.Equal(t, uint64(6), nextEpoch(5, 1))
+	epoch := nextEpoch(5, 2)
+	require.Greater(t, epoch, uint64(5+64))
+	require.Equal(t, epoch+1, nextEpoch(epoch, 2))
+	require.Greater(t, nextEpoch(5, 3), epoch+64)
+	held := newSlot("g", 1, SlotRow{Epoch: epoch, Cleared: 5})
+	actions := held.clearUpstreams(1000, []dfgroup.UpstreamID{"a"})
+	require.Len(t, actions, 1)
+	action, ok := actions[0].(Terminate)
+	require.True(t, ok)
+	require.True(t, action.Matches(ApplicationName("g", 1, 6)))
+	require.False(t, action.Matches(ApplicationName("g", 1, epoch)))
+	require.False(t, action.Matches(ApplicationName("g", 11, 6)))
+	require.False(t, newSlot("g", 1, SlotRow{Epoch: epoch + 1, Cleared: epoch}).lacksOwners)
+}
+
 // TestProbesWithoutLease guards against an owner without a valid lease that goes on
 // opening connections because of probes on connections that were opened after a new
 // owner's first termination.
--- a/dflease/row.go
+++ b/dflease/row.go
@@ -35,7 +35,7 @@
 	Host        string
 	Incarnation string
 	Address     string
-	// Epoch increases by one with each owner.
+	// Epoch increases with each owner, by one within an era of the table; see nextEpoch.
 	Epoch uint64
 	// Cleared is the highest epoch up to which no connections are left at any
 	// upstream. Cleared <= Epoch.
@@ -60,7 +60,32 @@
 // ApplicationName returns the application name of connections that one owner of
 // a slot opens. The group is hashed to stay within PostgreSQL's limit of 63 bytes.
 func ApplicationName(group dfgroup.ID, index int, epoch uint64) string {
-	return fmt.Sprintf("dfslot-%016x-%d-%d", xxhash.Sum64String(string(group)), index, epoch)
+	return applicationPrefix(group, index) + strconv.FormatUint(epoch, 10)
+}
+
+// applicationPrefix returns what the application names of all owners of a slot have in
+// common. It has no character that is special in a pattern.
+func applicationPrefix(group dfgroup.ID, index int) string {
+	return fmt.Sprintf("dfslot-%016x-%d-", xxhash.Sum64String(string(group)), index)
+}
+
+// eraEpochs is the number of epochs of a slot in one era of the table.
+const eraEpochs = 1 << 40
+
+// nextEpoch returns the epoch of the next owner of a slot. If the table came back from
+// an older copy, the row may lack later owners, so each era has epochs of its own. The
+// first era has those below eraEpochs.
+func nextEpoch(epoch, era uint64) uint64 {
+	if first := era * eraEpochs; era > 1 && epoch < first {
+		return first + 1
+	}
+	return epoch + 1
+}
+
+// lacksOwners reports whether the row may lack owners between Cleared and Epoch that
+// have connections, because the table came back from an older copy between them.
+func (r SlotRow) lacksOwners() bool {
+	return r.Epoch/eraEpochs > r.Cleared/eraEpochs
 }
 
 // DecodeSlot reads a slot's row and returns its group and index.
--- a/dflease/slot.go
+++ b/dflease/slot.go
@@ -33,7 +33,10 @@
 	// earlierNames are the application names of earlier owners that may have
 	// connections.
 	earlierNames []string
-	upstreams    map[dfgroup.UpstreamID]clearingProgress
+	// lacksOwners is true if earlier owners are unknown. Connections of all epochs but
+	// the slot's own are terminated then.
+	lacksOwners bool
+	upstreams   map[dfgroup.UpstreamID]clearingProgress
 	// probeSentAt is when the last answered probe was sent, by upstream.
 	probeSentAt map[dfgroup.UpstreamID]dfclock.Millis
 	// unconfirmedSince is when an upstream terminated a connection. While
@@ -49,7 +52,7 @@
 	var actions []Action
 	for _, id := range upstreams {
 		progress, ok := s.upstreams[id]
-		if !ok && len(s.earlierNames) == 0 {
+		if !ok && len(s.earlierNames) == 0 && !s.lacksOwners {
 			s.upstreams[id] = clearingProgress{stage: cleared}
 			actions = append(actions, Ready{s.group, s.epoch, id})
 			continue
@@ -62,11 +65,21 @@
 		}
 		progress.nextStepAt = now.Add(terminateTimeout)
 		s.upstreams[id] = progress
-		actions = append(actions, Terminate{s.group, s.epoch, id, progress.stage == terminatingAgain, s.earlierNames})
+		actions = append(actions, s.termination(id, progress.stage == terminatingAgain))
 	}
 	return actions
 }
 
+// termination returns the termination of earlier owners' connections to an upstream.
+func (s *slot) termination(upstream dfgroup.UpstreamID, again bool) Terminate {
+	action := Terminate{Group: s.group, Epoch: s.epoch, Upstream: upstream, Again: again, Names: s.earlierNames}
+	if s.lacksOwners {
+		action.Names = nil
+		action.Prefix, action.Own = applicationPrefix(s.group, s.index), ApplicationName(s.group, s.index, s.epoch)
+	}
+	return action
+}
+
 // handleTerminated processes the result of a termination at an upstream.
 func (s *slot) handleTerminated(now dfclock.Millis, event Terminated) []Action {
 	progress, ok := s.upstreams[event.Upstream]
