Read the slot rows again as soon as the table came back

Callers saw: nothing yet; found by looking for the cause on the other interface. Cause: an owner whose claim the table lost goes on until its next read, 6 to 60 s later, while the other holders no longer count it among those that they notify. Change: the keeper tells the decisions of a later era of the table; all rows are read at once, and the owner drops the slot. Figures: TestRestoredRowsAreReadAtOnce fails without the change (no read is due). What remains: an owner that is cut off from the table goes on, and the others do not know of it. This is from reading the code; no run shows it yet.

--- a/dfhost/keeper.go
+++ b/dfhost/keeper.go
@@ -39,6 +39,9 @@
 	mu    sync.Mutex
 	state *dflease.Manager
 
+	// era is the era of the table that the keeper knows of, or 0. It belongs to the
+	// keeper's goroutine.
+	era uint64
 	// claimed belongs to the keeper's goroutine: slots whose holder is not open
 	// yet, with the instant of the claim.
 	claimed map[dfgroup.ID]claimedSlot
@@ -92,11 +95,25 @@
 			k.step(ctx, event)
 		case <-ticker.C:
 			k.step(ctx, dflease.Tick{})
+			k.observeEra(ctx)
 			k.openClaimed()
 		}
 	}
 }
 
+// observeEra makes the decisions read all rows again in a later era of the table.
+func (k *keeper) observeEra(ctx context.Context) {
+	era := k.host.settings.Platform.Era()
+	if era <= k.era {
+		return
+	}
+	if k.era > 0 {
+		k.host.log.Warn().Uint64("Before", k.era).Uint64("Era", era).Msg("slots: the platform came back from an older copy, reading all rows")
+		k.step(ctx, dflease.TableRestored{})
+	}
+	k.era = era
+}
+
 // post hands an event over; it waits for room.
 func (k *keeper) post(event dflease.Event) {
 	select {
--- a/dflease/event.go
+++ b/dflease/event.go
@@ -84,6 +84,10 @@
 	SentAt   dfclock.Millis
 }
 
+// TableRestored reports that the table came back from an older copy. Rows may name
+// earlier owners again.
+type TableRestored struct{}
+
 // Drained reports that the host has closed all connections and is leaving.
 type Drained struct{}
 
@@ -96,6 +100,7 @@
 func (Terminated) event()           {}
 func (ConnectionTerminated) event() {}
 func (ProbeAnswered) event()        {}
+func (TableRestored) event()        {}
 func (Drained) event()              {}
 
 // Action is an output of Manager.Step that the host has to carry out.
--- a/dflease/manager.go
+++ b/dflease/manager.go
@@ -194,6 +194,9 @@
 		if ok && held.epoch == event.Epoch && event.OpenedAt.Before(m.validUntil) {
 			held.probeSentAt[event.Upstream] = max(held.probeSentAt[event.Upstream], event.SentAt)
 		}
+	case TableRestored:
+		m.ownVersionKnown, m.renewalOnly = false, false
+		m.nextReadAt = min(m.nextReadAt, now)
 	case Drained:
 		m.draining = true
 		m.nextReadAt = min(m.nextReadAt, now)
--- a/dflease/manager_test.go
+++ b/dflease/manager_test.go
@@ -610,6 +610,23 @@
 	require.False(t, newSlot("g", 1, SlotRow{Epoch: epoch + 1, Cleared: epoch}).lacksOwners)
 }
 
+// Guards against an owner that goes on for the time between two reads although the
+// table lost its claim.
+func TestRestoredRowsAreReadAtOnce(t *testing.T) {
+	sim := newSimulation(7, 3, 1, 3)
+	sim.converge(t, 7)
+	host := sim.hosts[0]
+	held, ok := host.manager.Slot("s/0")
+	require.True(t, ok)
+	host.manager.inFlight = false
+	now := host.manager.nextReadAt - 1
+	actions := host.manager.Step(now, TableRestored{})
+	require.Len(t, actions, 1)
+	require.IsType(t, ReadRows{}, actions[0])
+	actions = host.manager.Step(now+1, RowsRead{RequestedAt: now})
+	require.Contains(t, actions, Action(Lost{held.Group, held.Index, held.Epoch, "another host took over after the lease lapsed"}))
+}
+
 // TestProbesWithoutLease guards against an owner without a valid lease that goes on
 // opening connections because of probes on connections that were opened after a new
 // owner's first termination.
