--- a/dfedge/era.go
+++ b/dfedge/era.go
@@ -73,26 +73,33 @@
 	era := e.laterEra(ctx, 0)
 	for era = e.laterEra(ctx, era); ctx.Err() == nil; era = e.laterEra(ctx, era) {
 		if e.usesLeases() {
-			e.retryRewrite(ctx, "claims", e.rewriteClaims)
+			e.retryRewrite(ctx, e.rewriteClaims)
 		}
 		sleep(ctx, rand.N(announceSpread))
-		e.retryRewrite(ctx, "host", e.announce)
+		e.retryRewrite(ctx, e.rewriteHost)
 	}
 }
 
 // retryRewrite writes rows until it succeeds.
-func (e *Edge) retryRewrite(ctx context.Context, rows string, rewrite func(context.Context) error) {
+func (e *Edge) retryRewrite(ctx context.Context, rewrite func(context.Context) error) {
 	for ctx.Err() == nil {
 		err := rewrite(ctx)
 		if err == nil {
-			e.log.Info().Str("Rows", rows).Msg("platform: lost rows written again")
 			return
 		}
-		e.log.Warn().Str("Rows", rows).Err(err).Msg("platform: cannot write lost rows again")
+		e.log.Warn().Err(err).Msg("platform: cannot write lost row again")
 		sleep(ctx, rewriteRetryDelay)
 	}
 }
 
+func (e *Edge) rewriteHost(ctx context.Context) error {
+	err := e.announce(ctx)
+	if err == nil {
+		e.log.Info().Str("Row", membersTable+e.options.Self.ID).Msg("platform: lost row written again")
+	}
+	return err
+}
+
 // rewriteClaims makes the claims show again which terms may lead. Hosts that start
 // later would otherwise use a leader that is being replaced.
 func (e *Edge) rewriteClaims(ctx context.Context) error {
@@ -123,5 +130,9 @@
 		return eris.Wrap(err, "succession: encode claim")
 	}
 	write := dfplatform.Write{Key: claimsTable + service, IfVersion: row.Version, Value: value}
-	return e.options.Platform.Commit(ctx, e.options.Self.ID, write)
+	err = e.options.Platform.Commit(ctx, e.options.Self.ID, write)
+	if err == nil {
+		e.log.Info().Str("Row", write.Key).Uint64("Term", uint64(term)).Msg("platform: lost row written again")
+	}
+	return err
 }
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -62,7 +62,7 @@
 	var answeredAt dfclock.Millis
 	full, lost, hasRead := true, false, false
 	for ctx.Err() == nil {
-		if !full && !e.followsFeeds() {
+		if position > 0 && !e.followsFeeds() {
 			sleep(ctx, feedRetryDelay)
 			continue
 		}
