--- a/dfaudit/writer.go
+++ b/dfaudit/writer.go
@@ -32,9 +32,9 @@
 	// writing is held while a segment is stored, so that each is stored once.
 	writing sync.Mutex
 	// era is the era of the store that the trail knows of, or 0.
-	era uint64
-	mu  sync.Mutex
-	trail   *Trail
+	era   uint64
+	mu    sync.Mutex
+	trail *Trail
 }
 
 // NewWriter returns a writer of a trail. The clock counts milliseconds since 1970.
