--- a/dfhost/keeper.go
+++ b/dfhost/keeper.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dragonflygrade/dfaudit"
@@ -39,9 +40,8 @@
 	mu    sync.Mutex
 	state *dflease.Manager
 
-	// era is the era of the table that the keeper knows of, or 0. It belongs to the
-	// keeper's goroutine.
-	era uint64
+	// era is the era of the table that state knows of, or 0.
+	era atomic.Uint64
 	// claimed belongs to the keeper's goroutine: slots whose holder is not open
 	// yet, with the instant of the claim.
 	claimed map[dfgroup.ID]claimedSlot
@@ -103,15 +103,25 @@
 
 // observeEra makes the decisions read all rows again in a later era of the table.
 func (k *keeper) observeEra(ctx context.Context) {
-	era := k.host.settings.Platform.Era()
-	if era <= k.era {
+	before, era := k.era.Load(), k.host.settings.Platform.Era()
+	if era <= before {
 		return
 	}
-	if k.era > 0 {
-		k.host.log.Warn().Uint64("Before", k.era).Uint64("Era", era).Msg("slots: the platform came back from an older copy, reading all rows")
+	if before > 0 {
+		k.host.log.Warn().Uint64("Before", before).Uint64("Era", era).Msg("slots: the platform came back from an older copy, reading all rows")
 		k.step(ctx, dflease.TableRestored{})
 	}
-	k.era = era
+	k.era.Store(era)
+}
+
+// ownersKnown reports whether the slot rows that the table answers show all owners.
+func (k *keeper) ownersKnown() bool {
+	if era := k.era.Load(); era > 0 && k.host.settings.Platform.Era() > era {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.OwnersKnown(k.now())
 }
 
 // post hands an event over; it waits for room.
--- a/dfhost/slots.go
+++ b/dfhost/slots.go
@@ -296,7 +296,11 @@
 			rank++
 		}
 	}
-	holder.SetRoster(roster)
+	if s.keeper.ownersKnown() {
+		// Otherwise the earlier roster stays: a holder that is missing in the rows may
+		// still acknowledge writes.
+		holder.SetRoster(roster)
+	}
 	holder.SetRank(rank)
 }
 
--- a/dflease/manager.go
+++ b/dflease/manager.go
@@ -60,7 +60,10 @@
 	inFlight bool
 	sentAt   dfclock.Millis
 
-	slots map[dfgroup.ID]*slot
+	// restoredAt is when this host learned that the table came back from an older copy,
+	// or 0.
+	restoredAt dfclock.Millis
+	slots      map[dfgroup.ID]*slot
 	// draining is set by Drained and never reset.
 	draining  bool
 	releasing bool
@@ -130,6 +133,13 @@
 	return m.Valid(now) || held.probedByMajority(now, upstreams)
 }
 
+// OwnersKnown reports whether the slot rows show all owners. An owner whose claim the
+// table lost reads the rows within RenewInterval if it reaches the table, and drops the
+// slot. Its lease ends within LeaseTTL in any case.
+func (m *Manager) OwnersKnown(now dfclock.Millis) bool {
+	return m.restoredAt == 0 || now.Since(m.restoredAt) >= LeaseTTL
+}
+
 // Cleared reports whether no earlier owner has connections to the upstream.
 // The host grants position leases only if that is the case at the primary.
 func (m *Manager) Cleared(group dfgroup.ID, upstream dfgroup.UpstreamID) bool {
@@ -195,6 +205,7 @@
 			held.probeSentAt[event.Upstream] = max(held.probeSentAt[event.Upstream], event.SentAt)
 		}
 	case TableRestored:
+		m.restoredAt = now
 		m.ownVersionKnown, m.renewalOnly = false, false
 		m.nextReadAt = min(m.nextReadAt, now)
 	case Drained:
--- a/dflease/manager_test.go
+++ b/dflease/manager_test.go
@@ -623,6 +623,8 @@
 	actions := host.manager.Step(now, TableRestored{})
 	require.Len(t, actions, 1)
 	require.IsType(t, ReadRows{}, actions[0])
+	require.False(t, host.manager.OwnersKnown(now.Add(LeaseTTL-1)))
+	require.True(t, host.manager.OwnersKnown(now.Add(LeaseTTL)))
 	actions = host.manager.Step(now+1, RowsRead{RequestedAt: now})
 	require.Contains(t, actions, Action(Lost{held.Group, held.Index, held.Epoch, "another host took over after the lease lapsed"}))
 }
