Split the poll of a feed and test that eras reach the client of the platform

Callers saw: nothing; found in a read of the change. TestErasReachTheClient plays a restore through the stand-in's server: the first conditional write is unknown, later ones are conflicts, rows of the new era are newer.

--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -71,15 +71,7 @@
 		if full {
 			changes, err = f.read(ctx)
 		} else {
-			wait := feedPollTimeout
-			if e.options.Now()-answeredAt > feedMaxGap {
-				// The store may have come back from an older copy since. A long poll would
-				// not tell before the next change.
-				wait = 0
-			}
-			changes, err = e.pollInEra(ctx, position, func(ctx context.Context) (dfplatform.Changes, error) {
-				return f.poll(ctx, position, wait)
-			})
+			changes, err = e.pollFeed(ctx, f, position, answeredAt)
 		}
 		if eris.Is(err, dfplatform.ErrHistoryLost) {
 			e.counters.feedHistoryLost.Inc()
@@ -116,9 +108,16 @@
 	}
 }
 
-// pollInEra runs a poll that is valid in the era of a position. If a later era is
-// known or gets known meanwhile, it fails with dfplatform.ErrHistoryLost.
-func (e *Edge) pollInEra(ctx context.Context, position dfrevision.Revision, poll func(context.Context) (dfplatform.Changes, error)) (dfplatform.Changes, error) {
+// pollFeed waits for changes after a position, which was answered at answeredAt. It
+// fails with dfplatform.ErrHistoryLost if a later era of the store is known, or gets
+// known meanwhile.
+func (e *Edge) pollFeed(ctx context.Context, f feed, position dfrevision.Revision, answeredAt dfclock.Millis) (dfplatform.Changes, error) {
+	wait := feedPollTimeout
+	if e.options.Now()-answeredAt > feedMaxGap {
+		// The store may have come back from an older copy since. A long poll would not
+		// tell before the next change.
+		wait = 0
+	}
 	e.mu.Lock()
 	era := e.storeEra
 	e.mu.Unlock()
@@ -126,7 +125,7 @@
 		pollCtx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(era.ended, cancel)()
-		changes, err := poll(pollCtx)
+		changes, err := f.poll(pollCtx, position, wait)
 		if err == nil || era.ended.Err() == nil {
 			return changes, err
 		}
--- a/dfhost/restored.go
+++ b/dfhost/restored.go
@@ -47,9 +47,12 @@
 		// Another host was faster; the next poll shows its head.
 		return nil
 	}
-	a.host.log.Warn().Uint64("Before", head.Version).Uint64("Version", index.Version).Uint64("Era", era).Err(err).
+	if err != nil {
+		return err
+	}
+	a.host.log.Warn().Uint64("Before", head.Version).Uint64("Version", index.Version).Uint64("Era", era).
 		Msg("configuration: head brought forward after the platform came back from an older copy")
-	return err
+	return nil
 }
 
 // confirmationDue reports whether this host has known of a restored head for
--- a/dfremote/client_test.go
+++ b/dfremote/client_test.go
@@ -12,6 +12,7 @@
 
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfproto"
+	"dragonflygrade/dfstandinplatform"
 )
 
 // server answers each call with one status, or with fixed values.
@@ -149,3 +150,30 @@
 	}
 	require.NoError(t, client.Close())
 }
+
+// Guards against a client that takes rows from before and after a restore for the same
+// history, because the era does not reach it.
+func TestErasReachTheClient(t *testing.T) {
+	ctx, store := context.Background(), dfstandinplatform.NewStore(dfstandinplatform.Options{})
+	server, err := dfstandinplatform.Serve(store, "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(server.Stop)
+	client, err := Dial(Options{Address: server.Address()})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	older := store.TakeCopy()
+	write := dfplatform.Write{Key: "k", Value: []byte("v")}
+	require.NoError(t, client.Commit(ctx, "a", write))
+	before, err := client.Get(ctx, "k")
+	require.NoError(t, err)
+	store.Restore(older)
+	require.NoError(t, store.Commit(ctx, "b", write))
+	write.IfVersion = before.Version
+	require.ErrorIs(t, client.Commit(ctx, "c", write), dfplatform.ErrUnavailable, "the first call after the restore")
+	require.ErrorIs(t, client.Commit(ctx, "d", write), dfplatform.ErrConflict)
+	rows, err := client.List(ctx, "k")
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	require.Greater(t, rows[0].Version, before.Version)
+	require.Equal(t, store.Era(), client.Era())
+}
