Test the stand-in's commands for a restore, and name what watchFeed remembers

Callers saw: nothing; found in a last read of the change. Cause: the commands "copy" and "restore" of the stand-in platform had no test, and "hasRead" in watchFeed means that the last answer was a whole table.

--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -57,10 +57,10 @@
 
 func (e *Edge) watchFeed(ctx context.Context, name string, f feed) {
 	// position is the revision of the newest changes that were applied. answeredAt is
-	// when they were.
+	// when they were. justRead is true if the last of them were a whole table.
 	var position dfrevision.Revision
 	var answeredAt dfclock.Millis
-	full, lost, hasRead := true, false, false
+	full, lost, justRead := true, false, false
 	for ctx.Err() == nil {
 		if position > 0 && !e.followsFeeds() {
 			sleep(ctx, feedRetryDelay)
@@ -76,11 +76,11 @@
 		if eris.Is(err, dfplatform.ErrHistoryLost) {
 			e.counters.feedHistoryLost.Inc()
 			e.log.Warn().Str("Feed", name).Stringer("Version", position).Msg("platform: change history lost, reading the whole table")
-			if hasRead {
+			if justRead {
 				// A store that loses its history again and again must not be read without pause.
 				sleep(ctx, feedRetryDelay)
 			}
-			full, hasRead = true, false
+			full, justRead = true, false
 			continue
 		}
 		if err != nil {
@@ -103,7 +103,7 @@
 		e.observeEra(changes.Version.Era())
 		f.apply(changes, full)
 		f.setLost(false)
-		full, hasRead = false, full
+		full, justRead = false, full
 		position, answeredAt = changes.Version, e.options.Now()
 	}
 }
--- a/dfstandinplatform/store_test.go
+++ b/dfstandinplatform/store_test.go
@@ -51,6 +51,31 @@
 	require.Contains(t, outcomes[0], false)
 }
 
+// Guards against a restore that keeps what was acknowledged since the copy, or that
+// changes the copy.
+func TestRestoreComesBackFromTheCopy(t *testing.T) {
+	ctx, s := context.Background(), NewStore(Options{})
+	require.NoError(t, s.Commit(ctx, "a", dfplatform.Write{Key: "x", Value: []byte("1")}))
+	require.NoError(t, s.Put(ctx, "o", []byte("1")))
+	copied, err := s.Get(ctx, "x")
+	require.NoError(t, err)
+	require.NoError(t, s.Fault("copy"))
+	for era := uint64(2); era <= 3; era++ {
+		require.NoError(t, s.Commit(ctx, "b", dfplatform.Write{Key: "x", Unconditional: true, Value: []byte("2")}))
+		require.NoError(t, s.Put(ctx, "p", []byte("2")))
+		require.NoError(t, s.Fault("restore"))
+		require.Equal(t, era, s.Era())
+		row, err := s.Get(ctx, "x")
+		require.NoError(t, err)
+		require.Equal(t, "1", string(row.Value))
+		require.Equal(t, copied.Version.Version(), row.Version.Version())
+		require.Equal(t, era, row.Version.Era())
+		names, err := s.Names(ctx, "")
+		require.NoError(t, err)
+		require.Equal(t, []string{"o"}, names)
+	}
+}
+
 // Guards against an effect in an outage and against unbounded rates.
 func TestOutageAndRatesHaveNoEffect(t *testing.T) {
 	ctx, s := context.Background(), NewStore(Options{WritesPerSecond: 1, ReadsPerSecond: 1})
