--- a/dfcatalog/catalog.go
+++ b/dfcatalog/catalog.go
@@ -3,7 +3,11 @@
 // ever replaced by a higher one.
 package dfcatalog
 
-import "dragonflygrade/dfclock"
+import (
+	"crypto/sha256"
+
+	"dragonflygrade/dfclock"
+)
 
 // Freshness is the consistency guarantee of reads.
 type Freshness interface{ freshness() }
@@ -37,6 +41,8 @@
 	TargetLatency dfclock.Millis
 	// Priority orders admission; lower values are admitted first.
 	Priority int
+	// AllowAnonymous is true if callers without a known key are accepted.
+	AllowAnonymous bool
 }
 
 // Service is one group of upstreams.
@@ -49,12 +55,42 @@
 	SyncReplicas int
 }
 
+// KeyHash is the SHA-256 hash of an API key. Keys themselves are not kept, so that
+// they cannot appear in logs or messages, and a lookup takes the same time for every
+// key.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key that a caller presented.
+func HashKey(key string) KeyHash {
+	return sha256.Sum256([]byte(key))
+}
+
+// Organisation is a customer whose callers share a limit. It is immutable.
+type Organisation struct {
+	// Name is what upstreams are told. It is unique in a catalog.
+	Name string
+	// Keys are the keys that identify callers of the organisation.
+	Keys []KeyHash
+	// Rate is the number of operations per second that the organisation may run on
+	// all hosts together, and Burst the number that it may run at once after a pause.
+	// An operation is a transaction, or a statement outside one. If Rate is zero, the
+	// organisation has no limit.
+	Rate  float64
+	Burst float64
+	// Priority orders organisations; lower values are more urgent.
+	Priority int
+}
+
 // Catalog is one version of the desired state. It is immutable. The zero value is
 // version 0 without routes.
 type Catalog struct {
 	version  uint64
 	routes   map[string]Route
 	services map[string]Service
+	// organisations is empty where callers have no keys. owners has the name of the
+	// organisation that holds each key.
+	organisations map[string]Organisation
+	owners        map[KeyHash]string
 	// transactionIdleTimeout bounds how long a transaction may be idle. Zero means
 	// no bound.
 	transactionIdleTimeout dfclock.Millis
@@ -118,3 +154,45 @@
 func (c Catalog) Supersedes(current Catalog) bool {
 	return c.version > current.version
 }
+
+// WithOrganisations returns the catalog with organisations, which replace those that
+// it has. If two organisations hold the same key, it identifies the first one.
+func (c Catalog) WithOrganisations(organisations []Organisation) Catalog {
+	c.organisations = make(map[string]Organisation, len(organisations))
+	c.owners = map[KeyHash]string{}
+	for _, organisation := range organisations {
+		c.organisations[organisation.Name] = organisation
+		for _, key := range organisation.Keys {
+			if _, held := c.owners[key]; !held {
+				c.owners[key] = organisation.Name
+			}
+		}
+	}
+	return c
+}
+
+// HasOrganisations reports whether callers are identified by keys.
+func (c Catalog) HasOrganisations() bool {
+	return len(c.organisations) > 0
+}
+
+// Organisation returns an organisation by its name.
+func (c Catalog) Organisation(name string) (Organisation, bool) {
+	organisation, ok := c.organisations[name]
+	return organisation, ok
+}
+
+// OrganisationOf returns the organisation that holds a key.
+func (c Catalog) OrganisationOf(key KeyHash) (Organisation, bool) {
+	organisation, ok := c.organisations[c.owners[key]]
+	return organisation, ok
+}
+
+// Organisations returns all organisations in no particular order.
+func (c Catalog) Organisations() []Organisation {
+	organisations := make([]Organisation, 0, len(c.organisations))
+	for _, organisation := range c.organisations {
+		organisations = append(organisations, organisation)
+	}
+	return organisations
+}
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -31,6 +31,8 @@
 type routeRequest struct {
 	service   *service
 	freshness dfcatalog.Freshness
+	// organisation is the name of the caller's organisation, or empty.
+	organisation string
 	// arrivedAt is when the statement, or its transaction, arrived.
 	arrivedAt dfclock.Millis
 	deadline  dfclock.Millis
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -22,6 +22,9 @@
 	conn     net.Conn
 	caller   Caller
 	database string
+	// organisation is the name of the caller's organisation under the current version,
+	// or empty if the caller is anonymous.
+	organisation string
 	// route is the route of the current statement or transaction.
 	route        dfcatalog.Route
 	sessionState *dfconnection.SessionState
@@ -229,6 +232,9 @@
 		return dfstatement.Failure(dfresult.StatementUnknown, "no such prepared statement", dfstatement.Idle)
 	}
 	req := sess.newRequest(now, now)
+	if failure := sess.edge.admitOperation(req); failure != nil {
+		return sess.refused(call, failure, failure)
+	}
 	if writes {
 		return sess.edge.executeWrite(sess, req, call)
 	}
@@ -256,6 +262,7 @@
 	req := &routeRequest{
 		service:       sess.edge.services[sess.route.Service],
 		freshness:     sess.route.Freshness,
+		organisation:  sess.organisation,
 		arrivedAt:     beganAt,
 		deadline:      now.Add(sess.route.Timeout),
 		targetLatency: sess.route.TargetLatency,
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -148,6 +148,9 @@
 func (t *transaction) open(call dfstatement.Call, now dfclock.Millis) dfstatement.Answer {
 	sess, e := t.session, t.session.edge
 	t.request = sess.newRequest(now, t.beganAt)
+	if failure := e.admitOperation(t.request); failure != nil {
+		return sess.refused(call, failure, failure)
+	}
 	last := dfresult.NewError(dfresult.NoPrimary, "service %s", t.request.service.name)
 	plan := e.planWrite
 	if t.readOnly {
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -53,6 +53,7 @@
 	NeedsPrimary    Code = 1009
 	ConnectionLimit Code = 1010
 	WrongUpstream   Code = 1011
+	OverLimit       Code = 1012
 
 	CommitUnknown     Code = 1101
 	ConnectionLost    Code = 1102
@@ -113,6 +114,7 @@
 	NeedsPrimary:          {NotRun, "25006", "the statement writes and a replica refused it"},
 	ConnectionLimit:       {NotRun, "53300", "the upstream has reached its limit of connections"},
 	WrongUpstream:         {NotRun, "57P03", "another upstream answers at the address"},
+	OverLimit:             {NotRun, "53400", "the organisation has reached its limit"},
 	CommitUnknown:         {Unknown, "40003", "the commit was sent and its result is not known"},
 	ConnectionLost:        {Unknown, "08007", "the connection to the upstream was lost during the request"},
 	TransactionLost:       {NotRun, "40001", "the transaction was rolled back because its connection was lost"},
