--- a/dfcatalog/catalog.go
+++ b/dfcatalog/catalog.go
@@ -184,8 +184,11 @@
 
 // OrganisationOf returns the organisation that holds a key.
 func (c Catalog) OrganisationOf(key KeyHash) (Organisation, bool) {
-	organisation, ok := c.organisations[c.owners[key]]
-	return organisation, ok
+	owner, held := c.owners[key]
+	if !held {
+		return Organisation{}, false
+	}
+	return c.Organisation(owner)
 }
 
 // Organisations returns all organisations in no particular order.
