Open upstream connections in the name of an organisation

Cause: an upstream is told whose statements run on a connection, and a connection was shared by all callers, so statements of one organisation ran under another's name. Change: dfpool grants a connection only to waiters of the organisation that it was opened for. The first connection of an organisation is opened at once; at the limit, the least recently used idle connection of another is closed for it. Each organisation has its own delay before further ones. A waiter without any connection of its organisation that has waited for the delay takes the next returned connection's place from later waiters, since an organisation that always has waiters would otherwise keep all connections. dfconnection, dfforward and dfedge pass the organisation on; Dialect.Open gets its name, or the host's own ID where there is none. The forwarded request has it as last field. Ruled out: one pool for each organisation, since the pools of an upstream would have to share its limit; giving statements of the host any idle connection, since callers that are accepted without a key have no organisation either. Tests that only constructed the changed types are adapted without a change of a check.

--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -72,8 +72,9 @@
 	return IdleTimeouts{Any: idleTimeout, Last: idleTimeout}
 }
 
-// Opener opens a connection. A refusal by the upstream is a *dfresult.Error.
-type Opener func(ctx context.Context, upstream dffleet.Upstream) (*Conn, error)
+// Opener opens a connection in the name of an organisation, or of none if it is empty.
+// A refusal by the upstream is a *dfresult.Error.
+type Opener func(ctx context.Context, upstream dffleet.Upstream, organisation string) (*Conn, error)
 
 // Clock returns the current time.
 type Clock func() dfclock.Millis
@@ -87,8 +88,8 @@
 	err  *dfresult.Error
 }
 
-// Pool is the connection pool for one upstream. It carries out the decisions of
-// dfpool. It is safe for concurrent use.
+// Pool is the connection pool for one upstream, for all organisations. It carries out
+// the decisions of dfpool. It is safe for concurrent use.
 type Pool struct {
 	upstream dffleet.Upstream
 	open     Opener
@@ -127,10 +128,11 @@
 	return p.upstream
 }
 
-// Acquire returns a connection, or an error whose outcome is "not run".
-func (p *Pool) Acquire(priority int, deadline dfclock.Millis) (*Conn, error) {
+// Acquire returns a connection that was opened in the name of an organisation, or of
+// none if it is empty. Otherwise it returns an error whose outcome is "not run".
+func (p *Pool) Acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
 	for {
-		conn, err := p.acquire(priority, deadline)
+		conn, err := p.acquire(organisation, priority, deadline)
 		if err != nil {
 			return nil, err
 		}
@@ -142,12 +144,14 @@
 	}
 }
 
-func (p *Pool) acquire(priority int, deadline dfclock.Millis) (*Conn, error) {
+func (p *Pool) acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
 	results := make(chan acquireResult, 1)
 	p.mu.Lock()
 	p.lastWaiter++
 	p.waiting[p.lastWaiter] = results
-	p.perform(p.policy.Handle(p.clock(), dfpool.Acquire{Waiter: p.lastWaiter, Priority: priority, Deadline: deadline}))
+	p.perform(p.policy.Handle(p.clock(), dfpool.Acquire{
+		Waiter: p.lastWaiter, Organisation: organisation, Priority: priority, Deadline: deadline,
+	}))
 	p.mu.Unlock()
 	result := p.awaitResult(results)
 	if result.err != nil {
@@ -234,7 +238,7 @@
 		case dfpool.Grant:
 			p.give(a)
 		case dfpool.Open:
-			go p.openConn(a.Conn)
+			go p.openConn(a)
 		case dfpool.Probe:
 			go p.probe(p.conns[a.Conn])
 		case dfpool.Close:
@@ -264,18 +268,18 @@
 }
 
 // openConn opens a connection and reports the result to the pool.
-func (p *Pool) openConn(id dfpool.ConnID) {
-	conn, err := p.open(p.ctx, p.upstream)
+func (p *Pool) openConn(a dfpool.Open) {
+	conn, err := p.open(p.ctx, p.upstream, a.Organisation)
 	p.observe(p.upstream.ID, err)
 	if err != nil {
-		p.handle(dfpool.OpenFailed{Conn: id})
+		p.handle(dfpool.OpenFailed{Conn: a.Conn})
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn.id = id
-	p.conns[id] = conn
-	p.perform(p.policy.Handle(p.clock(), dfpool.Opened{Conn: id}))
+	conn.id = a.Conn
+	p.conns[a.Conn] = conn
+	p.perform(p.policy.Handle(p.clock(), dfpool.Opened{Conn: a.Conn}))
 }
 
 // probe checks that a suspect connection still answers. Its session state is
--- a/dfconnection/share_test.go
+++ b/dfconnection/share_test.go
@@ -101,7 +101,7 @@
 			case dfpool.Open:
 				if s.connected() > simLimit {
 					refusedAt[host] = now
-					handle(now, host, dfpool.OpenFailed(a))
+					handle(now, host, dfpool.OpenFailed{Conn: a.Conn})
 					continue
 				}
 				s.queue = append(s.queue, job{host: host, conn: a.Conn, duration: simOpenTime})
--- a/dfconnection/startup_test.go
+++ b/dfconnection/startup_test.go
@@ -21,7 +21,7 @@
 	limit, open int
 }
 
-func (u *limitedUpstream) opener(_ context.Context, upstream dffleet.Upstream) (*Conn, error) {
+func (u *limitedUpstream) opener(_ context.Context, upstream dffleet.Upstream, _ string) (*Conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.open == u.limit {
@@ -68,7 +68,7 @@
 			start.Wait()
 		}
 		start.Go(func() {
-			if conn, err := pools[i].Acquire(0, clock().Add(10)); err == nil {
+			if conn, err := pools[i].Acquire("", 0, clock().Add(10)); err == nil {
 				pools[i].Release(conn, true)
 			}
 		})
@@ -79,7 +79,7 @@
 	for _, pool := range pools[hosts-carriers:] {
 		for range each {
 			callers.Go(func() {
-				_, err := pool.Acquire(0, clock().Add(dfclock.Second))
+				_, err := pool.Acquire("", 0, clock().Add(dfclock.Second))
 				held <- err == nil
 			})
 		}
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -364,11 +364,13 @@
 }
 
 // openConnection opens a connection for a pool.
-func (e *Edge) openConnection(ctx context.Context, upstream dffleet.Upstream) (*dfconnection.Conn, error) {
-	return e.dial(ctx, upstream, connectTimeout)
+func (e *Edge) openConnection(ctx context.Context, upstream dffleet.Upstream, organisation string) (*dfconnection.Conn, error) {
+	return e.dial(ctx, upstream, organisation, connectTimeout)
 }
 
-func (e *Edge) dial(ctx context.Context, upstream dffleet.Upstream, timeout dfclock.Millis) (*dfconnection.Conn, error) {
+// dial opens a connection in the name of an organisation. If it is empty, the upstream
+// is told the host's own ID.
+func (e *Edge) dial(ctx context.Context, upstream dffleet.Upstream, organisation string, timeout dfclock.Millis) (*dfconnection.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(timeout)*time.Millisecond)
 	defer cancel()
 	raw, err := e.options.Dial(ctx, upstream.Address)
@@ -379,7 +381,11 @@
 	if err := raw.SetDeadline(deadline); err != nil {
 		return nil, eris.Wrap(closeOnError(raw, err), "edge: set deadline")
 	}
-	transport, err := e.options.Dialect.Open(raw, upstream.Service, e.options.Self.ID, string(upstream.ID))
+	identity := organisation
+	if identity == "" {
+		identity = e.options.Self.ID
+	}
+	transport, err := e.options.Dialect.Open(raw, upstream.Service, identity, string(upstream.ID))
 	if err != nil {
 		return nil, closeOnError(raw, err)
 	}
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -30,7 +30,7 @@
 func (e *Edge) acquire(req *routeRequest, to target, priority int) (*attempt, error) {
 	a := &attempt{target: to, led: e.statementStarted(req.service, to.upstream)}
 	now := e.options.Now()
-	conn, err := to.source.acquire(priority, min(req.deadline, now.Add(to.acquireTimeout)))
+	conn, err := to.source.acquire(req.organisation, priority, min(req.deadline, now.Add(to.acquireTimeout)))
 	if err != nil {
 		e.statementEnded(req.service, to.upstream, a.led, false)
 		return nil, err
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -137,9 +137,10 @@
 // Dialect creates the codecs of connections.
 type Dialect interface {
 	Accept(conn net.Conn) Caller
-	// Open starts a session with an upstream. A refusal is returned as a
+	// Open starts a session with an upstream. identity is the name of the organisation
+	// whose statements will run, or the ID of this host. A refusal is returned as a
 	// *dfresult.Error.
-	Open(conn net.Conn, service, host, id string) (dfconnection.Transport, error)
+	Open(conn net.Conn, service, identity, id string) (dfconnection.Transport, error)
 }
 
 // Platform has the platform services that a host uses.
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -38,8 +38,9 @@
 
 // connSource provides connections to one upstream.
 type connSource interface {
-	// acquire returns a connection, or an error whose outcome is "not run".
-	acquire(priority int, deadline dfclock.Millis) (upstreamConn, error)
+	// acquire returns a connection that was opened in the name of an organisation, or
+	// of none if it is empty. Otherwise it returns an error whose outcome is "not run".
+	acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error)
 }
 
 // poolSource provides this host's own connections.
@@ -47,8 +48,8 @@
 	pool *dfconnection.Pool
 }
 
-func (p poolSource) acquire(priority int, deadline dfclock.Millis) (upstreamConn, error) {
-	conn, err := p.pool.Acquire(priority, deadline)
+func (p poolSource) acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
+	conn, err := p.pool.Acquire(organisation, priority, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -78,8 +79,8 @@
 	clock    dfconnection.Clock
 }
 
-func (c carrierSource) acquire(priority int, deadline dfclock.Millis) (upstreamConn, error) {
-	return c.client.Conn(c.upstream, priority, max(0, deadline-c.clock())), nil
+func (c carrierSource) acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
+	return c.client.Conn(c.upstream, organisation, priority, max(0, deadline-c.clock())), nil
 }
 
 // connectionPlan returns how the hosts share the connections to a service's
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -143,7 +143,7 @@
 // connection.
 func (e *Edge) queryUpstream(ctx context.Context, upstream dffleet.Upstream, timeout dfclock.Millis, statement dfstatement.Statement) (dfstatement.Answer, dfstatement.Report, error) {
 	deadline := time.Now().Add(time.Duration(timeout) * time.Millisecond)
-	conn, err := e.dial(ctx, upstream, timeout)
+	conn, err := e.dial(ctx, upstream, "", timeout)
 	if err != nil {
 		return dfstatement.Answer{}, dfstatement.Report{}, err
 	}
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -66,10 +66,14 @@
 	return &Client{carrier: carrier, address: address, dial: dial}
 }
 
-// Conn returns a connection to an upstream through the carrier. The carrier
-// acquires it from its pool with the first exchange.
-func (c *Client) Conn(upstream dffleet.ID, priority int, acquireTimeout dfclock.Millis) *Conn {
-	return &Conn{client: c, upstream: upstream, priority: priority, acquireTimeout: acquireTimeout, state: dfstatement.Idle}
+// Conn returns a connection to an upstream through the carrier, in the name of an
+// organisation or of none. The carrier acquires it from its pool with the first
+// exchange.
+func (c *Client) Conn(upstream dffleet.ID, organisation string, priority int, acquireTimeout dfclock.Millis) *Conn {
+	return &Conn{
+		client: c, upstream: upstream, organisation: organisation, priority: priority, acquireTimeout: acquireTimeout,
+		state: dfstatement.Idle,
+	}
 }
 
 // Close closes the idle connections.
@@ -127,6 +131,7 @@
 type Conn struct {
 	client         *Client
 	upstream       dffleet.ID
+	organisation   string
 	priority       int
 	acquireTimeout dfclock.Millis
 	// netConn is the connection to the carrier. It is nil before the first exchange
@@ -144,6 +149,7 @@
 	req := request{
 		Upstream: c.upstream, Priority: c.priority, AcquireTimeout: c.acquireTimeout,
 		Timeout: dfclock.Millis(time.Until(deadline) / time.Millisecond), HasSession: session != nil,
+		Organisation: c.organisation,
 	}
 	if session != nil {
 		req.Values = session.Values
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -157,7 +157,7 @@
 func newFakeHost(t *testing.T) (*fakeHost, *Client) {
 	t.Helper()
 	h := &fakeHost{}
-	open := func(context.Context, dffleet.Upstream) (*dfconnection.Conn, error) {
+	open := func(context.Context, dffleet.Upstream, string) (*dfconnection.Conn, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		next := &fakeTransport{state: dfstatement.Idle}
@@ -220,7 +220,7 @@
 // than its BEGIN, and against statements of other clients inside it.
 func TestTransactionKeepsItsConnection(t *testing.T) {
 	h, client := newFakeHost(t)
-	first, second := client.Conn("u", 0, 500), client.Conn("u", 0, 50)
+	first, second := client.Conn("u", "", 0, 500), client.Conn("u", "", 0, 50)
 	_, _, err := first.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
 	require.Equal(t, dfstatement.InTransaction, first.State())
@@ -244,7 +244,7 @@
 // has disconnected.
 func TestLostClientRollsBack(t *testing.T) {
 	h, client := newFakeHost(t)
-	conn := client.Conn("u", 0, 500)
+	conn := client.Conn("u", "", 0, 500)
 	_, _, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
 	require.Equal(t, 1, h.lentCount())
@@ -257,14 +257,14 @@
 func TestCarrierFailures(t *testing.T) {
 	h, client := newFakeHost(t)
 	h.stopped = true
-	conn := client.Conn("u", 0, 500)
+	conn := client.Conn("u", "", 0, 500)
 	_, sent, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	var carrierErr *CarrierError
 	require.ErrorAs(t, err, &carrierErr)
 	require.False(t, sent, "the carrier accepts no statements")
 
 	h.stopped, h.failure = false, dfresult.NewError(dfresult.NoConnection, "upstream is down").WithRetryAfter(200)
-	conn = client.Conn("u", 0, 500)
+	conn = client.Conn("u", "", 0, 500)
 	_, sent, err = conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	var refused *dfresult.Error
 	require.ErrorAs(t, err, &refused)
@@ -274,7 +274,7 @@
 	conn.Release(true)
 
 	h.failure = nil
-	conn = client.Conn("u", 0, 500)
+	conn = client.Conn("u", "", 0, 500)
 	_, _, err = conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
 	for _, accepted := range h.conns {
@@ -288,7 +288,7 @@
 	dead := NewClient(dfmember.Host{ID: "dead"}, "dead:1", func(context.Context, string) (net.Conn, error) {
 		return nil, eris.New("refused")
 	})
-	_, sent, err = dead.Conn("u", 0, 500).Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
+	_, sent, err = dead.Conn("u", "", 0, 500).Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	require.ErrorAs(t, err, &carrierErr)
 	require.False(t, sent)
 }
@@ -296,7 +296,7 @@
 // Guards against blaming the carrier for a timeout of the upstream.
 func TestUpstreamTimeout(t *testing.T) {
 	h, client := newFakeHost(t)
-	conn := client.Conn("u", 0, 500)
+	conn := client.Conn("u", "", 0, 500)
 	answers, _, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Status{}))
 	require.NoError(t, err)
 	report, err := conn.Report(answers[0])
@@ -306,7 +306,7 @@
 	h.transports[0].mu.Lock()
 	h.transports[0].unresponsive = true
 	h.transports[0].mu.Unlock()
-	conn = client.Conn("u", 0, 500)
+	conn = client.Conn("u", "", 0, 500)
 	_, sent, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	require.True(t, sent)
 	require.True(t, dfconnection.IsTimeout(err))
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -36,8 +36,10 @@
 	provider PoolProvider
 	clock    dfconnection.Clock
 	// pool and conn are the connection of the client's open transaction, or nil.
-	pool *dfconnection.Pool
-	conn *dfconnection.Conn
+	// organisation is the one that the connection belongs to.
+	pool         *dfconnection.Pool
+	conn         *dfconnection.Conn
+	organisation string
 }
 
 // NewHandler returns the handler of one client connection.
@@ -87,7 +89,7 @@
 		}
 		calls = append(calls, statement)
 	}
-	if len(calls) == 0 || h.conn != nil && h.conn.Upstream() != req.Upstream {
+	if len(calls) == 0 || h.conn != nil && (h.conn.Upstream() != req.Upstream || h.organisation != req.Organisation) {
 		return refusedReply(dfresult.NewError(dfresult.ProtocolViolation, "request for upstream %s", req.Upstream))
 	}
 	if h.conn == nil {
@@ -129,11 +131,11 @@
 
 // acquire gets a connection for the client's calls.
 func (h *Handler) acquire(pool *dfconnection.Pool, req request) *dfresult.Error {
-	conn, err := pool.Acquire(req.Priority, h.clock().Add(min(req.AcquireTimeout, req.Timeout)))
+	conn, err := pool.Acquire(req.Organisation, req.Priority, h.clock().Add(min(req.AcquireTimeout, req.Timeout)))
 	if err != nil {
 		return dfresult.FromError(err, dfresult.NoConnection)
 	}
-	h.pool, h.conn = pool, conn
+	h.pool, h.conn, h.organisation = pool, conn, req.Organisation
 	h.provider.AddLent(1)
 	return nil
 }
--- a/dfforward/message.go
+++ b/dfforward/message.go
@@ -26,6 +26,8 @@
 	HasSession bool
 	Values     map[string]string
 	Calls      []call
+	// Organisation is the name of the organisation whose calls these are, or empty.
+	Organisation string
 }
 
 // reply answers a request.
--- a/dfpool/event.go
+++ b/dfpool/event.go
@@ -18,6 +18,8 @@
 // Acquire requests a connection.
 type Acquire struct {
 	Waiter WaiterID
+	// Organisation is in whose name the connection must be open; empty means none.
+	Organisation string
 	// Priority orders waiters; lower values go first.
 	Priority int
 	Deadline dfclock.Millis
@@ -95,14 +97,19 @@
 // Action is something that the user of the pool has to do.
 type Action interface{ action() }
 
-// Grant assigns the connection to the waiter.
+// Grant assigns the connection to the waiter. Both belong to the organisation.
 type Grant struct {
-	Waiter WaiterID
-	Conn   ConnID
+	Waiter       WaiterID
+	Conn         ConnID
+	Organisation string
 }
 
-// Open opens a connection. The result is reported by Opened or OpenFailed.
-type Open struct{ Conn ConnID }
+// Open opens a connection in the name of an organisation, or of none if it is empty.
+// The result is reported by Opened or OpenFailed.
+type Open struct {
+	Conn         ConnID
+	Organisation string
+}
 
 // Probe tests whether a connection answers. The result is reported by ProbeFinished.
 type Probe struct{ Conn ConnID }
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -1,9 +1,11 @@
 // Package dfpool decides how the connections to one upstream are shared: when to
-// open, grant, probe and close them within a limit. It does no input or output.
+// open, grant, probe and close them within a limit. A connection is granted only to
+// waiters of the organisation in whose name it was opened. It does no input or output.
 package dfpool
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"dragonflygrade/dfclock"
@@ -26,9 +28,10 @@
 	LastIdleTimeout dfclock.Millis
 	InitialBackoff  dfclock.Millis
 	MaxBackoff      dfclock.Millis
-	// OpenDelay is how long a waiter waits for an existing connection before another
-	// one is opened, one at a time. Zero opens one for each waiter at once. A delay
-	// helps under loads at which opening connections takes up the upstream's time.
+	// OpenDelay is how long a waiter waits for an existing connection of its
+	// organisation before another one is opened, one at a time for each organisation.
+	// Zero opens one for each waiter at once. A delay helps under loads at which
+	// opening connections takes up the upstream's time.
 	OpenDelay dfclock.Millis
 }
 
@@ -67,6 +70,8 @@
 type connection struct {
 	id    ConnID
 	state state
+	// group counts the connection. It is that of its organisation.
+	group *group
 	// openedAt is when opening began. It stands for the age of the connection's path
 	// through the network, see suspectOlder.
 	openedAt  dfclock.Millis
@@ -80,6 +85,7 @@
 // waiter is a request that has no connection yet.
 type waiter struct {
 	id         WaiterID
+	group      *group
 	priority   int
 	deadline   dfclock.Millis
 	enqueuedAt dfclock.Millis
@@ -105,6 +111,8 @@
 	connections map[ConnID]*connection
 	// counts has the number of connections by state.
 	counts [closing + 1]int
+	// groups has the organisations with connections or waiters, by name.
+	groups map[string]*group
 	// idleConns has the idle connections, the most recently used one last.
 	idleConns []*connection
 	// waiters is sorted by priority, then arrival.
@@ -128,6 +136,7 @@
 		config:      config.withDefaults(),
 		random:      random,
 		connections: map[ConnID]*connection{},
+		groups:      map[string]*group{},
 	}
 }
 
@@ -201,7 +210,8 @@
 	for _, w := range p.waiters {
 		next = min(next, w.deadline)
 	}
-	if len(p.connections) < p.config.Limit && (len(p.waiters) > 0 || len(p.connections) < p.config.MinOpen) {
+	if len(p.connections) < p.config.Limit && (len(p.waiters) > 0 || len(p.connections) < p.config.MinOpen) ||
+		p.canEvictForWaiters() {
 		next = min(next, max(p.noOpenBefore, p.openDelayEnd()))
 	}
 	if len(p.connections) > p.config.MinOpen {
@@ -224,10 +234,13 @@
 		return
 	}
 	at := sort.Search(len(p.waiters), func(i int) bool { return p.waiters[i].priority > e.Priority })
-	p.insertWaiter(at, waiter{id: e.Waiter, priority: e.Priority, deadline: e.Deadline, enqueuedAt: now})
+	p.insertWaiter(at, waiter{
+		id: e.Waiter, group: p.groupOf(e.Organisation), priority: e.Priority, deadline: e.Deadline, enqueuedAt: now,
+	})
 }
 
 func (p *Pool) insertWaiter(at int, w waiter) {
+	w.group.waiting++
 	p.waiters = append(p.waiters, waiter{})
 	copy(p.waiters[at+1:], p.waiters[at:])
 	p.waiters[at] = w
@@ -247,12 +260,20 @@
 func (p *Pool) removeWaiter(id WaiterID) {
 	for i, w := range p.waiters {
 		if w.id == id {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.takeWaiter(i)
 			return
 		}
 	}
 }
 
+// takeWaiter removes and returns the waiter at an index.
+func (p *Pool) takeWaiter(at int) waiter {
+	w := p.waiters[at]
+	p.waiters = append(p.waiters[:at], p.waiters[at+1:]...)
+	w.group.waiting--
+	return w
+}
+
 // requireState returns the connection if it is in the state that the event requires.
 // An event for a connection that is already closing is late and violates no
 // invariant.
@@ -407,10 +428,12 @@
 func (p *Pool) reconcile(now dfclock.Millis) {
 	p.expireWaiters(now)
 	p.closeBeyondLimit()
+	p.closeForOverdue(now)
 	p.grantIdle()
 	p.probeSuspects()
 	p.openConnections(now)
 	p.refuseUnservable(now)
+	p.removeEmptyGroups()
 }
 
 // expireWaiters refuses waiters whose deadline has passed.
@@ -419,6 +442,7 @@
 	for _, w := range p.waiters {
 		if now.Reached(w.deadline) {
 			p.emit(Refuse{Waiter: w.id, Code: dfresult.NoConnection})
+			w.group.waiting--
 			continue
 		}
 		kept = append(kept, w)
@@ -439,26 +463,31 @@
 func (p *Pool) grantIdle() {
 	for i := len(p.idleConns) - 1; i >= 0 && len(p.waiters) > 0; i-- {
 		c := p.idleConns[i]
-		if c.suspect {
+		if c.suspect || c.group.waiting == 0 {
 			continue
 		}
 		p.removeIdle(c)
 		p.setState(c, inUse)
-		c.holder = p.waiters[0]
-		p.emit(Grant{Waiter: p.waiters[0].id, Conn: c.id})
-		p.waiters = p.waiters[:copy(p.waiters, p.waiters[1:])]
+		c.holder = p.takeWaiter(p.firstWaiter(c.group))
+		p.emit(Grant{Waiter: c.holder.id, Conn: c.id, Organisation: c.group.organisation})
 	}
 }
 
+// firstWaiter returns the index of the first waiter of an organisation that has one.
+func (p *Pool) firstWaiter(of *group) int {
+	return slices.IndexFunc(p.waiters, func(w waiter) bool { return w.group == of })
+}
+
 // probeSuspects probes suspect connections for the remaining waiters.
 func (p *Pool) probeSuspects() {
-	wanted := len(p.waiters) - p.count(probing)
-	for i := len(p.idleConns) - 1; i >= 0 && wanted > 0; i-- {
+	for i := len(p.idleConns) - 1; i >= 0 && len(p.waiters) > 0; i-- {
 		c := p.idleConns[i]
+		if c.group.waiting <= c.group.counts[probing] {
+			continue
+		}
 		p.removeIdle(c)
 		p.setState(c, probing)
 		p.emit(Probe{Conn: c.id})
-		wanted--
 	}
 }
 
@@ -469,25 +498,123 @@
 	if !now.Reached(p.noOpenBefore) {
 		return
 	}
-	wanted := len(p.waiters) - p.count(opening)
-	if p.config.OpenDelay > 0 && wanted > 0 {
-		wanted = 0
-		if now.Reached(p.openDelayEnd()) {
-			wanted = 1
+	minOpen := min(p.config.MinOpen-len(p.connections), 1-p.count(opening))
+	minOpen -= p.openForWaiters(now)
+	for ; minOpen > 0 && len(p.connections) < p.config.Limit; minOpen-- {
+		p.open(now, p.groupOf(""))
+	}
+}
+
+// openForWaiters opens connections for waiters and returns how many are wanted. At the
+// limit, idle connections of other organisations are closed first; their places are
+// free once that is reported.
+func (p *Pool) openForWaiters(now dfclock.Millis) (wanted int) {
+	if len(p.waiters) == 0 {
+		return 0
+	}
+	p.countWanted(now)
+	attempts, capacity := p.openAttempts(), p.capacity()
+	for i := 0; i < len(p.waiters) && attempts > 0; i++ {
+		g := p.waiters[i].group
+		if g.wanted <= 0 {
+			continue
+		}
+		g.wanted--
+		wanted++
+		if capacity <= 0 && (capacity < 0 || !p.evictIdle(g)) {
+			continue
+		}
+		capacity = max(0, capacity-1)
+		attempts--
+		if len(p.connections) < p.config.Limit {
+			p.open(now, g)
+		}
+	}
+	return wanted
+}
+
+// countWanted determines how many connections each organisation lacks.
+func (p *Pool) countWanted(now dfclock.Millis) {
+	for _, g := range p.groups {
+		g.wanted = 0
+		if due := p.openDelayEndOf(g); due != dfclock.Never && now.Reached(due) {
+			g.wanted = g.waiting - g.counts[opening]
+			if p.config.OpenDelay > 0 {
+				g.wanted = min(g.wanted, 1)
+			}
 		}
 	}
+}
+
+// openAttempts returns how many connections may be opened at once. A single attempt at
+// a time shows whether an upstream is available again.
+func (p *Pool) openAttempts() int {
 	if p.failedOpens > 0 || p.unreachable {
-		// A single attempt at a time shows whether the upstream is available again.
-		wanted = min(wanted, 1-p.count(opening))
+		return 1 - p.count(opening)
+	}
+	return p.config.Limit
+}
+
+// capacity returns how many connections can be opened once all closing ones are
+// closed. It is negative while the pool is above its limit.
+func (p *Pool) capacity() int {
+	return p.config.Limit - (len(p.connections) - p.count(closing))
+}
+
+func (p *Pool) open(now dfclock.Millis, g *group) {
+	p.lastID++
+	c := &connection{id: p.lastID, openedAt: now, group: g}
+	p.connections[c.id] = c
+	p.setState(c, opening)
+	p.emit(Open{Conn: c.id, Organisation: g.organisation})
+}
+
+// evictIdle closes the least recently used idle connection of another organisation.
+func (p *Pool) evictIdle(wanting *group) bool {
+	for _, c := range p.idleConns {
+		if c.group != wanting {
+			p.close(c)
+			return true
+		}
 	}
-	wanted = max(wanted, min(p.config.MinOpen-len(p.connections), 1-p.count(opening)))
-	for ; wanted > 0 && len(p.connections) < p.config.Limit; wanted-- {
-		p.lastID++
-		c := &connection{id: p.lastID, openedAt: now}
-		p.connections[c.id] = c
-		p.setState(c, opening)
-		p.emit(Open{Conn: c.id})
+	return false
+}
+
+// closeForOverdue closes idle connections for waiters that have waited OpenDelay
+// without any connection of their organisation, although waiters of other
+// organisations that come later could use them. Otherwise an organisation that always
+// has waiters would keep all connections.
+func (p *Pool) closeForOverdue(now dfclock.Millis) {
+	if len(p.groups) < 2 || len(p.idleConns) == 0 || !now.Reached(p.noOpenBefore) {
+		return
+	}
+	attempts, capacity := p.openAttempts(), p.capacity()
+	for at := 0; at < len(p.waiters) && attempts > 0; at++ {
+		w := p.waiters[at]
+		if w.group.total() > 0 || !now.Reached(w.enqueuedAt.Add(p.config.OpenDelay)) || p.firstWaiter(w.group) != at {
+			continue
+		}
+		attempts--
+		if capacity > 0 {
+			capacity--
+			continue
+		}
+		if capacity < 0 || !p.closeBefore(at) {
+			return
+		}
+	}
+}
+
+// closeBefore closes the least recently used idle connection that no waiter before an
+// index can use.
+func (p *Pool) closeBefore(at int) bool {
+	for _, c := range p.idleConns {
+		if c.group.waiting == 0 || p.firstWaiter(c.group) > at {
+			p.close(c)
+			return true
+		}
 	}
+	return false
 }
 
 // openDelayEnd returns when another connection may be opened for the waiters, or
@@ -496,16 +623,44 @@
 	if p.config.OpenDelay == 0 || len(p.connections) == 0 {
 		return 0
 	}
-	if p.count(opening) > 0 {
+	due := dfclock.Never
+	for _, g := range p.groups {
+		due = min(due, p.openDelayEndOf(g))
+	}
+	return due
+}
+
+// openDelayEndOf is openDelayEnd for one organisation.
+func (p *Pool) openDelayEndOf(g *group) dfclock.Millis {
+	if g.waiting == 0 {
+		return dfclock.Never
+	}
+	if p.config.OpenDelay == 0 || g.total() == 0 {
+		return 0
+	}
+	if g.counts[opening] > 0 {
 		return dfclock.Never
 	}
 	due := dfclock.Never
 	for _, w := range p.waiters {
-		due = min(due, w.enqueuedAt.Add(p.config.OpenDelay))
+		if w.group == g {
+			due = min(due, w.enqueuedAt.Add(p.config.OpenDelay))
+		}
 	}
 	return due
 }
 
+// canEvictForWaiters reports whether an idle connection may be closed for a waiter of
+// another organisation.
+func (p *Pool) canEvictForWaiters() bool {
+	for _, c := range p.idleConns {
+		if len(p.waiters) > c.group.waiting {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) count(want state) int {
 	return p.counts[want]
 }
@@ -514,14 +669,17 @@
 func (p *Pool) setState(c *connection, next state) {
 	if c.state != 0 {
 		p.counts[c.state]--
+		c.group.counts[c.state]--
 	}
 	c.state = next
 	p.counts[next]++
+	c.group.counts[next]++
 }
 
 // remove drops a connection from the pool.
 func (p *Pool) remove(c *connection) {
 	p.counts[c.state]--
+	c.group.counts[c.state]--
 	delete(p.connections, c.id)
 }
 
@@ -535,16 +693,14 @@
 	if len(p.waiters) == 0 || now.Reached(p.noOpenBefore) && p.config.Limit > 0 {
 		return
 	}
-	if p.count(closing) < len(p.connections) {
-		return
-	}
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
-		if p.config.Limit > 0 && p.noOpenBefore.Before(w.deadline) {
+		if w.group.counts[closing] < w.group.total() || p.config.Limit > 0 && p.noOpenBefore.Before(w.deadline) {
 			kept = append(kept, w)
 			continue
 		}
 		p.emit(Refuse{Waiter: w.id, Code: dfresult.NoConnection, RetryAfter: p.retryAfter(now)})
+		w.group.waiting--
 	}
 	p.waiters = kept
 }
@@ -553,6 +709,7 @@
 func (p *Pool) refuseAll(now dfclock.Millis) {
 	for _, w := range p.waiters {
 		p.emit(Refuse{Waiter: w.id, Code: dfresult.UpstreamRefused, RetryAfter: p.retryAfter(now)})
+		w.group.waiting--
 	}
 	p.waiters = p.waiters[:0]
 }
--- a/dfpool/reachable_test.go
+++ b/dfpool/reachable_test.go
@@ -41,7 +41,7 @@
 		for _, action := range p.Handle(now, Acquire{Waiter: WaiterID(now), Deadline: now.Add(dfclock.Minute)}) {
 			if open, isOpen := action.(Open); isOpen {
 				openings++
-				p.Handle(now, OpenFailed(open))
+				p.Handle(now, OpenFailed{Conn: open.Conn})
 			}
 		}
 		require.Zero(t, p.Stats().Waiting)
