Carry an upstream for all data centres where organisations are in force

Cause: connections belong to organisations. With three carriers in each data centre and 4 connections each, as the plan for 42 usable connections gives, a carrier would open a connection for most statements of 73 organisations. Change: where the catalog has organisations and connections are shared, three hosts of the upstream's data centre carry it for all, each with a third of the usable connections. The carrier of an organisation is the first of them by rank; the next is asked if it does not answer or lacks a connection. The waits at all of them together stay within maxAcquireWait (150, 75 and 75 ms). A lack of connections for one organisation does not take the upstream out of use for others. After two carriers that did not answer, a read goes to another upstream. If no host of the data centre is known, or six of its hosts did not answer within 4 s, hosts use the former plan with carriers of their own data centre. These carriers keep idle connections for 60 s, unless another organisation needs the place. Ruled out: counting every refusal as a failure of the upstream, since one organisation would take it from all; trying every host of a data centre that is cut off, at 250 ms each. Where there are no organisations, the plan, the carriers and the time-outs are as before.

--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -22,6 +22,12 @@
 	// because opening one takes a slot for longer than many statements do.
 	idleTimeout     = 2 * dfclock.Second
 	lastIdleTimeout = 15 * dfclock.Second
+	// organisationIdleTimeout is the idle timeout at a carrier whose connections belong
+	// to organisations. A small organisation sends a few statements a minute to an
+	// upstream. Carriers together stay within the usable part of the upstream's limit,
+	// and the pool closes the least recently used connection if another organisation
+	// needs its place.
+	organisationIdleTimeout = dfclock.Minute
 	// unusedIdleTimeout is the idle timeout at a host whose statements run on
 	// carriers. Connections that it opened before it knew the connection plan
 	// prevent the carriers from opening theirs.
@@ -54,6 +60,9 @@
 	UseOwnWithSpare
 	// UseCarrier is for the statements of this host and of others.
 	UseCarrier
+	// UseOrganisationCarrier is like UseCarrier where connections belong to
+	// organisations.
+	UseOrganisationCarrier
 	// UseNone is for no statements, because carriers run them for this host.
 	UseNone
 )
@@ -66,6 +75,8 @@
 	switch use {
 	case UseOwnWithSpare, UseCarrier:
 		return IdleTimeouts{Any: idleTimeout, Last: lastIdleTimeout}
+	case UseOrganisationCarrier:
+		return IdleTimeouts{Any: organisationIdleTimeout, Last: organisationIdleTimeout}
 	case UseNone:
 		return IdleTimeouts{Any: unusedIdleTimeout, Last: unusedIdleTimeout}
 	}
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -234,8 +234,8 @@
 		if action := e.tickService(ctx, now, s); action != nil {
 			actions = append(actions, action)
 		}
-		plan := e.connectionPlan(now, s)
 		for id, pool := range s.pools {
+			plan := e.connectionPlan(now, s, id)
 			pool.Tick(e.connectionLimit(now, s, id, plan), e.connectionUse(now, s, id, plan))
 		}
 	}
@@ -261,8 +261,11 @@
 // connectionUse returns the purpose of this host's connections to an upstream.
 func (e *Edge) connectionUse(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) dfconnection.Use {
 	config, _ := e.catalog.Service(s.name)
+	carries := plan.Shared() && slices.Contains(e.carriers(now, id, plan), e.options.Self)
 	switch {
-	case plan.Shared() && slices.Contains(e.neighbours.Carriers(now, id, plan.Carriers), e.options.Self):
+	case carries && e.catalog.HasOrganisations():
+		return dfconnection.UseOrganisationCarrier
+	case carries:
 		return dfconnection.UseCarrier
 	case plan.Shared():
 		return dfconnection.UseNone
@@ -322,7 +325,7 @@
 	s.placer.Put(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
 		random := rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
-		plan := e.connectionPlan(now, s)
+		plan := e.connectionPlan(now, s, upstream.ID)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
 		use := e.connectionUse(now, s, upstream.ID, plan)
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, use, e.options.Now, e.openConnection, e.handleOpenResult, random)
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -33,6 +33,7 @@
 	conn, err := to.source.acquire(req.organisation, priority, min(req.deadline, now.Add(to.acquireTimeout)))
 	if err != nil {
 		e.statementEnded(req.service, to.upstream, a.led, false)
+		req.recordRefusal(to, err)
 		return nil, err
 	}
 	a.conn = conn
@@ -60,7 +61,8 @@
 }
 
 // abandon ends an attempt whose exchange failed. A refusal or timeout by a
-// carrier host is no evidence about the upstream.
+// carrier host is no evidence about the upstream. If a carrier host lacks a connection
+// for one organisation, the upstream stays in use for the others.
 func (e *Edge) abandon(req *routeRequest, a *attempt, err error) {
 	e.statementEnded(req.service, a.upstream, a.led, true)
 	var refused *dfresult.Error
@@ -69,10 +71,15 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		e.carrierRefused(req.service, a.upstream)
+		if !req.recordRefusal(a.target, err) {
+			e.carrierRefused(req.service, a.upstream)
+		}
 	case errors.As(err, &carrierLost):
 		a.conn.Release(false)
 		e.carrierFailed(carrierLost)
+		if !a.sent && req.recordLostCarrier(a.target) {
+			e.carrierRefused(req.service, a.upstream)
+		}
 	case dfconnection.IsTimeout(err):
 		a.conn.ReleaseTimedOut()
 		e.recordFailure(req.service, a.upstream)
@@ -107,8 +114,11 @@
 }
 
 // prepareRetry keeps a statement from being sent to the same upstream again
-// immediately.
+// immediately, unless another carrier host can run it there.
 func (e *Edge) prepareRetry(req *routeRequest, to target) {
+	if req.asksNextCarrier(to) {
+		return
+	}
 	if to.needsProof {
 		e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 		return
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -103,6 +103,13 @@
 	// statement is planned again afterwards, because another upstream may lead by
 	// then.
 	maxAcquireWait = 300 * dfclock.Millisecond
+	// nextCarrierWait bounds the wait at each further carrier of an organisation. It
+	// allows for the opening of a connection in a queue of a few statements.
+	nextCarrierWait = 75 * dfclock.Millisecond
+	// maxLostCarriers is how many carriers of an organisation may not answer before a
+	// statement is sent to another upstream. Each costs a time-out if the data centre is
+	// cut off.
+	maxLostCarriers = 2
 	// refusedRetryDelay is the pause before a statement that an upstream refused
 	// without running it is sent again.
 	refusedRetryDelay = 15 * dfclock.Millisecond
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -15,14 +15,12 @@
 
 // target is the destination of a statement.
 type target struct {
-	source   connSource
+	connRoute
 	upstream dffleet.ID
 	// after is the position that the upstream's log must contain, or zero.
 	after dfposition.Position
 	// needsProof is true if the upstream must prove that it leads.
 	needsProof bool
-	// acquireTimeout bounds the wait for a connection.
-	acquireTimeout dfclock.Millis
 	// replyTimeout is how long an answer may take before it counts as lost.
 	replyTimeout dfclock.Millis
 }
@@ -47,6 +45,8 @@
 	commitDiscarded bool
 	// avoid has the upstreams that failed the statement.
 	avoid []dffleet.ID
+	// refusals has the carrier hosts that the request is not sent to again.
+	refusals []carrierRefusal
 }
 
 // decision is the next step of a statement: sendTo, waitUntil or refuse.
@@ -109,8 +109,8 @@
 				return refuse{err}
 			}
 			return sendTo{target{
-				source: e.connSourceFor(now, s, leader.ID), upstream: leader.ID, needsProof: true,
-				acquireTimeout: min(req.deadline-now, maxAcquireWait), replyTimeout: req.deadline - now,
+				connRoute: e.connRouteTo(now, req, leader.ID), upstream: leader.ID, needsProof: true,
+				replyTimeout: req.deadline - now,
 			}}
 		}
 		// The last attempt to connect failed, or the upstream's queue was full.
@@ -194,8 +194,8 @@
 	}
 	replyTimeout := min(req.deadline-now, max(minReadTimeout, readTimeoutFactor*s.placer.ExpectedWait(now, id)))
 	return sendTo{target{
-		source: e.connSourceFor(now, s, id), upstream: id, after: wanted.Position,
-		acquireTimeout: min(req.deadline-now, maxAcquireWait), replyTimeout: replyTimeout,
+		connRoute: e.connRouteTo(now, req, id), upstream: id, after: wanted.Position,
+		replyTimeout: replyTimeout,
 	}}
 }
 
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"strconv"
@@ -83,29 +84,91 @@
 	return c.client.Conn(c.upstream, organisation, priority, max(0, deadline-c.clock())), nil
 }
 
-// connectionPlan returns how the hosts share the connections to a service's
-// upstreams.
-func (e *Edge) connectionPlan(now dfclock.Millis, s *service) dfforward.Plan {
+// connectionPlan returns how the hosts share the connections to an upstream of a
+// service.
+func (e *Edge) connectionPlan(now dfclock.Millis, s *service, id dffleet.ID) dfforward.Plan {
 	config, ok := e.catalog.Service(s.name)
 	if !ok || e.options.ForwardPort == 0 {
 		return dfforward.Plan{}
 	}
-	usable := dfconnection.Usable(config.ConnectionLimit)
-	return dfforward.NewPlan(usable, e.neighbours.HostCount(now), len(e.neighbours.Speakers(now)))
+	usable, hosts := dfconnection.Usable(config.ConnectionLimit), e.neighbours.HostCount(now)
+	if e.catalog.HasOrganisations() {
+		plan := dfforward.NewOrganisationPlan(usable, hosts)
+		if !plan.Shared() || len(e.carriers(now, id, plan)) > 0 {
+			return plan
+		}
+	}
+	return dfforward.NewPlan(usable, hosts, len(e.neighbours.Speakers(now)))
+}
+
+// carriers returns the hosts that carry an upstream under a shared plan.
+func (e *Edge) carriers(now dfclock.Millis, id dffleet.ID, plan dfforward.Plan) []dfmember.Host {
+	if !plan.AllDataCentres {
+		return e.neighbours.Carriers(now, id, plan.Carriers)
+	}
+	upstream, _ := e.fleet.Find(id)
+	return e.neighbours.CarriersIn(now, id, upstream.DataCentre, plan.Carriers)
 }
 
-// connSourceFor selects this host's pool or a carrier host for a statement to an
+// connRoute is how a statement gets a connection to an upstream.
+type connRoute struct {
+	source connSource
+	// carrier is the ID of the host that was chosen for the organisation of the
+	// statement, or empty. hasNext is true if another one can be asked.
+	carrier string
+	hasNext bool
+	// acquireTimeout bounds the wait for a connection.
+	acquireTimeout dfclock.Millis
+}
+
+// connRouteTo selects this host's pool or a carrier host for a statement to an
 // upstream. e.mu must be held.
-func (e *Edge) connSourceFor(now dfclock.Millis, s *service, id dffleet.ID) connSource {
-	plan := e.connectionPlan(now, s)
+func (e *Edge) connRouteTo(now dfclock.Millis, req *routeRequest, id dffleet.ID) connRoute {
+	s := req.service
+	route := connRoute{source: poolSource{s.pools[id]}, acquireTimeout: maxAcquireWait}
+	plan := e.connectionPlan(now, s, id)
 	if !plan.Shared() {
-		return poolSource{s.pools[id]}
+		return route
+	}
+	carriers := e.carriers(now, id, plan)
+	if len(carriers) == 0 {
+		return route
+	}
+	if req.organisation != "" {
+		return e.organisationRoute(req, id, carriers, route)
 	}
-	carriers := e.neighbours.Carriers(now, id, plan.Carriers)
-	if len(carriers) == 0 || slices.Contains(carriers, e.options.Self) {
-		return poolSource{s.pools[id]}
+	if slices.Contains(carriers, e.options.Self) {
+		return route
 	}
-	carrier := carriers[e.random.IntN(len(carriers))]
+	route.source = e.carrierSource(carriers[e.random.IntN(len(carriers))], id)
+	return route
+}
+
+// organisationRoute selects the carrier host of the request's organisation. Carriers
+// that refused the request are passed over. All waits together are no longer than that
+// for a single carrier.
+func (e *Edge) organisationRoute(req *routeRequest, id dffleet.ID, carriers []dfmember.Host, own connRoute) connRoute {
+	ranked := dfmember.Rank(string(id)+"/"+req.organisation, carriers)
+	remaining := slices.DeleteFunc(slices.Clone(ranked), func(host dfmember.Host) bool { return req.refusedBy(id, host.ID) })
+	if len(remaining) == 0 {
+		req.forgetRefusals(id)
+		remaining = ranked
+	}
+	route := connRoute{source: own.source, carrier: remaining[0].ID, hasNext: len(remaining) > 1, acquireTimeout: maxAcquireWait}
+	switch {
+	case len(remaining) < len(ranked):
+		route.acquireTimeout = nextCarrierWait
+	case len(ranked) > 1:
+		route.acquireTimeout = maxAcquireWait - dfclock.Millis(len(ranked)-1)*nextCarrierWait
+	}
+	if remaining[0] != e.options.Self {
+		route.source = e.carrierSource(remaining[0], id)
+	}
+	return route
+}
+
+// carrierSource returns the connections of a carrier host. e.mu must be held.
+func (e *Edge) carrierSource(carrier dfmember.Host, id dffleet.ID) carrierSource {
 	e.counters.statementsForwarded.Inc()
 	return carrierSource{client: e.carrierClient(carrier), upstream: id, clock: e.options.Now}
 }
@@ -197,6 +260,63 @@
 	return s.pools[id], nil
 }
 
+// carrierRefusal is a carrier host that had no connection to an upstream for a request.
+type carrierRefusal struct {
+	upstream dffleet.ID
+	carrier  string
+	// lost is true if the carrier did not answer.
+	lost bool
+}
+
+// refusedBy reports whether a carrier host had no connection for the request.
+func (req *routeRequest) refusedBy(id dffleet.ID, carrier string) bool {
+	return slices.ContainsFunc(req.refusals, func(r carrierRefusal) bool { return r.upstream == id && r.carrier == carrier })
+}
+
+// forgetRefusals lets the request ask the carrier hosts of an upstream again.
+func (req *routeRequest) forgetRefusals(id dffleet.ID) {
+	req.refusals = slices.DeleteFunc(req.refusals, func(r carrierRefusal) bool { return r.upstream == id })
+}
+
+// recordRefusal records that the carrier host of the request's organisation had no
+// connection for it, and reports whether this is the reason of the failure. A refusal
+// with a time to retry is about the upstream.
+func (req *routeRequest) recordRefusal(to target, err error) bool {
+	var refused *dfresult.Error
+	if to.carrier == "" || !errors.As(err, &refused) || refused.Code != dfresult.NoConnection || refused.RetryAfter > 0 {
+		return false
+	}
+	req.refusals = append(req.refusals, carrierRefusal{upstream: to.upstream, carrier: to.carrier})
+	return true
+}
+
+// recordLostCarrier records that the carrier host of the request's organisation did not
+// answer, and reports whether the whole data centre seems out of reach.
+func (req *routeRequest) recordLostCarrier(to target) bool {
+	if to.carrier == "" {
+		return false
+	}
+	req.refusals = append(req.refusals, carrierRefusal{upstream: to.upstream, carrier: to.carrier, lost: true})
+	return req.lostCarriers(to.upstream) >= maxLostCarriers
+}
+
+// lostCarriers counts the carrier hosts of an upstream that did not answer.
+func (req *routeRequest) lostCarriers(id dffleet.ID) int {
+	count := 0
+	for _, r := range req.refusals {
+		if r.upstream == id && r.lost {
+			count++
+		}
+	}
+	return count
+}
+
+// asksNextCarrier reports whether the request that failed at a carrier host goes to the
+// next one by rank.
+func (req *routeRequest) asksNextCarrier(to target) bool {
+	return to.hasNext && req.refusedBy(to.upstream, to.carrier) && req.lostCarriers(to.upstream) < maxLostCarriers
+}
+
 // carrierRefused takes a replica out of use for a while if the carrier host has
 // no connection to it. The leader is retried, since no other upstream can replace
 // it.
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// dialTimeout bounds the time to connect to a carrier, which is in the same data
-	// centre.
+	// dialTimeout bounds the time to connect to a carrier. It is many round trips, also
+	// between data centres.
 	dialTimeout = 250 * time.Millisecond
 	// replyMargin is how long after the timeout of a request its reply may arrive.
 	replyMargin = 100 * time.Millisecond
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// Guards against carriers of all data centres that together open more connections than
+// an upstream accepts, and against a plan that differs from the stated one: three
+// carriers with a third of the usable connections each.
+func TestOrganisationPlanKeepsTheLimit(t *testing.T) {
+	require.Equal(t, Plan{Carriers: 3, ConnectionsPerCarrier: 14, AllDataCentres: true}, NewOrganisationPlan(42, 61))
+	require.False(t, NewOrganisationPlan(12, 6).Shared(), "each host can hold a connection of its own")
+	for _, usable := range []int{1, 2, 3, 5, 12, 37, 122} {
+		plan := NewOrganisationPlan(usable, 300)
+		require.True(t, plan.Shared())
+		require.LessOrEqual(t, plan.Carriers, MaxOrganisationCarriers)
+		require.Positive(t, plan.ConnectionsPerCarrier)
+		require.LessOrEqual(t, plan.Carriers*plan.ConnectionsPerCarrier, usable)
+	}
+}
+
 // Guards against fields of statements that are carrierErr on the way to the
 // carrier.
 func TestCallRoundTrip(t *testing.T) {
@@ -71,7 +86,9 @@
 // fakeTransport is a connection to an upstream that records statements and
 // answers each with the transaction state.
 type fakeTransport struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// organisation is the one that the connection was opened for.
+	organisation string
 	pending      []dfstatement.Call
 	ran          []dfstatement.Statement
 	state        dfstatement.State
@@ -157,10 +174,10 @@
 func newFakeHost(t *testing.T) (*fakeHost, *Client) {
 	t.Helper()
 	h := &fakeHost{}
-	open := func(context.Context, dffleet.Upstream, string) (*dfconnection.Conn, error) {
+	open := func(_ context.Context, _ dffleet.Upstream, organisation string) (*dfconnection.Conn, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		next := &fakeTransport{state: dfstatement.Idle}
+		next := &fakeTransport{organisation: organisation, state: dfstatement.Idle}
 		h.transports = append(h.transports, next)
 		return dfconnection.New("u", next, nil), nil
 	}
@@ -240,6 +257,42 @@
 	require.Equal(t, []dfstatement.Statement{dfstatement.Begin{}, dfstatement.Write{Item: "x"}, dfstatement.Commit{}}, h.transports[0].ran)
 }
 
+// Guards against statements of one organisation on a connection that was opened for
+// another at the same carrier, also inside a transaction, and against one organisation
+// that keeps the carrier's only connection while the other waits.
+func TestOrganisationsShareACarrier(t *testing.T) {
+	h, client := newFakeHost(t)
+	for _, organisation := range []string{"a", "b", "", "a"} {
+		conn := client.Conn("u", organisation, 0, 500)
+		_, _, err := conn.Exchange(dfconnection.NewSessionState(), inOneSecond(), newCall(dfstatement.Write{Item: organisation}))
+		require.NoError(t, err)
+		conn.Release(true)
+	}
+	open := client.Conn("u", "a", 0, 500)
+	_, _, err := open.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
+	require.NoError(t, err)
+	other := client.Conn("u", "b", 0, 50)
+	_, sent, err := other.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "b"}))
+	require.Error(t, err)
+	require.False(t, sent)
+	other.Release(true)
+	open.organisation = "b"
+	_, sent, err = open.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "b"}))
+	require.Error(t, err, "the transaction belongs to another organisation")
+	require.False(t, sent)
+	open.Release(false)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.Len(t, h.transports, 4, "each change of the organisation replaced the only connection")
+	for _, transport := range h.transports {
+		for _, statement := range transport.ran {
+			if write, ok := statement.(dfstatement.Write); ok {
+				require.Equal(t, transport.organisation, write.Item)
+			}
+		}
+	}
+}
+
 // Guards against a transaction that stays open at the upstream after its client
 // has disconnected.
 func TestLostClientRollsBack(t *testing.T) {
--- a/dfforward/plan.go
+++ b/dfforward/plan.go
@@ -1,7 +1,7 @@
-// Package dfforward forwards statements between the hosts of a data centre, so
-// that they can share an upstream that accepts fewer connections than there are
-// hosts. A few hosts, the carriers, hold the connections and run statements for
-// the others.
+// Package dfforward forwards statements between hosts, so that they can share an
+// upstream that accepts fewer connections than there are hosts. A few hosts, the
+// carriers, hold the connections and run statements for the others: for those of
+// their data centre, or for all where connections belong to organisations.
 package dfforward
 
 const (
@@ -12,16 +12,24 @@
 	// carriers, connections are reused often; with more than one, the upstream stays
 	// reachable if a host fails.
 	maxCarriers = 3
+	// MaxOrganisationCarriers bounds the carriers of an upstream whose connections
+	// belong to organisations. If each data centre had carriers of its own, there would
+	// be more organisations than connections at each, and most statements would open
+	// one.
+	MaxOrganisationCarriers = 3
 )
 
 // Plan is how the hosts share the connections to one upstream.
 type Plan struct {
-	// Carriers is the number of hosts in each data centre that hold connections, or
-	// zero if every host holds its own.
+	// Carriers is the number of hosts that hold connections, or zero if every host
+	// holds its own. They are hosts of each data centre, or with AllDataCentres of the
+	// upstream's data centre.
 	Carriers int
 	// ConnectionsPerCarrier is the connection limit of a carrier, or zero if every
 	// host holds its own connections.
 	ConnectionsPerCarrier int
+	// AllDataCentres is true if the carriers run the statements of all data centres.
+	AllDataCentres bool
 }
 
 // NewPlan divides the usable connections of an upstream. It is designed for
@@ -35,6 +43,17 @@
 	return Plan{Carriers: carriers, ConnectionsPerCarrier: max(1, usable/(dataCentres*carriers))}
 }
 
+// NewOrganisationPlan divides the usable connections of an upstream whose
+// connections belong to organisations. The hosts of all data centres share its
+// carriers.
+func NewOrganisationPlan(usable, hosts int) Plan {
+	if usable >= hosts {
+		return Plan{}
+	}
+	carriers := min(MaxOrganisationCarriers, max(1, usable))
+	return Plan{Carriers: carriers, ConnectionsPerCarrier: max(1, usable/carriers), AllDataCentres: true}
+}
+
 // Shared reports whether statements are forwarded.
 func (p Plan) Shared() bool {
 	return p.Carriers > 0
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -42,6 +42,10 @@
 	// failureBackoff is how long a host that did not answer is excluded from the
 	// selection of speakers and carriers.
 	failureBackoff = 4 * dfclock.Second
+	// cutOffFactor times the number of carriers is how many hosts of a data centre must
+	// be in backoff for it to seem cut off. A failure of all carriers of one upstream
+	// then does not look like it.
+	cutOffFactor = 2
 	// quorumTTL is how long a count of contacts is cached. It is a small part of a
 	// lease.
 	quorumTTL = 20 * dfclock.Millisecond
--- a/dfneighbour/view.go
+++ b/dfneighbour/view.go
@@ -58,6 +58,12 @@
 	return n.isAnswering(now) || n.requestedAt > n.failedAt && now-n.requestedAt < LivenessTimeout
 }
 
+// carrierKey identifies the carriers of an upstream in a data centre.
+type carrierKey struct {
+	upstream   dffleet.ID
+	dataCentre string
+}
+
 // carrierChoice has the hosts selected as carriers of one upstream.
 type carrierChoice struct {
 	// requested is the number of hosts that was requested; fewer may exist.
@@ -74,13 +80,14 @@
 	speakers map[string]dfmember.Host
 	// isProber is true if this host probes leaders.
 	isProber bool
-	// servingCount is the number of serving hosts. localHosts has those in this
-	// host's data centre.
-	servingCount int
-	localHosts   []dfmember.Host
+	// servingCount is the number of serving hosts. servingHostsIn has them by data
+	// centre, and failedCountIn the number of hosts in backoff.
+	servingCount   int
+	servingHostsIn map[string][]dfmember.Host
+	failedCountIn  map[string]int
 	// carriers caches the selected carriers of each upstream. Callers must not
 	// modify them.
-	carriers map[dffleet.ID]carrierChoice
+	carriers map[carrierKey]carrierChoice
 	// periods is how often other hosts are polled.
 	periods PollPeriods
 	// contacts has the time of the last contact with each host, by its key. The
@@ -119,7 +126,7 @@
 // NewView returns the view of a host that knows no other hosts.
 func NewView(self dfmember.Host, periods PollPeriods) *View {
 	return &View{
-		self: self, periods: periods, neighbours: map[string]*neighbour{}, carriers: map[dffleet.ID]carrierChoice{}, selectedAt: unset,
+		self: self, periods: periods, neighbours: map[string]*neighbour{}, carriers: map[carrierKey]carrierChoice{}, selectedAt: unset,
 		contacts: map[uint32]dfclock.Millis{}, quorumAt: unset, quorumCountedAt: unset,
 	}
 }
@@ -271,9 +278,15 @@
 		}
 	}
 	v.speakers, v.selectedAt = speakers, now
-	v.servingCount, v.localHosts = len(serving), slices.DeleteFunc(serving, func(host dfmember.Host) bool {
-		return host.DataCentre != v.self.DataCentre
-	})
+	v.servingCount, v.servingHostsIn, v.failedCountIn = len(serving), map[string][]dfmember.Host{}, map[string]int{}
+	for _, host := range serving {
+		v.servingHostsIn[host.DataCentre] = append(v.servingHostsIn[host.DataCentre], host)
+	}
+	for _, known := range v.neighbours {
+		if known.host.ID != "" && known.inBackoff(now) {
+			v.failedCountIn[known.host.DataCentre]++
+		}
+	}
 	clear(v.carriers)
 	return speakers
 }
@@ -293,11 +306,28 @@
 // Carriers returns the hosts of this host's data centre that hold the
 // connections to an upstream for the others. This host may be one of them.
 func (v *View) Carriers(now dfclock.Millis, upstream dffleet.ID, count int) []dfmember.Host {
+	return v.selectCarriers(now, upstream, v.self.DataCentre, count)
+}
+
+// CarriersIn returns the hosts of a data centre that hold the connections to an
+// upstream for all hosts. It returns none if no host of the data centre is known, or if
+// so many did not answer that the data centre seems cut off: each further one that is
+// tried costs a statement a time-out.
+func (v *View) CarriersIn(now dfclock.Millis, upstream dffleet.ID, dataCentre string, count int) []dfmember.Host {
+	v.Speakers(now)
+	if dataCentre != v.self.DataCentre && v.failedCountIn[dataCentre] >= cutOffFactor*count {
+		return nil
+	}
+	return v.selectCarriers(now, upstream, dataCentre, count)
+}
+
+func (v *View) selectCarriers(now dfclock.Millis, upstream dffleet.ID, dataCentre string, count int) []dfmember.Host {
 	v.Speakers(now)
-	chosen, known := v.carriers[upstream]
+	key := carrierKey{upstream, dataCentre}
+	chosen, known := v.carriers[key]
 	if !known || chosen.requested != count {
-		chosen = carrierChoice{requested: count, hosts: dfmember.Choose(string(upstream), v.localHosts, count)}
-		v.carriers[upstream] = chosen
+		chosen = carrierChoice{requested: count, hosts: dfmember.Choose(string(upstream), v.servingHostsIn[dataCentre], count)}
+		v.carriers[key] = chosen
 	}
 	return chosen.hosts
 }
--- a/dfneighbour/view_test.go
+++ b/dfneighbour/view_test.go
@@ -250,6 +250,33 @@
 	require.Equal(t, 5, view.HostCount(20))
 }
 
+// Guards against carriers outside the upstream's data centre while hosts of it are
+// known, against cached ones of another data centre, and against trying every host of a
+// data centre that is cut off.
+func TestCarriersInDataCentre(t *testing.T) {
+	view := NewView(host("a", 0), DefaultPollPeriods())
+	require.Empty(t, view.CarriersIn(10, "u", "b", 3))
+	for i := range 9 {
+		view.Add(10, host("b", i))
+		view.Add(10, host("a", i))
+	}
+	view.selectedAt = unset
+	for _, chosen := range view.CarriersIn(10, "u", "b", 3) {
+		require.Equal(t, "b", chosen.DataCentre)
+	}
+	require.Equal(t, view.Carriers(10, "u", 3), view.CarriersIn(10, "u", "a", 3))
+	for failed := range 6 {
+		require.Len(t, view.CarriersIn(20, "u", "b", 3), 3, "after %d failures", failed)
+		view.RecordFailure(20, host("b", failed).Address)
+	}
+	require.Empty(t, view.CarriersIn(20, "u", "b", 3), "the data centre seems cut off")
+	for failed := 1; failed < 7; failed++ {
+		view.RecordFailure(20, host("a", failed).Address)
+	}
+	require.NotEmpty(t, view.CarriersIn(20, "u", "a", 3), "the own data centre is never out of reach")
+	require.Len(t, view.CarriersIn(20+failureBackoff, "u", "b", 3), 3, "its hosts are tried again")
+}
+
 // BenchmarkStatement measures the calls that each statement makes, at 82 hosts.
 func BenchmarkStatement(b *testing.B) {
 	view := NewView(host("a", 0), DefaultPollPeriods())
