--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -5,7 +5,8 @@
 // Some hosts of each data centre have a role. The speaker polls the platform and
 // exchanges state with the other data centres. Probers, among them the speaker,
 // probe the leaders. Carriers hold the connections to an upstream that accepts
-// fewer of them than there are hosts, and run statements for the other hosts.
+// fewer of them than there are hosts, and run statements for the other hosts; where
+// connections belong to organisations, also for those of other data centres.
 package dfedge
 
 import (
@@ -166,8 +167,8 @@
 	CallerAddress  string
 	ReadyAddress   string
 	MetricsAddress string
-	// ForwardPort is the port on which the hosts of a data centre accept forwarded
-	// statements from each other; 0 disables forwarding.
+	// ForwardPort is the port on which hosts accept forwarded statements from each
+	// other; 0 disables forwarding.
 	ForwardPort int
 	Seeds       []string
 	// DrainTimeout bounds new work on an upstream once it is known to be leaving.
--- a/dfpool/defaults.go
+++ b/dfpool/defaults.go
@@ -19,6 +19,10 @@
 	// DefaultSuspension is how long no connection is opened after the administrator
 	// terminated connections.
 	DefaultSuspension = dfclock.Second
+	// furtherEvictIdle is how long a connection must have been idle to be closed for an
+	// organisation that has others. Under overload, every organisation has overdue
+	// waiters; they would take each other's connections for most statements.
+	furtherEvictIdle = dfclock.Second
 	// maxDoublings keeps the doubling of the backoff from overflowing.
 	maxDoublings = 16
 )
--- a/dfpool/pool.go
+++ b/dfpool/pool.go
@@ -124,6 +124,9 @@
 	// suspendedUntil is the end of the last suspension. It bounds noOpenBefore from
 	// below even if the upstream becomes reachable again.
 	suspendedUntil dfclock.Millis
+	// noTakeBefore is the time before which no connection is closed for a waiter while
+	// later ones could use it.
+	noTakeBefore dfclock.Millis
 	// unreachable is true while the upstream does not answer. All waiters are then
 	// refused.
 	unreachable bool
@@ -521,7 +524,7 @@
 		}
 		g.wanted--
 		wanted++
-		if capacity <= 0 && (capacity < 0 || !p.evictIdle(g)) {
+		if capacity <= 0 && (capacity < 0 || !p.evictIdle(now, g)) {
 			continue
 		}
 		capacity = max(0, capacity-1)
@@ -569,39 +572,40 @@
 	p.emit(Open{Conn: c.id, Organisation: g.organisation})
 }
 
-// evictIdle closes the least recently used idle connection of another organisation.
-func (p *Pool) evictIdle(wanting *group) bool {
+// evictIdle closes the least recently used idle connection of another organisation. For
+// a further connection, it must have been idle for furtherEvictIdle.
+func (p *Pool) evictIdle(now dfclock.Millis, wanting *group) bool {
 	for _, c := range p.idleConns {
-		if c.group != wanting {
-			p.close(c)
-			return true
+		if c.group == wanting {
+			continue
 		}
+		if wanting.total() > 0 && !now.Reached(c.idleSince.Add(furtherEvictIdle)) {
+			return false
+		}
+		p.close(c)
+		return true
 	}
 	return false
 }
 
-// closeForOverdue closes idle connections for waiters that have waited OpenDelay
-// without any connection of their organisation, although waiters of other
-// organisations that come later could use them. Otherwise an organisation that always
-// has waiters would keep all connections.
+// closeForOverdue closes an idle connection for a waiter that has waited OpenDelay
+// without any connection of its organisation, although waiters of other organisations
+// that come later could use it. Otherwise an organisation that always has waiters would
+// keep all connections. It does so at most once per OpenDelay: under overload with more
+// organisations than connections, most statements would open one.
 func (p *Pool) closeForOverdue(now dfclock.Millis) {
-	if len(p.groups) < 2 || len(p.idleConns) == 0 || !now.Reached(p.noOpenBefore) {
+	if len(p.groups) < 2 || len(p.idleConns) == 0 || p.capacity() != 0 || p.openAttempts() <= 0 ||
+		!now.Reached(max(p.noOpenBefore, p.noTakeBefore)) {
 		return
 	}
-	attempts, capacity := p.openAttempts(), p.capacity()
-	for at := 0; at < len(p.waiters) && attempts > 0; at++ {
-		w := p.waiters[at]
-		if w.group.total() > 0 || !now.Reached(w.enqueuedAt.Add(p.config.OpenDelay)) || p.firstWaiter(w.group) != at {
+	for at, w := range p.waiters {
+		if w.group.total() > 0 || !now.Reached(w.enqueuedAt.Add(p.config.OpenDelay)) {
 			continue
 		}
-		attempts--
-		if capacity > 0 {
-			capacity--
-			continue
-		}
-		if capacity < 0 || !p.closeBefore(at) {
-			return
+		if p.closeBefore(at) {
+			p.noTakeBefore = now.Add(p.config.OpenDelay)
 		}
+		return
 	}
 }
 
