--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -22,6 +22,12 @@
 	// because opening one takes a slot for longer than many statements do.
 	idleTimeout     = 2 * dfclock.Second
 	lastIdleTimeout = 15 * dfclock.Second
+	// organisationIdleTimeout is the idle timeout at a carrier whose connections belong
+	// to organisations. A small organisation sends a few statements a minute to an
+	// upstream. Carriers together stay within the usable part of the upstream's limit,
+	// and the pool closes the least recently used connection if another organisation
+	// needs its place.
+	organisationIdleTimeout = dfclock.Minute
 	// unusedIdleTimeout is the idle timeout at a host whose statements run on
 	// carriers. Connections that it opened before it knew the connection plan
 	// prevent the carriers from opening theirs.
@@ -54,6 +60,9 @@
 	UseOwnWithSpare
 	// UseCarrier is for the statements of this host and of others.
 	UseCarrier
+	// UseOrganisationCarrier is like UseCarrier where connections belong to
+	// organisations.
+	UseOrganisationCarrier
 	// UseNone is for no statements, because carriers run them for this host.
 	UseNone
 )
@@ -66,14 +75,17 @@
 	switch use {
 	case UseOwnWithSpare, UseCarrier:
 		return IdleTimeouts{Any: idleTimeout, Last: lastIdleTimeout}
+	case UseOrganisationCarrier:
+		return IdleTimeouts{Any: organisationIdleTimeout, Last: organisationIdleTimeout}
 	case UseNone:
 		return IdleTimeouts{Any: unusedIdleTimeout, Last: unusedIdleTimeout}
 	}
 	return IdleTimeouts{Any: idleTimeout, Last: idleTimeout}
 }
 
-// Opener opens a connection. A refusal by the upstream is a *dfresult.Error.
-type Opener func(ctx context.Context, upstream dffleet.Upstream) (*Conn, error)
+// Opener opens a connection in the name of an organisation, or of none if it is empty.
+// A refusal by the upstream is a *dfresult.Error.
+type Opener func(ctx context.Context, upstream dffleet.Upstream, organisation string) (*Conn, error)
 
 // Clock returns the current time.
 type Clock func() dfclock.Millis
@@ -87,8 +99,8 @@
 	err  *dfresult.Error
 }
 
-// Pool is the connection pool for one upstream. It carries out the decisions of
-// dfpool. It is safe for concurrent use.
+// Pool is the connection pool for one upstream, for all organisations. It carries out
+// the decisions of dfpool. It is safe for concurrent use.
 type Pool struct {
 	upstream dffleet.Upstream
 	open     Opener
@@ -127,10 +139,11 @@
 	return p.upstream
 }
 
-// Acquire returns a connection, or an error whose outcome is "not run".
-func (p *Pool) Acquire(priority int, deadline dfclock.Millis) (*Conn, error) {
+// Acquire returns a connection that was opened in the name of an organisation, or of
+// none if it is empty. Otherwise it returns an error whose outcome is "not run".
+func (p *Pool) Acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
 	for {
-		conn, err := p.acquire(priority, deadline)
+		conn, err := p.acquire(organisation, priority, deadline)
 		if err != nil {
 			return nil, err
 		}
@@ -142,12 +155,14 @@
 	}
 }
 
-func (p *Pool) acquire(priority int, deadline dfclock.Millis) (*Conn, error) {
+func (p *Pool) acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
 	results := make(chan acquireResult, 1)
 	p.mu.Lock()
 	p.lastWaiter++
 	p.waiting[p.lastWaiter] = results
-	p.perform(p.policy.Handle(p.clock(), dfpool.Acquire{Waiter: p.lastWaiter, Priority: priority, Deadline: deadline}))
+	p.perform(p.policy.Handle(p.clock(), dfpool.Acquire{
+		Waiter: p.lastWaiter, Organisation: organisation, Priority: priority, Deadline: deadline,
+	}))
 	p.mu.Unlock()
 	result := p.awaitResult(results)
 	if result.err != nil {
@@ -234,7 +249,7 @@
 		case dfpool.Grant:
 			p.give(a)
 		case dfpool.Open:
-			go p.openConn(a.Conn)
+			go p.openConn(a)
 		case dfpool.Probe:
 			go p.probe(p.conns[a.Conn])
 		case dfpool.Close:
@@ -264,18 +279,18 @@
 }
 
 // openConn opens a connection and reports the result to the pool.
-func (p *Pool) openConn(id dfpool.ConnID) {
-	conn, err := p.open(p.ctx, p.upstream)
+func (p *Pool) openConn(a dfpool.Open) {
+	conn, err := p.open(p.ctx, p.upstream, a.Organisation)
 	p.observe(p.upstream.ID, err)
 	if err != nil {
-		p.handle(dfpool.OpenFailed{Conn: id})
+		p.handle(dfpool.OpenFailed{Conn: a.Conn})
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn.id = id
-	p.conns[id] = conn
-	p.perform(p.policy.Handle(p.clock(), dfpool.Opened{Conn: id}))
+	conn.id = a.Conn
+	p.conns[a.Conn] = conn
+	p.perform(p.policy.Handle(p.clock(), dfpool.Opened{Conn: a.Conn}))
 }
 
 // probe checks that a suspect connection still answers. Its session state is
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -248,8 +248,8 @@
 		if action := e.tickService(ctx, now, s); action != nil {
 			actions = append(actions, action)
 		}
-		plan := e.connectionPlan(now, s)
 		for id, pool := range s.pools {
+			plan := e.connectionPlan(now, s, id)
 			pool.Tick(e.connectionLimit(now, s, id, plan), e.connectionUse(now, s, id, plan))
 		}
 	}
@@ -275,8 +275,11 @@
 // connectionUse returns the purpose of this host's connections to an upstream.
 func (e *Edge) connectionUse(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) dfconnection.Use {
 	config, _ := e.catalog.Service(s.name)
+	carries := plan.Shared() && slices.Contains(e.carriers(now, id, plan), e.options.Self)
 	switch {
-	case plan.Shared() && slices.Contains(e.neighbours.Carriers(now, id, plan.Carriers), e.options.Self):
+	case carries && e.catalog.HasOrganisations():
+		return dfconnection.UseOrganisationCarrier
+	case carries:
 		return dfconnection.UseCarrier
 	case plan.Shared():
 		return dfconnection.UseNone
@@ -336,7 +339,7 @@
 	s.placer.Put(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
 		random := rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
-		plan := e.connectionPlan(now, s)
+		plan := e.connectionPlan(now, s, upstream.ID)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
 		use := e.connectionUse(now, s, upstream.ID, plan)
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, use, e.options.Now, e.openConnection, e.handleOpenResult, random)
@@ -378,11 +381,13 @@
 }
 
 // openConnection opens a connection for a pool.
-func (e *Edge) openConnection(ctx context.Context, upstream dffleet.Upstream) (*dfconnection.Conn, error) {
-	return e.dial(ctx, upstream, connectTimeout)
+func (e *Edge) openConnection(ctx context.Context, upstream dffleet.Upstream, organisation string) (*dfconnection.Conn, error) {
+	return e.dial(ctx, upstream, organisation, connectTimeout)
 }
 
-func (e *Edge) dial(ctx context.Context, upstream dffleet.Upstream, timeout dfclock.Millis) (*dfconnection.Conn, error) {
+// dial opens a connection in the name of an organisation. If it is empty, the upstream
+// is told the host's own ID.
+func (e *Edge) dial(ctx context.Context, upstream dffleet.Upstream, organisation string, timeout dfclock.Millis) (*dfconnection.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(timeout)*time.Millisecond)
 	defer cancel()
 	raw, err := e.options.Dial(ctx, upstream.Address)
@@ -393,7 +398,11 @@
 	if err := raw.SetDeadline(deadline); err != nil {
 		return nil, eris.Wrap(closeOnError(raw, err), "edge: set deadline")
 	}
-	transport, err := e.options.Dialect.Open(raw, upstream.Service, e.options.Self.ID, string(upstream.ID))
+	identity := organisation
+	if identity == "" {
+		identity = e.options.Self.ID
+	}
+	transport, err := e.options.Dialect.Open(raw, upstream.Service, identity, string(upstream.ID))
 	if err != nil {
 		return nil, closeOnError(raw, err)
 	}
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -5,7 +5,8 @@
 // Some hosts of each data centre have a role. The speaker polls the platform and
 // exchanges state with the other data centres. Probers, among them the speaker,
 // probe the leaders. Carriers hold the connections to an upstream that accepts
-// fewer of them than there are hosts, and run statements for the other hosts.
+// fewer of them than there are hosts, and run statements for the other hosts; where
+// connections belong to organisations, also for those of other data centres.
 package dfedge
 
 import (
@@ -116,6 +117,13 @@
 	// statement is planned again afterwards, because another upstream may lead by
 	// then.
 	maxAcquireWait = 300 * dfclock.Millisecond
+	// nextCarrierWait bounds the wait at each further carrier of an organisation. It
+	// allows for the opening of a connection in a queue of a few statements.
+	nextCarrierWait = 75 * dfclock.Millisecond
+	// maxLostCarriers is how many carriers of an organisation may not answer before a
+	// statement is sent to another upstream. Each costs a time-out if the data centre is
+	// cut off.
+	maxLostCarriers = 2
 	// refusedRetryDelay is the pause before a statement that an upstream refused
 	// without running it is sent again.
 	refusedRetryDelay = 15 * dfclock.Millisecond
@@ -152,9 +160,10 @@
 // Dialect creates the codecs of connections.
 type Dialect interface {
 	Accept(conn net.Conn) Caller
-	// Open starts a session with an upstream. A refusal is returned as a
+	// Open starts a session with an upstream. identity is the name of the organisation
+	// whose statements will run, or the ID of this host. A refusal is returned as a
 	// *dfresult.Error.
-	Open(conn net.Conn, service, host, id string) (dfconnection.Transport, error)
+	Open(conn net.Conn, service, identity, id string) (dfconnection.Transport, error)
 }
 
 // Platform has the platform services that a host uses.
@@ -173,8 +182,8 @@
 	CallerAddress  string
 	ReadyAddress   string
 	MetricsAddress string
-	// ForwardPort is the port on which the hosts of a data centre accept forwarded
-	// statements from each other; 0 disables forwarding.
+	// ForwardPort is the port on which hosts accept forwarded statements from each
+	// other; 0 disables forwarding.
 	ForwardPort int
 	Seeds       []string
 	// DrainTimeout bounds new work on an upstream once it is known to be leaving.
