Test reads at a dead carrier, and shorten the handler of forwarded requests

Cause: the linter reports dfforward.Handler.handle as too complex, and TestDeadCarrierIsPassedOver ran only writes. Change: the check of a transaction's upstream and organisation is a method; the test also runs a strong read after three carriers died.

--- a/dfedge/source_test.go
+++ b/dfedge/source_test.go
@@ -180,12 +180,21 @@
 	return e.connRouteTo(BootTime(), req, "u")
 }
 
+func (n *carrierNetwork) session(host string) *session {
+	route := dfcatalog.Route{Service: "orders", Timeout: 1000}
+	return &session{edge: n.hosts[host], route: route, sessionState: dfconnection.NewSessionState()}
+}
+
 // write runs a write of the organisation at a host. The item is its name.
 func (n *carrierNetwork) write(host, organisation string) dfstatement.Answer {
-	e := n.hosts[host]
-	sess := &session{edge: e, route: dfcatalog.Route{Service: "orders", Timeout: 1000}, sessionState: dfconnection.NewSessionState()}
 	call := dfstatement.Call{ID: "i", Text: "t", Statement: dfstatement.Write{Item: organisation}}
-	return e.executeWrite(sess, n.request(host, organisation), call)
+	return n.hosts[host].executeWrite(n.session(host), n.request(host, organisation), call)
+}
+
+// read runs a read of the organisation at a host.
+func (n *carrierNetwork) read(host, organisation string) dfstatement.Answer {
+	call := dfstatement.Call{ID: "i", Text: "t", Statement: dfstatement.Read{Item: organisation}}
+	return n.hosts[host].executeRead(n.session(host), n.request(host, organisation), call)
 }
 
 // Guards against hosts that choose different carriers for an organisation, each of
@@ -263,9 +272,9 @@
 	}
 }
 
-// Guards against a write that is refused or in doubt because the carrier of its
-// organisation died before the write was sent to it, and against one that runs twice
-// because it was sent to several.
+// Guards against a statement that is refused or in doubt because the carrier of its
+// organisation died before the statement was sent to it, and against a write that runs
+// twice because it was sent to several.
 func TestDeadCarrierIsPassedOver(t *testing.T) {
 	n := newCarrierNetwork(t, 6, newCatalog(1))
 	ranked := func() []dfmember.Host {
@@ -280,6 +289,7 @@
 		n.kill(host.ID)
 	}
 	require.True(t, n.write("north1", organisationName(0)).OK(), "all carriers died at once")
+	require.True(t, n.read("north2", organisationName(0)).OK())
 	require.Equal(t, []string{organisationName(0) + " " + organisationName(0), organisationName(0) + " " + organisationName(0)},
 		n.statements(), "each write ran once")
 }
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -89,7 +89,7 @@
 		}
 		calls = append(calls, statement)
 	}
-	if len(calls) == 0 || h.conn != nil && (h.conn.Upstream() != req.Upstream || h.organisation != req.Organisation) {
+	if len(calls) == 0 || !h.accepts(req) {
 		return refusedReply(dfresult.NewError(dfresult.ProtocolViolation, "request for upstream %s", req.Upstream))
 	}
 	if h.conn == nil {
@@ -129,6 +129,12 @@
 	return result
 }
 
+// accepts reports whether a request may run on the connection of the client's open
+// transaction, if there is one.
+func (h *Handler) accepts(req request) bool {
+	return h.conn == nil || h.conn.Upstream() == req.Upstream && h.organisation == req.Organisation
+}
+
 // acquire gets a connection for the client's calls.
 func (h *Handler) acquire(pool *dfconnection.Pool, req request) *dfresult.Error {
 	conn, err := pool.Acquire(req.Organisation, req.Priority, h.clock().Add(min(req.AcquireTimeout, req.Timeout)))
