Limit the operations of organisations over all hosts

Cause: limits of organisations count operations over all hosts, and the call that admits an operation accepted all. Ruled out: equal shares per host and a lease in the store (docs/design/load.md), a second candidate in the owner's data centre, and an interim rate for more than one candidate (docs/design/quota.md). Change: dfquota has the owner's buckets and the host's asks and admission; dfedge/quota.go carries them on ForwardPort+1, opened where the desired state has organisations. Contact with a majority travels in reports there too; elsewhere reports now say that they have none.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -79,6 +79,7 @@
 	// lastCurrentAt is when it last knew that it missed no version.
 	followingFeeds bool
 	lastCurrentAt  dfclock.Millis
+	quota          *quota
 }
 
 // service is the host's state of one group of upstreams.
@@ -145,6 +146,7 @@
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchangeTriggers: map[string]chan struct{}{},
 		carrierClients:   map[string]*dfforward.Client{},
+		quota:            newQuota(options.Self.ID),
 	}, nil
 }
 
@@ -180,6 +182,7 @@
 	go e.watchMembers(work)
 	go e.rewriteLostRows(work)
 	go e.tickLoop(work)
+	go e.quotaLoop(work)
 	if e.usesLeases() {
 		go e.loadClaims(work)
 	}
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -194,10 +194,12 @@
 		RemoteReachable: e.neighbours.RemoteReachable(now),
 		Isolated:        e.cutOff(now),
 		IsolationKnown:  e.canJudgeIsolation(now),
+		QuorumAge:       -1,
 	}
 	if e.usesLeases() {
 		report.ClaimsLoaded = e.claimsLoaded
-		report.QuorumAge = -1
+	}
+	if e.needsQuorum() {
 		if at := e.neighbours.QuorumAt(now); at >= 0 {
 			report.QuorumAge = now - at
 		}
@@ -275,6 +277,10 @@
 	defer e.mu.Unlock()
 	now := e.options.Now()
 	e.neighbours.HandleReport(now, askedAt, report)
+	if report.QuorumAge >= 0 && e.needsQuorum() && !e.usesLeases() {
+		// The neighbour knows all hosts, and its report lists those that this host lacks.
+		e.neighbours.MarkComplete()
+	}
 	if report.Upstreams != nil {
 		e.adoptNeighbourFleet(report.Upstreams, report.Fleet, report.Host.ID)
 	}
--- a/dfneighbour/view.go
+++ b/dfneighbour/view.go
@@ -116,6 +116,17 @@
 	return PollPeriods{member: leaseMemberPeriod, speaker: leaseSpeakerPeriod}
 }
 
+// QuorumPollPeriods returns periods that keep the time of the last contact with a
+// majority of the hosts recent, with no more traffic between data centres.
+func QuorumPollPeriods() PollPeriods {
+	return PollPeriods{member: leaseMemberPeriod, speaker: speakerPeriod}
+}
+
+// SetPeriods changes how often other hosts are polled.
+func (v *View) SetPeriods(periods PollPeriods) {
+	v.periods = periods
+}
+
 // NewView returns the view of a host that knows no other hosts.
 func NewView(self dfmember.Host, periods PollPeriods) *View {
 	return &View{
--- /dev/null
+++ b/dfquota/constants.go
@@ -0,0 +1,70 @@
+// Package dfquota limits the operations of organisations over all hosts. One host,
+// the owner, holds the token bucket of an organisation and grants tokens to hosts
+// that ask. docs/design/quota.md has the arithmetic of the bound.
+package dfquota
+
+import "dragonflygrade/dfclock"
+
+const (
+	// GrantTTL is how long after an ask was sent its grant may be used. It bounds
+	// the tokens that hosts hold when their owner changes.
+	GrantTTL = 300 * dfclock.Millisecond
+	// QuorumTTL is how long an owner may grant after its last contact with a
+	// majority of the hosts, and how long its successor grants at the interim rate.
+	QuorumTTL = 2 * dfclock.Second
+	// AskTimeout bounds one exchange with an owner. A host whose CPU share is used up
+	// can be stopped for 80 ms. A grant that comes later is hardly usable.
+	AskTimeout = 200 * dfclock.Millisecond
+	// settleDelay is how long a host that has just reached a majority grants
+	// nothing. Within that time the news of a new host reaches all others.
+	settleDelay = dfclock.Second
+	// probeInterval is how often a host that grants in place of others asks whether
+	// they are back. It bounds the time in which both grant.
+	probeInterval = 100 * dfclock.Millisecond
+	// probeMaxAge is how long the result of a probe counts. It covers a probe that
+	// takes AskTimeout and the interval before it.
+	probeMaxAge = 400 * dfclock.Millisecond
+	// probeTimeout is how long a host goes on asking after the hosts before it once
+	// nobody asks it for tokens. It is longer than the pauses of a small organisation.
+	probeTimeout = 30 * dfclock.Second
+	// downProbeInterval is how often a host asks an owner that did not answer
+	// whether it is back.
+	downProbeInterval = 200 * dfclock.Millisecond
+	// maxCandidates bounds the hosts that may own an organisation. The first three
+	// lie in different data centres where there are as many.
+	maxCandidates = 6
+	// interimShare is the share of the rate that the second host by rank grants
+	// while the first may still grant.
+	interimShare = 0.4
+	// interimPause is the time after the last interim grant before the allowance of
+	// interim tokens is available again. It exceeds the window of the limit by the
+	// time that a grant can be under way.
+	interimPause = window + GrantTTL + 200*dfclock.Millisecond
+	// window, overage and slack are the sliding window of the limit and its
+	// tolerances.
+	window  = 5 * dfclock.Second
+	overage = 0.1
+	slack   = 20
+	// minDepthSpan is the part of the rate, in seconds, that a bucket holds at
+	// least, so that no tokens are lost between two asks.
+	minDepthSpan = 0.15
+	// aheadSpan is the time for which a host asks ahead. It leaves a margin within
+	// GrantTTL for the way of the ask.
+	aheadSpan = 200 * dfclock.Millisecond
+	// demandSpan is the time constant of the averages of demand and supply.
+	demandSpan = dfclock.Second
+	// shortAskInterval is the shortest time between two asks for an organisation
+	// whose owner had fewer tokens than it was asked for. It bounds the messages at
+	// the owner of an organisation that has reached its limit.
+	shortAskInterval = 80 * dfclock.Millisecond
+	// declinedAskInterval is the time after which a host asks again that was told to
+	// ask another one. It covers a probe between the two.
+	declinedAskInterval = 30 * dfclock.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time that a refusal gives the caller
+	// to come back.
+	minRetryAfter = 50 * dfclock.Millisecond
+	maxRetryAfter = dfclock.Second
+	// idleTimeout is how long a host keeps the state of an organisation that sends
+	// no operations.
+	idleTimeout = 10 * dfclock.Second
+)
