Keep a substitute owner from granting beside an owner that others reach

Cause: where only the link between two data centres is cut, both have a majority, and owner and substitute granted at the full rate. In a cut each host lost an operation to find out about each of 20 owners. Ruled out: a vote of all hosts for each owner, for its messages. Change: a substitute asks a host of each data centre whether it reaches the owner; hosts that missed two of a data centre ask elsewhere first; probes of hosts that are down back off to 2 s. Tests play cuts, links, restarts and random histories, and leave out each mechanism.

--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -69,7 +69,7 @@
 func newQuota(self string) *quota {
 	return &quota{
 		host: dfquota.NewHost(), owner: dfquota.NewOwner(self),
-		counts: map[string]*metrics.Counter{},
+		counts:  map[string]*metrics.Counter{},
 		waiters: map[dfquota.Ticket]chan dfquota.Verdict{}, askers: map[string]chan dfquota.Outgoing{},
 		wake: make(chan struct{}, 1),
 	}
@@ -285,7 +285,7 @@
 	now := e.options.Now()
 	q.decide(q.host.Expire(now))
 	for {
-		asks := q.host.Asks(now, q.owner.Probes(now))
+		asks := q.host.Asks(now, q.owner.Probes(now), q.owner.Missed(now))
 		local := false
 		for _, ask := range asks {
 			if ask.To.ID == e.options.Self.ID {
@@ -380,7 +380,7 @@
 // exchangeAsk sends an ask and waits for the grant. It returns the connection for the
 // next ask. A connection that the other host has closed meanwhile is replaced.
 func (e *Edge) exchangeAsk(ctx context.Context, conn net.Conn, ask dfquota.Outgoing) (dfquota.Grant, net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(dfquota.AskTimeout)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(ask.Timeout())*time.Millisecond)
 	defer cancel()
 	if conn != nil {
 		grant, err := exchangeAskOn(ctx, conn, ask.Ask)
@@ -429,7 +429,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := e.options.Now()
-	q.owner.Probed(now, ask.To.ID, err == nil && grant.Ready)
+	q.owner.Probed(now, ask.To.ID, err == nil && grant.Ready, grant.Reached)
 	if err != nil {
 		q.host.Fail(now, ask)
 	} else {
--- a/dfquota/constants.go
+++ b/dfquota/constants.go
@@ -12,9 +12,11 @@
 	// QuorumTTL is how long an owner may grant after its last contact with a
 	// majority of the hosts, and how long its successor grants at the interim rate.
 	QuorumTTL = 2 * dfclock.Second
-	// AskTimeout bounds one exchange with an owner. A host whose CPU share is used up
-	// can be stopped for 80 ms. A grant that comes later is hardly usable.
-	AskTimeout = 200 * dfclock.Millisecond
+	// askTimeout bounds one exchange with an owner, and probeAnswerTimeout a probe. A
+	// host whose CPU share is used up can be stopped for 80 ms. A probe that fails in
+	// error costs interim tokens only.
+	askTimeout         = 150 * dfclock.Millisecond
+	probeAnswerTimeout = 120 * dfclock.Millisecond
 	// settleDelay is how long a host that has just reached a majority grants
 	// nothing. Within that time the news of a new host reaches all others.
 	settleDelay = dfclock.Second
@@ -22,14 +24,24 @@
 	// they are back. It bounds the time in which both grant.
 	probeInterval = 100 * dfclock.Millisecond
 	// probeMaxAge is how long the result of a probe counts. It covers a probe that
-	// takes AskTimeout and the interval before it.
+	// takes probeAnswerTimeout and the interval before it.
 	probeMaxAge = 400 * dfclock.Millisecond
+	// witnessInterval is how often a host asks others whether they reach a host that
+	// it misses. reachedMaxAge is how long their answer counts; it covers a few asks
+	// that are lost.
+	witnessInterval = 300 * dfclock.Millisecond
+	reachedMaxAge   = 1500 * dfclock.Millisecond
+	// maxMissed bounds the missed hosts in an ask.
+	maxMissed = 32
 	// probeTimeout is how long a host goes on asking after the hosts before it once
 	// nobody asks it for tokens. It is longer than the pauses of a small organisation.
 	probeTimeout = 30 * dfclock.Second
-	// downProbeInterval is how often a host asks an owner that did not answer
-	// whether it is back.
-	downProbeInterval = 200 * dfclock.Millisecond
+	// downProbeInterval is the time after which a host asks an owner that did not
+	// answer whether it is back. It doubles up to maxDownProbeInterval, because most
+	// hosts of a data centre that is cut off are owners. A substitute that declines
+	// tells sooner.
+	downProbeInterval    = 200 * dfclock.Millisecond
+	maxDownProbeInterval = 2 * dfclock.Second
 	// maxCandidates bounds the hosts that may own an organisation. The first three
 	// lie in different data centres where there are as many.
 	maxCandidates = 6
--- a/dfquota/host.go
+++ b/dfquota/host.go
@@ -40,6 +40,14 @@
 	sentAt dfclock.Millis
 }
 
+// Timeout returns how long the answer may take.
+func (o Outgoing) Timeout() dfclock.Millis {
+	if len(o.Ask.Wants) == 0 {
+		return probeAnswerTimeout
+	}
+	return askTimeout
+}
+
 // holding is a number of tokens that expire together.
 type holding struct {
 	tokens    int
@@ -76,6 +84,27 @@
 	// did not grant.
 	checkedAt dfclock.Millis
 	down      bool
+	// probeDelay is the time until the next probe of a host that is down.
+	probeDelay dfclock.Millis
+}
+
+// absence is what a host knows of a data centre that may be cut off.
+type absence struct {
+	// missed is the host that last failed to answer.
+	missed string
+	// suspected is true if two hosts failed to answer and none has answered since.
+	suspected bool
+}
+
+// answered records whether the host grants.
+func (p *peer) answered(now dfclock.Millis, grants bool) {
+	p.busy, p.checkedAt = false, now
+	if p.down && !grants {
+		p.probeDelay = min(2*p.probeDelay, maxDownProbeInterval)
+	} else {
+		p.probeDelay = downProbeInterval
+	}
+	p.down = !grants
 }
 
 // Host admits the operations that reach this host. It is not safe for concurrent use.
@@ -88,12 +117,13 @@
 	ranking    ranking
 	accounts   map[string]*account
 	peers      map[string]*peer
+	absences   map[string]absence
 	lastTicket Ticket
 }
 
 // NewHost returns a host that knows no limits and no owners.
 func NewHost() *Host {
-	return &Host{loweredIn: map[string]uint64{}, accounts: map[string]*account{}, peers: map[string]*peer{}}
+	return &Host{loweredIn: map[string]uint64{}, accounts: map[string]*account{}, peers: map[string]*peer{}, absences: map[string]absence{}}
 }
 
 // SetLimits adopts the limits of a version of the desired state. Unused grants of
@@ -195,20 +225,30 @@
 	return max(0, len(a.waiting)+ahead-held)
 }
 
-// target returns the first candidate that is not known to be down.
+// target returns the first candidate that is not known to be down. Candidates in a
+// data centre that seems cut off come last: to find out for each of its hosts would cost
+// an operation each.
 func (h *Host) target(organisation string) (dfmember.Host, bool) {
+	var suspect dfmember.Host
 	for _, index := range h.ranking.of(organisation) {
 		host := h.ranking.hosts[index]
-		if known := h.peers[host.ID]; known == nil || !known.down {
+		if known := h.peers[host.ID]; known != nil && known.down {
+			continue
+		}
+		if !h.absences[host.DataCentre].suspected {
 			return host, true
 		}
+		if suspect.ID == "" {
+			suspect = host
+		}
 	}
-	return dfmember.Host{}, false
+	return suspect, suspect.ID != ""
 }
 
 // Asks returns the asks to send now. There is at most one under way to each host;
 // Handle or Fail ends it. Hosts in probes are asked even if nothing is wanted of them.
-func (h *Host) Asks(now dfclock.Millis, probes []dfmember.Host) []Outgoing {
+// These asks name the missed hosts.
+func (h *Host) Asks(now dfclock.Millis, probes []dfmember.Host, missed []string) []Outgoing {
 	wants := map[string]*Outgoing{}
 	add := func(to dfmember.Host) *Outgoing {
 		known := h.peers[to.ID]
@@ -221,7 +261,9 @@
 		return wants[to.ID]
 	}
 	for _, host := range probes {
-		add(host)
+		if probe := add(host); probe != nil {
+			probe.Ask.Missed = missed
+		}
 	}
 	for name, a := range h.accounts {
 		if len(a.waiting) == 0 && !a.asking && now-a.usedAt >= idleTimeout {
@@ -253,11 +295,15 @@
 func (h *Host) probeDown(now dfclock.Millis, name string, add func(dfmember.Host) *Outgoing) {
 	for _, index := range h.ranking.of(name) {
 		host := h.ranking.hosts[index]
-		known := h.peers[host.ID]
-		if known == nil || !known.down {
-			return
+		known := h.peer(host.ID)
+		if !known.down {
+			if !h.absences[host.DataCentre].suspected {
+				return
+			}
+			add(host)
+			continue
 		}
-		if now-known.checkedAt >= downProbeInterval {
+		if now-known.checkedAt >= known.probeDelay {
 			add(host)
 		}
 	}
@@ -272,8 +318,8 @@
 
 // Handle processes the answer to an ask and returns the operations that it decides.
 func (h *Host) Handle(now dfclock.Millis, sent Outgoing, grant Grant) []Decision {
-	known := h.peer(sent.To.ID)
-	known.busy, known.checkedAt, known.down = false, now, !grant.Ready
+	h.peer(sent.To.ID).answered(now, grant.Ready)
+	delete(h.absences, sent.To.DataCentre)
 	var decisions []Decision
 	for i, want := range sent.Ask.Wants {
 		a := h.accounts[want.Organisation]
@@ -314,7 +360,7 @@
 			return
 		}
 		if known := h.peers[host.ID]; known != nil {
-			known.checkedAt = min(known.checkedAt, 0)
+			known.probeDelay = min(known.probeDelay, declinedAskInterval)
 		}
 	}
 }
@@ -330,8 +376,11 @@
 
 // Fail records that an ask got no answer in time.
 func (h *Host) Fail(now dfclock.Millis, sent Outgoing) {
-	known := h.peer(sent.To.ID)
-	known.busy, known.checkedAt, known.down = false, now, true
+	h.peer(sent.To.ID).answered(now, false)
+	absent := h.absences[sent.To.DataCentre]
+	absent.suspected = absent.suspected || absent.missed != "" && absent.missed != sent.To.ID
+	absent.missed = sent.To.ID
+	h.absences[sent.To.DataCentre] = absent
 	for _, want := range sent.Ask.Wants {
 		if a := h.accounts[want.Organisation]; a != nil {
 			a.asking = false
--- a/dfquota/message.go
+++ b/dfquota/message.go
@@ -9,6 +9,9 @@
 	// Version is the sender's version of the desired state.
 	Version uint64
 	Wants   []Want
+	// Missed has the IDs of hosts that the sender misses, to learn whether the
+	// receiver reaches them.
+	Missed []string
 }
 
 // Want is the part of an ask for one organisation.
@@ -28,6 +31,8 @@
 	Ready bool
 	// Parts answer the wants in their order.
 	Parts []Part
+	// Reached has those of the missed hosts that the sender reaches and that grant.
+	Reached []string
 }
 
 // Part is the answer for one organisation.
--- a/dfquota/owner.go
+++ b/dfquota/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfmember"
@@ -30,12 +31,15 @@
 // predecessor is the state of a host that ranks before this one for an organisation.
 type predecessor struct {
 	host dfmember.Host
-	// wantedAt is when the state was last needed, and checkedAt when it was last
-	// observed.
-	wantedAt, checkedAt dfclock.Millis
+	// wantedAt is when this host last needed the state, or unset, watchedAt when
+	// another host did, and checkedAt when it was last observed.
+	wantedAt, watchedAt, checkedAt dfclock.Millis
 	// missedAt is when the host was first observed not to grant, or unset while it
 	// grants.
 	missedAt dfclock.Millis
+	// witnessedAt is when other hosts were last asked whether they reach the host, and
+	// reachedAt when one last answered that it does.
+	witnessedAt, reachedAt dfclock.Millis
 }
 
 // Owner grants the tokens of the organisations that this host owns. It is not safe
@@ -122,6 +126,16 @@
 // Handle answers an ask.
 func (o *Owner) Handle(now dfclock.Millis, ask Ask) Grant {
 	grant := Grant{Version: o.version, Ready: o.Ready(now)}
+	for _, id := range ask.Missed[:min(len(ask.Missed), maxMissed)] {
+		known := o.predecessor(id)
+		if known == nil {
+			continue
+		}
+		known.watchedAt = now
+		if known.missedAt == unset && known.checkedAt != unset && now-known.checkedAt < probeMaxAge {
+			grant.Reached = append(grant.Reached, id)
+		}
+	}
 	for _, want := range ask.Wants {
 		grant.Parts = append(grant.Parts, o.grant(now, want, grant.Ready))
 	}
@@ -130,8 +144,11 @@
 
 func (o *Owner) grant(now dfclock.Millis, want Want, ready bool) Part {
 	limit, limited := o.limits[want.Organisation]
-	missedAt, entitled := o.entitled(now, want.Organisation)
-	if !ready || !limited || !entitled {
+	missedAt, entitled := unset, false
+	if ready && limited {
+		missedAt, entitled = o.entitled(now, want.Organisation)
+	}
+	if !entitled {
 		if b := o.buckets[want.Organisation]; b != nil {
 			b.granting = false
 		}
@@ -198,16 +215,15 @@
 	}
 	missedAt = unset
 	for _, index := range before {
-		host := o.ranking.hosts[index]
-		known := o.predecessors[host.ID]
-		if known == nil {
-			known = &predecessor{checkedAt: unset, missedAt: unset}
-			o.predecessors[host.ID] = known
-		}
-		known.host, known.wantedAt = host, now
+		known := o.predecessor(o.ranking.hosts[index].ID)
+		known.wantedAt = now
 		if known.checkedAt == unset || known.missedAt == unset || now-known.checkedAt >= probeMaxAge {
 			ok = false
 		}
+		// A host that others reach may still grant to them.
+		if now-known.missedAt >= QuorumTTL && known.reachedAt != unset && now-known.reachedAt < reachedMaxAge {
+			ok = false
+		}
 		missedAt = max(missedAt, known.missedAt)
 	}
 	// Only the second by rank grants at the interim rate, so that no more than two
@@ -218,6 +234,21 @@
 	return missedAt, ok
 }
 
+// predecessor returns the state of another host, or nil if the host is not known.
+func (o *Owner) predecessor(id string) *predecessor {
+	index, ok := o.ranking.find(id)
+	if !ok || id == o.self {
+		return nil
+	}
+	known := o.predecessors[id]
+	if known == nil {
+		known = &predecessor{wantedAt: unset, watchedAt: unset, checkedAt: unset, missedAt: unset, witnessedAt: unset, reachedAt: unset}
+		o.predecessors[id] = known
+	}
+	known.host = o.ranking.hosts[index]
+	return known
+}
+
 // before returns the candidates before this host. ok is false if it is none itself.
 func (o *Owner) before(organisation string) (before []uint16, ok bool) {
 	candidates := o.ranking.of(organisation)
@@ -229,23 +260,59 @@
 	return nil, false
 }
 
-// Probes returns the hosts whose state is needed and not known well enough.
+// Probes returns the hosts to ask: those whose state is needed and not known well
+// enough, and a host of each data centre that tells whether it reaches the missed ones.
 func (o *Owner) Probes(now dfclock.Millis) []dfmember.Host {
 	var hosts []dfmember.Host
 	for id, known := range o.predecessors {
-		switch {
-		case now-known.wantedAt >= probeTimeout:
+		wanted := known.isWanted(now)
+		if !wanted && (known.watchedAt == unset || now-known.watchedAt >= dfclock.Second) {
 			delete(o.predecessors, id)
-		case known.checkedAt == unset || now-known.checkedAt >= probeInterval:
+			continue
+		}
+		interval := witnessInterval
+		if wanted {
+			interval = probeInterval
+		}
+		if known.checkedAt == unset || now-known.checkedAt >= interval {
 			hosts = append(hosts, known.host)
 		}
+		if wanted && known.missedAt != unset && now-known.witnessedAt >= witnessInterval {
+			known.witnessedAt = now
+			for _, witnesses := range dfmember.ChoosePerDataCentre("quota/"+id, o.ranking.without(id, o.self), 1) {
+				hosts = append(hosts, witnesses...)
+			}
+		}
 	}
 	return hosts
 }
 
-// Probed records whether a host answered an ask and grants tokens. A gap between two
-// observations begins a new absence, since the host may have granted in between.
-func (o *Owner) Probed(now dfclock.Millis, host string, grants bool) {
+// isWanted reports whether this host needs the state.
+func (p *predecessor) isWanted(now dfclock.Millis) bool {
+	return p.wantedAt != unset && now-p.wantedAt < probeTimeout
+}
+
+// Missed returns the IDs of the hosts that this host needs and misses.
+func (o *Owner) Missed(now dfclock.Millis) []string {
+	var missed []string
+	for id, known := range o.predecessors {
+		if known.missedAt != unset && known.isWanted(now) && len(missed) < maxMissed {
+			missed = append(missed, id)
+		}
+	}
+	slices.Sort(missed)
+	return missed
+}
+
+// Probed records whether a host answered an ask and grants tokens, and which hosts it
+// reaches. A gap between two observations begins a new absence, since the host may
+// have granted in between.
+func (o *Owner) Probed(now dfclock.Millis, host string, grants bool, reached []string) {
+	for _, id := range reached {
+		if known := o.predecessors[id]; known != nil {
+			known.reachedAt = now
+		}
+	}
 	known := o.predecessors[host]
 	if known == nil {
 		return
--- a/dfquota/ranking.go
+++ b/dfquota/ranking.go
@@ -30,7 +30,7 @@
 // centre than the first, and the third in a third one, so that one candidate outlives
 // the loss of a data centre.
 func (r *ranking) of(organisation string) []uint16 {
-	if candidates, ok := r.candidates[organisation]; ok {
+	if candidates, ok := r.candidates[organisation]; ok || len(r.hosts) == 0 {
 		return candidates
 	}
 	ranked := dfmember.Rank("quota/"+organisation, r.hosts)
@@ -48,11 +48,23 @@
 	ordered = ordered[:min(maxCandidates, len(ordered))]
 	candidates := make([]uint16, len(ordered))
 	for i, host := range ordered {
-		at, _ := slices.BinarySearchFunc(r.hosts, host.ID, func(known dfmember.Host, id string) int {
-			return strings.Compare(known.ID, id)
-		})
+		at, _ := r.find(host.ID)
 		candidates[i] = uint16(at)
 	}
 	r.candidates[organisation] = candidates
 	return candidates
 }
+
+// find returns the index of a host by its ID.
+func (r *ranking) find(id string) (index int, ok bool) {
+	return slices.BinarySearchFunc(r.hosts, id, func(known dfmember.Host, id string) int {
+		return strings.Compare(known.ID, id)
+	})
+}
+
+// without returns the hosts but for two.
+func (r *ranking) without(a, b string) []dfmember.Host {
+	return slices.DeleteFunc(slices.Clone(r.hosts), func(host dfmember.Host) bool {
+		return host.ID == a || host.ID == b
+	})
+}
--- a/dfquota/simulation_test.go
+++ b/dfquota/simulation_test.go
@@ -33,6 +33,7 @@
 	frozenUntil dfclock.Millis
 	quorumAt    dfclock.Millis
 	known       map[string]bool
+	hosts       int
 	limits      int
 	waiting     map[Ticket]string
 	wakeAt      dfclock.Millis
@@ -64,20 +65,28 @@
 	omitted omission
 	// cut has the side of each host that is cut off; hosts reach only their own side.
 	cut map[string]int
+	// cutLinks has the pairs of data centres whose link alone is cut.
+	cutLinks map[string]bool
 	// badLinks is the share of messages that are lost, and as many come late.
 	badLinks float64
-	versions []map[string]Limit
+	// quorumDelay is how old a contact with a majority is when a host learns of it.
+	quorumDelay dfclock.Millis
+	versions    []map[string]Limit
 	// inForceAt is when each version was in force at all hosts.
 	inForceAt []dfclock.Millis
 	arrivals  map[string][]dfclock.Millis
 	asked     map[string][]dfclock.Millis
-	messages  int
+	// served and asked count only hosts that are not cut off; the load balancer sees
+	// that the others are not ready.
+	served   map[string][]dfclock.Millis
+	messages int
 }
 
 func newWorld(seed uint64, hosts int, limits map[string]Limit) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), cut: map[string]int{}, versions: []map[string]Limit{limits},
-		inForceAt: []dfclock.Millis{0}, arrivals: map[string][]dfclock.Millis{}, asked: map[string][]dfclock.Millis{},
+		quorumDelay: dfclock.Second,
+		random:      rand.New(rand.NewPCG(seed, 1)), cut: map[string]int{}, cutLinks: map[string]bool{}, versions: []map[string]Limit{limits},
+		inForceAt: []dfclock.Millis{0}, arrivals: map[string][]dfclock.Millis{}, asked: map[string][]dfclock.Millis{}, served: map[string][]dfclock.Millis{},
 	}
 	for i := range hosts {
 		w.addHost(fmt.Sprintf("h%02d", i), fmt.Sprintf("dc%d", i%3))
@@ -132,7 +141,7 @@
 	n.epoch++
 	n.alive, n.quorumAt, n.host, n.owner = true, unset, NewHost(), NewOwner(n.ID)
 	n.waiting, n.wakeAt = map[Ticket]string{}, dfclock.Never
-	n.limits = -1
+	n.limits, n.hosts = -1, 0
 	w.adopt(n, len(w.versions)-1)
 	var tick, contact func()
 	tick = func() {
@@ -160,7 +169,7 @@
 }
 
 func (w *world) reaches(a, b *node) bool {
-	return b.alive && w.cut[a.ID] == w.cut[b.ID]
+	return b.alive && w.cut[a.ID] == w.cut[b.ID] && !w.cutLinks[a.DataCentre+b.DataCentre] && !w.cutLinks[b.DataCentre+a.DataCentre]
 }
 
 // hasMajority reports whether a majority of the known hosts answers.
@@ -195,15 +204,77 @@
 	}
 }
 
-func (w *world) observe(n *node) {
+// owner returns the first candidate of an organisation.
+func (w *world) owner(organisation string) *node {
 	var hosts []dfmember.Host
+	for _, n := range w.nodes {
+		hosts = append(hosts, n.Host)
+	}
+	return w.find(dfmember.Rank("quota/"+organisation, hosts)[0].ID)
+}
+
+// cutOff puts the hosts of a data centre on a side of their own.
+func (w *world) cutOff(dataCentre string, side int) {
+	for _, n := range w.nodes {
+		if n.DataCentre == dataCentre {
+			w.cut[n.ID] = side
+		}
+	}
+}
+
+// fault applies a fault to a host, or to its data centre, for a time.
+func (w *world) fault(n *node, kind int, span dfclock.Millis) {
+	end := w.now + span
+	switch kind {
+	case 0:
+		w.cut[n.ID] = w.seq
+		w.at(end, func() { w.cut[n.ID] = 0 })
+	case 1:
+		w.cutOff(n.DataCentre, w.seq)
+		w.at(end, func() { w.cutOff(n.DataCentre, 0) })
+	case 2:
+		w.stop(n)
+		w.at(end, func() { w.start(n) })
+	case 3:
+		n.frozenUntil = max(n.frozenUntil, end)
+	case 4:
+		w.join(fmt.Sprintf("n%d", w.seq), n.DataCentre)
+	case 5:
+		link := n.DataCentre + w.nodes[0].DataCentre
+		w.cutLinks[link] = true
+		w.at(end, func() { delete(w.cutLinks, link) })
+	case 6:
+		factor := 0.3 + 1.4*w.random.Float64()
+		limits := map[string]Limit{}
+		for name, limit := range w.versions[len(w.versions)-1] {
+			limits[name] = Limit{Rate: limit.Rate * factor, Burst: limit.Burst * factor}
+		}
+		w.setLimits(limits)
+	}
+}
+
+// join starts a new host, of which the others learn within 700 ms.
+func (w *world) join(id, dataCentre string) {
+	n := w.addHost(id, dataCentre)
 	for _, other := range w.nodes {
-		if n.known[other.ID] {
-			hosts = append(hosts, other.Host)
+		n.known[other.ID] = true
+		w.on(other, w.now+dfclock.Millis(w.random.IntN(700)), func() { other.known[id] = true })
+	}
+	w.start(n)
+}
+
+func (w *world) observe(n *node) {
+	if n.hosts != len(n.known) {
+		n.hosts = len(n.known)
+		var hosts []dfmember.Host
+		for _, other := range w.nodes {
+			if n.known[other.ID] {
+				hosts = append(hosts, other.Host)
+			}
 		}
+		n.host.SetHosts(hosts)
+		n.owner.SetHosts(w.now, hosts)
 	}
-	n.host.SetHosts(hosts)
-	n.owner.SetHosts(w.now, hosts)
 	if w.omitted == majority {
 		n.quorumAt = w.now
 	}
@@ -215,7 +286,7 @@
 	w.decide(n, n.host.Expire(w.now))
 	for local := true; local; {
 		local = false
-		asks := n.host.Asks(w.now, n.owner.Probes(w.now))
+		asks := n.host.Asks(w.now, n.owner.Probes(w.now), n.owner.Missed(w.now))
 		sort.Slice(asks, func(i, j int) bool { return asks[i].To.ID < asks[j].To.ID })
 		for _, ask := range asks {
 			wants := ask.Ask.Wants
@@ -250,10 +321,10 @@
 	w.messages++
 	to := w.find(ask.To.ID)
 	answered := false
-	w.on(n, w.now+AskTimeout, func() {
+	w.on(n, w.now+ask.Timeout(), func() {
 		if !answered {
 			answered = true
-			n.owner.Probed(w.now, to.ID, false)
+			n.owner.Probed(w.now, to.ID, false, nil)
 			w.omitInterim(n, to.ID)
 			n.host.Fail(w.now, ask)
 			w.drive(n)
@@ -274,7 +345,7 @@
 				return
 			}
 			answered = true
-			n.owner.Probed(w.now, to.ID, grant.Ready)
+			n.owner.Probed(w.now, to.ID, grant.Ready, grant.Reached)
 			w.omitInterim(n, to.ID)
 			if w.omitted == expiry {
 				ask.sentAt = w.now + dfclock.Hour
@@ -317,7 +388,7 @@
 func (w *world) decide(n *node, decisions []Decision) {
 	for _, decision := range decisions {
 		if _, ok := decision.Verdict.(Admitted); ok {
-			w.arrive(n.waiting[decision.Ticket])
+			w.arrive(n, n.waiting[decision.Ticket])
 		}
 		delete(n.waiting, decision.Ticket)
 	}
@@ -325,17 +396,22 @@
 
 // arrive records the arrival of an operation at an upstream, which is on its way for
 // a while.
-func (w *world) arrive(organisation string) {
+func (w *world) arrive(n *node, organisation string) {
+	if w.cut[n.ID] == 0 {
+		w.served[organisation] = append(w.served[organisation], w.now)
+	}
 	w.arrivals[organisation] = append(w.arrivals[organisation], w.now+dfclock.Millis(w.random.IntN(50)))
 }
 
 // operate is one operation of a caller at a host.
 func (w *world) operate(n *node, organisation string) {
-	w.asked[organisation] = append(w.asked[organisation], w.now)
+	if w.cut[n.ID] == 0 {
+		w.asked[organisation] = append(w.asked[organisation], w.now)
+	}
 	wait := []dfclock.Millis{90, 150, 600}[w.random.IntN(3)]
 	switch verdict := n.host.Arrive(w.now, organisation, w.now+wait).(type) {
 	case Admitted:
-		w.arrive(organisation)
+		w.arrive(n, organisation)
 	case Waiting:
 		n.waiting[verdict.Ticket] = organisation
 	}
