--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -90,6 +90,7 @@
 	// the host must have been suspended. It lies before the start if none was.
 	tickedAt  dfclock.Millis
 	resumedAt dfclock.Millis
+	quota     *quota
 }
 
 // service is the host's state of one group of upstreams.
@@ -158,6 +159,7 @@
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchangeTriggers: map[string]chan struct{}{},
 		carrierClients:   map[string]*dfforward.Client{},
+		quota:            newQuota(options.Self.ID),
 	}, nil
 }
 
@@ -193,6 +195,7 @@
 	go e.watchMembers(work)
 	go e.rewriteLostRows(work)
 	go e.tickLoop(work)
+	go e.quotaLoop(work)
 	if e.usesLeases() {
 		go e.loadClaims(work)
 	}
