Keep reserved ports after a garbage collection, and reserve one at several addresses

Cause: "bind: address already in use" at the forwarding port, once in 27 environments of three hosts. The port was reserved at the first host's address only, and every reservation ended with the next garbage collection, which closes sockets that nothing refers to. Change: reservations are referenced for the life of the process, and StablePort reserves a port at several addresses. The test of reservations collects garbage first.

--- a/dfport/port.go
+++ b/dfport/port.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -21,26 +22,60 @@
 	portTries = 100
 )
 
+// reserved keeps the sockets of all reservations. A socket that is not referenced is
+// closed by the garbage collector.
+var reserved struct {
+	sync.Mutex
+	sockets []net.Listener
+}
+
 // Stable returns a free address of an IP that a stopped host can take again. No
 // other call of this or another process returns it while this process runs.
 func Stable(ctx context.Context, ip string) (string, error) {
-	return between(ctx, ip, firstPort, lastPort)
+	port, err := between(ctx, firstPort, lastPort, ip)
+	return net.JoinHostPort(ip, strconv.Itoa(port)), err
 }
 
-func between(ctx context.Context, ip string, first, last int) (string, error) {
-	var config net.ListenConfig
+// StablePort does the same for a port that is free at several IPs.
+func StablePort(ctx context.Context, ips ...string) (int, error) {
+	return between(ctx, firstPort, lastPort, ips...)
+}
+
+func between(ctx context.Context, first, last int, ips ...string) (int, error) {
 	for range portTries {
-		address := net.JoinHostPort(ip, strconv.Itoa(first+rand.IntN(last-first)))
+		port := first + rand.IntN(last-first)
+		if reserve(ctx, port, ips) {
+			return port, nil
+		}
+	}
+	return 0, eris.Errorf("port: no free port between %d and %d", first, last)
+}
+
+// reserve reports whether a port was free at all IPs, and then keeps other calls from
+// returning it.
+func reserve(ctx context.Context, port int, ips []string) bool {
+	var config net.ListenConfig
+	var sockets []net.Listener
+	for _, ip := range ips {
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
 		listener, err := config.Listen(ctx, "tcp4", address)
-		if err != nil {
-			continue
+		if err == nil {
+			err = listener.Close()
+		}
+		if err == nil {
+			// An abstract socket goes away with its process, whatever ends that.
+			listener, err = config.Listen(ctx, "unix", "@dragonflygrade/port/"+address)
 		}
-		// An abstract socket goes away with its process, whatever ends that.
-		if _, err := config.Listen(ctx, "unix", "@dragonflygrade/port/"+address); err != nil {
-			_ = listener.Close()
-			continue
+		if err != nil {
+			for _, socket := range sockets {
+				_ = socket.Close()
+			}
+			return false
 		}
-		return address, listener.Close()
+		sockets = append(sockets, listener)
 	}
-	return "", eris.Errorf("port: no free port between %d and %d", first, last)
+	reserved.Lock()
+	defer reserved.Unlock()
+	reserved.sockets = append(reserved.sockets, sockets...)
+	return true
 }
--- a/dfport/port_test.go
+++ b/dfport/port_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -52,6 +53,22 @@
 	require.NoError(t, err)
 	port, err := strconv.Atoi(text)
 	require.NoError(t, err)
-	_, err = between(context.Background(), "127.0.0.1", port, port+1)
+	// The garbage collector closes sockets that are not referenced.
+	runtime.GC()
+	runtime.GC()
+	_, err = between(context.Background(), port, port+1, "127.0.0.1")
 	require.Error(t, err, "%s was given twice", address)
 }
+
+// Guards against hosts that get one port for several addresses of which one is taken.
+func TestStablePort(t *testing.T) {
+	ips := []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"}
+	port, err := StablePort(context.Background(), ips...)
+	require.NoError(t, err)
+	for _, ip := range ips {
+		_, err := between(context.Background(), port, port+1, "127.0.0.1", ip)
+		require.Error(t, err, ip)
+	}
+	_, err = between(context.Background(), port, port+1, "127.0.0.1")
+	require.NoError(t, err, "a port that is not given stays free")
+}
