Identify callers by their keys

Cause: hosts ignored the second field of STARTUP, so callers were served without a key and under withdrawn ones. Ruled out: deciding only at startup, since sessions outlive versions; ending a session from the goroutine that adopts a version, since a transaction belongs to the session's. Trusting the age of a neighbour's version alone was ruled out too: a neighbour may have told of a version whose document is still under way. Change: a session keeps the hash of its key. Its organisation is decided at startup, before each statement outside a transaction and at each BEGIN. Unknown keys are refused with UNAUTHORIZ, or with the retry-after time where the host may have missed a version. A version that withdraws a key wakes the sessions under it: idle ones end, transactions are rolled back at once, the next call gets UNAUTHORIZ and the session ends. A host that was suspended reads its feed before it runs requests. With bounds.strict-revocation, catalog polls take 400 ms and each answer confirms the version; keyed requests are refused once none did for bounds.revoke-timeout-ms.

--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -54,11 +54,15 @@
 		Seeds:         settings.Seeds,
 		DrainTimeout:  settings.DrainTimeout,
 		GracePeriod:   settings.GracePeriod,
-		Fencing:       fencingOf(settings),
-		Platform:      platform.NewClient(settings.StoreAddress, settings.PromotionAddress),
-		Dialect:       platform.Dialect{},
-		Dial:          platform.Dial,
-		Now:           dfedge.BootTime,
+
+		StrictRevocation: settings.StrictRevocation,
+		RevokeTimeout:    settings.RevokeTimeout,
+
+		Fencing:  fencingOf(settings),
+		Platform: platform.NewClient(settings.StoreAddress, settings.PromotionAddress),
+		Dialect:  platform.Dialect{},
+		Dial:     platform.Dial,
+		Now:      dfedge.BootTime,
 	}
 	if c.MetricsPort > 0 {
 		options.MetricsAddress = net.JoinHostPort(settings.IP, strconv.Itoa(c.MetricsPort))
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -79,6 +79,17 @@
 	// lastCurrentAt is when it last knew that it missed no version.
 	followingFeeds bool
 	lastCurrentAt  dfclock.Millis
+	// feedConfirmedAt is when the newest poll of the catalog feed that was answered had
+	// been sent, or 0.
+	feedConfirmedAt dfclock.Millis
+	// newestVersion is the newest version of the desired state that a neighbour told
+	// of, and newestVersionAt when the host first knew that its own is older.
+	newestVersion   uint64
+	newestVersionAt dfclock.Millis
+	// tickedAt is when the last tick was, and resumedAt when one was last so late that
+	// the host must have been suspended. It lies before the start if none was.
+	tickedAt  dfclock.Millis
+	resumedAt dfclock.Millis
 }
 
 // service is the host's state of one group of upstreams.
@@ -141,6 +152,8 @@
 		sessions:         map[*session]struct{}{},
 		startedAt:        options.Now(),
 		unreadySince:     dfclock.Never,
+		tickedAt:         options.Now(),
+		resumedAt:        options.Now() - feedStallTimeout,
 		stoppingAt:       dfclock.Never,
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchangeTriggers: map[string]chan struct{}{},
@@ -220,6 +233,7 @@
 func (e *Edge) tick(ctx context.Context) {
 	e.mu.Lock()
 	now := e.options.Now()
+	e.recordTick(now)
 	if now-e.neighboursSelectedAt >= neighbourSelectPeriod {
 		e.neighboursSelectedAt = now
 		e.startExchanges(ctx, now)
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -230,6 +230,9 @@
 // currentAt returns the latest time at which this host knew that it missed no
 // version of the desired state.
 func (e *Edge) currentAt(now dfclock.Millis) dfclock.Millis {
+	if e.options.StrictRevocation {
+		return max(e.feedConfirmedAt, e.neighbours.CurrentAt())
+	}
 	if e.followingFeeds && !e.catalogFeedLost {
 		return now
 	}
@@ -275,6 +278,7 @@
 	defer e.mu.Unlock()
 	now := e.options.Now()
 	e.neighbours.HandleReport(now, askedAt, report)
+	e.recordVersion(now, report.Catalog)
 	if report.Upstreams != nil {
 		e.adoptNeighbourFleet(report.Upstreams, report.Fleet, report.Host.ID)
 	}
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -61,6 +61,19 @@
 	feedPollTimeout = 20 * dfclock.Second
 	// feedMaxGap is the longest time from an answer of a feed to the next long poll.
 	feedMaxGap = 100 * dfclock.Millisecond
+	// strictPollTimeout is the timeout of a long poll where the revocation of keys is
+	// strict. Each answer confirms the version, and the hosts that ask this one still
+	// have one that is younger than versionMaxAge.
+	strictPollTimeout = 400 * dfclock.Millisecond
+	// feedStallTimeout is how long a connection to the platform may be dead until the
+	// host notices.
+	feedStallTimeout = 3 * dfclock.Second
+	// suspensionGap is the time between ticks from which on the host counts as
+	// suspended. Load alone delays ticks less.
+	suspensionGap = dfclock.Second
+	// resumeTimeout bounds how long a host that was suspended takes to read the versions
+	// that arrived meanwhile from its feed or from a neighbour.
+	resumeTimeout = 250 * dfclock.Millisecond
 	// feedRetryDelay is the pause after a failed call to the platform.
 	feedRetryDelay = 250 * time.Millisecond
 	// membersPollPeriod is how often the host table is read. It only helps hosts
@@ -123,7 +136,9 @@
 
 // Caller encodes and decodes the messages of one caller's session.
 type Caller interface {
-	ReadStartup() (database string, err error)
+	// ReadStartup returns the name that the caller connects to, and its key, or "" if
+	// it has none.
+	ReadStartup() (database, key string, err error)
 	ReadCall() (call dfstatement.Call, ended bool, err error)
 	// Pending reports whether part of another message has arrived.
 	Pending() bool
@@ -166,7 +181,11 @@
 	DrainTimeout dfclock.Millis
 	// GracePeriod is the time from the stop request until the process is killed.
 	GracePeriod dfclock.Millis
-	Platform    Platform
+	// If StrictRevocation is true, a host that could not confirm for RevokeTimeout that
+	// its version of the desired state is the newest refuses callers with keys.
+	StrictRevocation bool
+	RevokeTimeout    dfclock.Millis
+	Platform         Platform
 	// Fencing is how a replaced leader is kept from serving.
 	Fencing dfsuccession.Fencing
 	Dialect Dialect
@@ -188,6 +207,8 @@
 		return eris.New("edge: platform, dialect, dial and clock are required")
 	case o.GracePeriod <= 0:
 		return eris.New("edge: the grace period must be positive")
+	case o.StrictRevocation && o.RevokeTimeout <= 0:
+		return eris.New("edge: strict revocation needs a positive timeout")
 	}
 	return nil
 }
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -22,8 +22,13 @@
 	conn     net.Conn
 	caller   Caller
 	database string
+	// key is the hash of the caller's key. The key itself is not kept.
+	key dfcatalog.KeyHash
+	// identified is true once organisation was decided. It is guarded by Edge.mu.
+	identified bool
 	// organisation is the name of the caller's organisation under the current version,
-	// or empty if the caller is anonymous.
+	// or empty if the caller is anonymous. Only the session's goroutine changes it and
+	// route, with Edge.mu held.
 	organisation string
 	// route is the route of the current statement or transaction.
 	route        dfcatalog.Route
@@ -38,6 +43,8 @@
 	idle bool
 	// closing ends the session as soon as it is idle; it is guarded by Edge.mu.
 	closing bool
+	// ended ends the session after the answer to the current call.
+	ended bool
 }
 
 // serveCaller runs a session until the caller disconnects.
@@ -70,18 +77,18 @@
 	if err := sess.conn.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
 		return false
 	}
-	database, err := sess.caller.ReadStartup()
+	database, key, err := sess.caller.ReadStartup()
 	if err != nil {
 		return false
 	}
 	if err := sess.conn.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
-	sess.database = database
+	sess.database, sess.key = database, dfcatalog.HashKey(key)
 	if failure := sess.awaitRoute(); failure != nil {
 		sess.edge.log.Warn().Str("Database", database).Int("Code", int(failure.Code)).Str("Why", failure.Error()).
 			Msg("session: startup refused")
-		_ = sess.caller.WriteRefusal(failure.Code, failure.Error())
+		_ = sess.caller.WriteRefusal(failure.Code, refusalDetail(failure))
 		return false
 	}
 	return sess.caller.WriteReady() == nil
@@ -105,15 +112,20 @@
 	}
 }
 
-// lookUpRoute sets the route for the next statement or transaction. A host that
-// may have missed a version does not report a name as unknown.
+// lookUpRoute sets the route and the organisation for the next statement or
+// transaction. A host that may have missed a version does not report a name as
+// unknown.
 func (sess *session) lookUpRoute() *dfresult.Error {
 	e := sess.edge
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	route, ok := e.catalog.Route(sess.database)
 	if ok && e.services[route.Service] != nil {
-		sess.route = route
+		organisation, failure := e.identify(e.options.Now(), sess.key, route)
+		if failure != nil {
+			return failure
+		}
+		sess.route, sess.organisation, sess.identified = route, organisation, true
 		return nil
 	}
 	if now := e.options.Now(); e.catalog.Version() == 0 || now-e.currentAt(now) >= versionMaxAge {
@@ -130,13 +142,15 @@
 		return false
 	}
 	started := sess.edge.options.Now()
+	sess.edge.awaitVersion()
 	answer := sess.execute(call, started)
 	sess.edge.counters.recordStatement(answer, sess.edge.options.Now()-started)
-	return sess.caller.WriteAnswer(answer) == nil
+	return sess.caller.WriteAnswer(answer) == nil && !sess.ended
 }
 
-// readCall waits for the next call. An idle session ends when the host closes it;
-// a transaction that is idle for too long is rolled back.
+// readCall waits for the next call. An idle session ends when the host closes it or
+// its key is withdrawn; a transaction is rolled back when it is idle for too long or
+// the key is withdrawn.
 func (sess *session) readCall() (dfstatement.Call, bool) {
 	for {
 		if !sess.prepareRead() {
@@ -152,7 +166,12 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return call, false
 		}
-		if sess.tx != nil {
+		if sess.tx == nil {
+			continue
+		}
+		if failure := sess.checkKey(); failure != nil {
+			sess.tx.revoke(failure)
+		} else {
 			sess.tx.expire()
 		}
 	}
@@ -165,12 +184,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sess.idle = sess.tx == nil && !sess.caller.Pending()
-	if sess.closing && sess.idle {
+	withdrawn := sess.keyWithdrawn()
+	if sess.idle && (sess.closing || withdrawn) {
 		return false
 	}
 	deadline := time.Time{}
 	if sess.tx != nil && sess.tx.attempt != nil {
-		if idle := e.catalog.TransactionIdleTimeout(); idle > 0 {
+		idle := e.catalog.TransactionIdleTimeout()
+		switch {
+		case withdrawn:
+			deadline = time.Unix(1, 0)
+		case idle > 0:
 			deadline = time.Now().Add(time.Duration(idle) * time.Millisecond)
 		}
 	}
@@ -187,12 +211,12 @@
 
 func (sess *session) execute(call dfstatement.Call, now dfclock.Millis) dfstatement.Answer {
 	if sess.tx != nil {
-		return sess.tx.execute(call, now)
+		return sess.executeInTransaction(call, now)
 	}
 	switch s := call.Statement.(type) {
 	case dfstatement.Begin:
 		if failure := sess.lookUpRoute(); failure != nil {
-			return sess.refused(call, failure, failure)
+			return sess.refuseOperation(call, failure)
 		}
 		sess.tx = newTransaction(sess, call, s.ReadOnly, now)
 		return dfstatement.Answer{State: dfstatement.InTransaction}
@@ -225,7 +249,7 @@
 // executeSingle runs a statement outside a transaction.
 func (sess *session) executeSingle(call dfstatement.Call, now dfclock.Millis) dfstatement.Answer {
 	if failure := sess.lookUpRoute(); failure != nil {
-		return sess.refused(call, failure, failure)
+		return sess.refuseOperation(call, failure)
 	}
 	writes, known := sess.writes(call)
 	if !known {
@@ -288,11 +312,15 @@
 		state = dfstatement.FailedTransaction
 	}
 	sess.edge.logFailure(call, sess.route, "request: refused", err.Code, err.Error(), last.Error(), err.RetryAfter)
-	detail := err.Error()
+	return dfstatement.Failure(err.Code, refusalDetail(err), state)
+}
+
+// refusalDetail returns the text of a refusal for the caller.
+func refusalDetail(err *dfresult.Error) string {
 	if err.RetryAfter > 0 {
-		detail += "; retry after " + err.RetryAfter.String()
+		return err.Error() + "; retry after " + err.RetryAfter.String()
 	}
-	return dfstatement.Failure(err.Code, detail, state)
+	return err.Error()
 }
 
 // inDoubt answers a write whose answer was lost.
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -288,6 +288,17 @@
 	t.attempt = nil
 }
 
+// revoke rolls back a transaction whose caller may run no more statements.
+func (t *transaction) revoke(why *dfresult.Error) {
+	if t.lostCause == nil {
+		t.lostCause = why
+	}
+	if t.attempt != nil {
+		t.session.edge.rollBack(t.request, t.attempt)
+		t.attempt = nil
+	}
+}
+
 // expire rolls back a transaction that exceeded its idle timeout.
 func (t *transaction) expire() {
 	if t.attempt == nil {
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -19,15 +19,28 @@
 
 // watchCatalog follows the desired state.
 func (e *Edge) watchCatalog(ctx context.Context) {
+	// sentAt is when the current call was sent. Its answer confirms the version as of
+	// then, if not later.
+	var sentAt dfclock.Millis
 	e.watchFeed(ctx, "catalog", feed{
-		read:  e.options.Platform.Catalog,
-		poll:  e.options.Platform.WaitCatalog,
+		read: func(ctx context.Context) (dfplatform.Changes, error) {
+			sentAt = e.options.Now()
+			return e.options.Platform.Catalog(ctx)
+		},
+		poll: func(ctx context.Context, after dfrevision.Revision, wait dfclock.Millis) (dfplatform.Changes, error) {
+			sentAt = e.options.Now()
+			if e.options.StrictRevocation {
+				wait = min(wait, strictPollTimeout)
+			}
+			return e.options.Platform.WaitCatalog(ctx, after, wait)
+		},
 		apply: func(changes dfplatform.Changes, _ bool) { e.adoptDocument(changes.Catalog, "platform") },
 		setLost: func(lost bool) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if !lost {
 				e.lastCurrentAt = e.options.Now()
+				e.feedConfirmedAt = sentAt
 			} else if e.followingFeeds && !e.catalogFeedLost {
 				// The connection may have stalled for a while before it failed.
 				e.lastCurrentAt = e.options.Now() - versionMaxAge
@@ -180,6 +193,7 @@
 	e.log.Info().Uint64("Before", e.catalog.Version()).Uint64("Version", catalog.Version()).
 		Int("Routes", catalog.RouteCount()).Str("From", from).Msg("catalog: version in force")
 	e.catalog, e.document, e.compressedDocument = catalog, document, nil
+	e.wakeDisplacedSessions()
 	e.reconcile()
 }
 
