Move the waiting of admitted requests into a package of its own

Cause: only slot holders could use the admission queue, and the other path has a second, simpler admission. Ruled out: a copy beside the other path, which would be a third way. Change: dfadmission.Controller runs a dfadmit.Queue for concurrent requests; dfholder uses it as before. Queue gets StartNow, for work that must not wait, and ExpectedWait. Measured: tests of dfadmit and dfholder pass unchanged.

--- a/dfadmit/queue.go
+++ b/dfadmit/queue.go
@@ -147,6 +147,19 @@
 	return q.start(e.request), true
 }
 
+// StartNow marks a request as running without queueing it, even above the limit. It
+// is for work that must not wait, such as the end of a transaction.
+func (q *Queue) StartNow(now dfclock.Millis, id uint64) {
+	q.advanceTo(now)
+	q.running[id] = q.now
+}
+
+// ExpectedWait returns how long a request would be queued.
+func (q *Queue) ExpectedWait(now dfclock.Millis, request Request) dfclock.Millis {
+	q.advanceTo(now)
+	return q.limiter.expectedWait(q.requestsAhead(q.bandOf(request), request))
+}
+
 // start marks the request as running.
 func (q *Queue) start(request Request) Action {
 	if !holds(len(q.running) < q.Limit(), "running requests do not exceed the concurrency limit") {
--- a/dfholder/holder.go
+++ b/dfholder/holder.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"dragonflygrade/dfadmission"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfcontrol"
 	"dragonflygrade/dfgroup"
@@ -41,7 +42,7 @@
 	// openWrites counts the write units that hold or wait for a connection.
 	openWrites atomic.Int64
 	// reads and writes control the admission of read and write requests.
-	reads, writes *admission
+	reads, writes *dfadmission.Controller
 	// writesHeld is true while there is no primary and writes are queued. It is used
 	// only by the watcher's goroutine.
 	writesHeld bool
@@ -365,8 +366,8 @@
 func (h *Holder) Close() {
 	h.stop()
 	h.background.Wait()
-	h.reads.close()
-	h.writes.close()
+	h.reads.Close()
+	h.writes.Close()
 	h.closePools()
 	h.watcher.Stop()
 	h.control.Close()
--- a/dfholder/slot.go
+++ b/dfholder/slot.go
@@ -156,8 +156,8 @@
 // beyond a lower limit are closed when they are returned to the pool.
 func (h *Holder) SetShare(share int) {
 	h.connectionLimit.Store(int64(share))
-	h.reads.setLimit(share * len(h.pools))
-	h.writes.setLimit(share)
+	h.reads.SetLimit(share * len(h.pools))
+	h.writes.SetLimit(share)
 	for _, pool := range h.pools {
 		pool.SetLimit(share)
 	}
--- a/dfholder/view.go
+++ b/dfholder/view.go
@@ -50,9 +50,9 @@
 func (h *Holder) updateWriteHold(hasPrimary bool) {
 	switch {
 	case !hasPrimary && !h.writesHeld:
-		h.writes.hold()
+		h.writes.PauseWrites()
 	case hasPrimary && h.writesHeld:
-		h.writes.release()
+		h.writes.ResumeWrites()
 	}
 	h.writesHeld = !hasPrimary
 }
