Queue statements at carriers by priority and organisation

Ruled out: an adaptive limit, since the slots are known; refusing at the client host. Change: the pool of a carrier admits statements through dfadmission before they get a connection, up to Plan.StatementsPerCarrier at once; commits and open transactions do not queue.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"dragonflygrade/dfadmission"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpool"
@@ -71,6 +73,10 @@
 	// stateUnknown is true if values may differ from those at the upstream, so that
 	// the connection must be reset before it runs statements of a session.
 	stateUnknown bool
+	// admission has admitted the holder's statement, or is nil. admitted ends the
+	// admission; it is nil once the statement has ended.
+	admission *dfadmission.Controller
+	admitted  dfadmission.Release
 	// setInTransaction is true if session state was set inside the open transaction.
 	setInTransaction bool
 }
@@ -149,6 +155,10 @@
 // that apply it are sent before all calls. sent is false if no byte can have
 // reached the upstream.
 func (c *Conn) Exchange(session *SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
+	if slices.ContainsFunc(calls, takesSlot) {
+		c.startStatement()
+		defer c.endStatement()
+	}
 	var all []dfstatement.Call
 	translated := make([]dfstatement.Call, 0, len(calls))
 	for _, call := range calls {
@@ -186,6 +196,31 @@
 	return answers, true, nil
 }
 
+// startStatement admits the further statements of a transaction without queueing: the
+// sooner it ends, the sooner its connection and its locks are free.
+func (c *Conn) startStatement() {
+	if c.admission != nil && c.admitted == nil {
+		c.admitted = c.admission.Start()
+	}
+}
+
+// endStatement ends the admission of a statement, if one is admitted.
+func (c *Conn) endStatement() {
+	if c.admitted != nil {
+		c.admitted(false)
+		c.admitted = nil
+	}
+}
+
+// takesSlot reports whether a call takes a slot of the upstream while it runs.
+func takesSlot(call dfstatement.Call) bool {
+	switch call.Statement.(type) {
+	case dfstatement.Read, dfstatement.Write, dfstatement.Execute, dfstatement.Commit, dfstatement.Status:
+		return true
+	}
+	return false
+}
+
 // State returns the transaction state of the newest answer.
 func (c *Conn) State() dfstatement.State {
 	return c.state
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -8,6 +8,8 @@
 
 	"github.com/phuslu/log"
 
+	"dragonflygrade/dfadmission"
+	"dragonflygrade/dfadmit"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpool"
@@ -98,12 +100,16 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
-	mu         sync.Mutex
-	use        Use
-	policy     *dfpool.Pool
-	conns      map[dfpool.ConnID]*Conn
-	waiting    map[dfpool.WaiterID]chan acquireResult
-	lastWaiter dfpool.WaiterID
+	mu sync.Mutex
+	// admission orders statements before they get a connection, or is nil if they are
+	// not queued. admissionLimit is its limit.
+	admission      *dfadmission.Controller
+	admissionLimit int
+	use            Use
+	policy         *dfpool.Pool
+	conns          map[dfpool.ConnID]*Conn
+	waiting        map[dfpool.WaiterID]chan acquireResult
+	lastWaiter     dfpool.WaiterID
 }
 
 // NewPool returns an empty pool.
@@ -131,12 +137,18 @@
 // Acquire returns a connection that was opened in the name of an organisation, or of
 // none if it is empty. Otherwise it returns an error whose outcome is "not run".
 func (p *Pool) Acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
+	admission, admitted, err := p.admit(organisation, priority, deadline)
+	if err != nil {
+		return nil, err
+	}
 	for {
 		conn, err := p.acquire(organisation, priority, deadline)
 		if err != nil {
+			admitted(false)
 			return nil, err
 		}
 		if !conn.ClosedByUpstream() {
+			conn.admission, conn.admitted = admission, admitted
 			return conn, nil
 		}
 		p.handle(dfpool.Closed{Conn: conn.id})
@@ -144,6 +156,38 @@
 	}
 }
 
+// admit waits until a statement may start.
+func (p *Pool) admit(organisation string, priority int, deadline dfclock.Millis) (*dfadmission.Controller, dfadmission.Release, error) {
+	p.mu.Lock()
+	admission := p.admission
+	p.mu.Unlock()
+	if admission == nil {
+		return nil, func(bool) {}, nil
+	}
+	release, err := admission.Admit(p.ctx, dfadmit.Request{Caller: organisation, Priority: priority, Deadline: deadline})
+	return admission, release, err
+}
+
+// SetAdmissionLimit sets how many statements may run at the upstream over this pool at
+// once. Further ones are queued by priority and organisation. Zero ends the queueing of
+// new statements.
+func (p *Pool) SetAdmissionLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit == p.admissionLimit {
+		return
+	}
+	p.admissionLimit = limit
+	switch {
+	case limit == 0:
+		p.admission = nil
+	case p.admission == nil:
+		p.admission = dfadmission.New(dfadmit.Options{Limit: limit, MaxQueued: maxWaiters}, p.clock)
+	default:
+		p.admission.SetLimit(limit)
+	}
+}
+
 func (p *Pool) acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
 	results := make(chan acquireResult, 1)
 	p.mu.Lock()
@@ -176,6 +220,7 @@
 // Release returns a connection to the pool. reusable is false if its state is
 // uncertain.
 func (p *Pool) Release(conn *Conn, reusable bool) {
+	conn.endStatement()
 	p.handle(dfpool.Returned{Conn: conn.id, Reusable: reusable})
 }
 
@@ -183,6 +228,7 @@
 // connections of the same age or older are probed before they are used again,
 // because they may have lost the same network path.
 func (p *Pool) ReleaseTimedOut(conn *Conn) {
+	conn.endStatement()
 	p.handle(dfpool.Silent{Conn: conn.id})
 }
 
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -236,7 +236,9 @@
 		}
 		plan := e.connectionPlan(now, s)
 		for id, pool := range s.pools {
-			pool.Tick(e.connectionLimit(now, s, id, plan), e.connectionUse(now, s, id, plan))
+			use := e.connectionUse(now, s, id, plan)
+			pool.Tick(e.connectionLimit(now, s, id, plan), use)
+			pool.SetAdmissionLimit(e.admissionLimit(id, plan, use))
 		}
 	}
 	e.updateReadiness(now)
@@ -258,6 +260,16 @@
 	return e.connectionShare(now, s, config, id).Connections()
 }
 
+// admissionLimit returns how many statements this host may run at an upstream at once,
+// or zero if it does not queue them.
+func (e *Edge) admissionLimit(id dffleet.ID, plan dfforward.Plan, use dfconnection.Use) int {
+	if use != dfconnection.UseCarrier {
+		return 0
+	}
+	upstream, _ := e.fleet.Find(id)
+	return plan.StatementsPerCarrier(upstream.Slots)
+}
+
 // connectionUse returns the purpose of this host's connections to an upstream.
 func (e *Edge) connectionUse(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) dfconnection.Use {
 	config, _ := e.catalog.Service(s.name)
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -69,7 +69,9 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		e.carrierRefused(req.service, a.upstream)
+		if !dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed) {
+			e.carrierRefused(req.service, a.upstream)
+		}
 	case errors.As(err, &carrierLost):
 		a.conn.Release(false)
 		e.carrierFailed(carrierLost)
@@ -101,6 +103,9 @@
 		}
 		last = connectionError(err)
 		sess.logRetry(call, to.upstream, last)
+		if refusal := e.refuseForCapacity(req, to, err); refusal != nil {
+			return sess.refused(call, refusal, last)
+		}
 		e.prepareRetry(req, to)
 	}
 	return sess.refused(call, last, last)
@@ -211,6 +216,9 @@
 		a, err := e.acquire(req, to, 2*sess.route.Priority)
 		if err != nil {
 			last = connectionError(err)
+			if refusal := e.refuseForCapacity(req, to, err); refusal != nil {
+				return sess.refused(call, refusal, last)
+			}
 			e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 			continue
 		}
@@ -221,6 +229,9 @@
 				return sess.inDoubt(call, a.upstream, err)
 			}
 			last = connectionError(err)
+			if refusal := e.refuseForCapacity(req, to, err); refusal != nil {
+				return sess.refused(call, refusal, last)
+			}
 			e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 			continue
 		}
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -1,6 +1,8 @@
 package dfedge
 
 import (
+	"errors"
+
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
@@ -19,6 +21,8 @@
 	upstream dffleet.ID
 	// after is the position that the upstream's log must contain, or zero.
 	after dfposition.Position
+	// queued is true if a carrier queues the statement by priority.
+	queued bool
 	// needsProof is true if the upstream must prove that it leads.
 	needsProof bool
 	// acquireTimeout bounds the wait for a connection.
@@ -45,6 +49,11 @@
 	// commitDiscarded is true once a leader answered that it lacks lastCommit,
 	// which a promotion has discarded.
 	commitDiscarded bool
+	// admitBy is when the wait for capacity has taken its part of the target latency.
+	admitBy dfclock.Millis
+	// capacityRefusal is the last refusal for lack of capacity since the statement was
+	// last sent, or nil.
+	capacityRefusal *dfresult.Error
 	// avoid has the upstreams that failed the statement.
 	avoid []dffleet.ID
 }
@@ -105,12 +114,15 @@
 	if ok && e.acceptsNewWork(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
 		if pool != nil && s.placer.AvailableIn(now, leader.ID) == 0 {
-			if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
-				return refuse{err}
+			source, queued := e.connSourceFor(now, s, leader.ID)
+			if !queued {
+				if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
+					return refuse{err}
+				}
 			}
 			return sendTo{target{
-				source: e.connSourceFor(now, s, leader.ID), upstream: leader.ID, needsProof: true,
-				acquireTimeout: min(req.deadline-now, maxAcquireWait), replyTimeout: req.deadline - now,
+				source: source, upstream: leader.ID, needsProof: true, queued: queued,
+				acquireTimeout: acquireTimeout(now, req, queued), replyTimeout: req.deadline - now,
 			}}
 		}
 		// The last attempt to connect failed, or the upstream's queue was full.
@@ -182,6 +194,9 @@
 	}
 	id, ok := s.placer.SelectForRead(now, wanted, e.usableUpstreams(now, s), s.leader, req.avoid)
 	if !ok {
+		if req.capacityRefusal != nil {
+			return refuse{req.capacityRefusal}
+		}
 		req.avoid = nil
 		return waitUntil{e.changed, min(req.deadline, now.Add(refusedRetryDelay))}
 	}
@@ -189,16 +204,48 @@
 	if id == s.leader {
 		waitPercent = leaderWaitPercent
 	}
-	if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
-		return refuse{err}
+	source, queued := e.connSourceFor(now, s, id)
+	if !queued {
+		if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
+			return refuse{err}
+		}
 	}
 	replyTimeout := min(req.deadline-now, max(minReadTimeout, readTimeoutFactor*s.placer.ExpectedWait(now, id)))
 	return sendTo{target{
-		source: e.connSourceFor(now, s, id), upstream: id, after: wanted.Position,
-		acquireTimeout: min(req.deadline-now, maxAcquireWait), replyTimeout: replyTimeout,
+		source: source, upstream: id, after: wanted.Position, queued: queued,
+		acquireTimeout: acquireTimeout(now, req, queued), replyTimeout: replyTimeout,
 	}}
 }
 
+// acquireTimeout returns how long a statement may wait for a connection to one
+// upstream. If a carrier queues statements, the wait ends with its part of the target
+// latency, so that callers who would be late make room for others.
+func acquireTimeout(now dfclock.Millis, req *routeRequest, queued bool) dfclock.Millis {
+	timeout := min(req.deadline-now, maxAcquireWait)
+	if !queued || req.targetLatency <= 0 {
+		return timeout
+	}
+	return min(timeout, req.targetLatency*admitWaitPercent/100)
+}
+
+// refuseForCapacity records why an attempt failed. It returns the refusal of a
+// statement that carriers queue, once the upstreams have no capacity for it in time.
+func (e *Edge) refuseForCapacity(req *routeRequest, to target, err error) *dfresult.Error {
+	req.capacityRefusal = nil
+	var why *dfresult.Error
+	if !to.queued || !errors.As(err, &why) || !dfresult.HasCode(why, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.NoConnection) {
+		return nil
+	}
+	if why.RetryAfter <= 0 {
+		why = why.WithRetryAfter(to.acquireTimeout)
+	}
+	req.capacityRefusal = why
+	if to.needsProof || e.options.Now() >= req.admitBy {
+		return why
+	}
+	return nil
+}
+
 // usableUpstreams returns the upstreams that may serve reads. Draining ones are
 // used only if there are no others.
 func (e *Edge) usableUpstreams(now dfclock.Millis, s *service) []dffleet.Upstream {
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -265,8 +265,12 @@
 		organisation:  sess.organisation,
 		arrivedAt:     beganAt,
 		deadline:      now.Add(sess.route.Timeout),
+		admitBy:       now.Add(sess.route.Timeout),
 		targetLatency: sess.route.TargetLatency,
 	}
+	if sess.route.TargetLatency > 0 {
+		req.admitBy = min(req.admitBy, now.Add(sess.route.TargetLatency*admitWaitPercent/100))
+	}
 	if _, own := sess.route.Freshness.(dfcatalog.ReadYourWrites); own {
 		req.lastCommit, req.lastCommitAt = sess.lastCommit, sess.lastCommitAt
 	}
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -95,19 +95,20 @@
 }
 
 // connSourceFor selects this host's pool or a carrier host for a statement to an
-// upstream. e.mu must be held.
-func (e *Edge) connSourceFor(now dfclock.Millis, s *service, id dffleet.ID) connSource {
+// upstream. queued is true if a carrier, or this host as one, queues the statement.
+// e.mu must be held.
+func (e *Edge) connSourceFor(now dfclock.Millis, s *service, id dffleet.ID) (source connSource, queued bool) {
 	plan := e.connectionPlan(now, s)
 	if !plan.Shared() {
-		return poolSource{s.pools[id]}
+		return poolSource{s.pools[id]}, false
 	}
 	carriers := e.neighbours.Carriers(now, id, plan.Carriers)
 	if len(carriers) == 0 || slices.Contains(carriers, e.options.Self) {
-		return poolSource{s.pools[id]}
+		return poolSource{s.pools[id]}, len(carriers) > 0
 	}
 	carrier := carriers[e.random.IntN(len(carriers))]
 	e.counters.statementsForwarded.Inc()
-	return carrierSource{client: e.carrierClient(carrier), upstream: id, clock: e.options.Now}
+	return carrierSource{client: e.carrierClient(carrier), upstream: id, clock: e.options.Now}, true
 }
 
 // carrierClient returns the client of a carrier host. e.mu must be held.
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -167,6 +167,9 @@
 		}
 		last = connectionError(err)
 		sess.logRetry(call, to.upstream, last)
+		if refusal := e.refuseForCapacity(t.request, to, err); refusal != nil {
+			return sess.refused(call, refusal, last)
+		}
 		e.prepareRetry(t.request, to)
 	}
 	return sess.refused(call, last, last)
--- a/dfforward/plan.go
+++ b/dfforward/plan.go
@@ -12,6 +12,9 @@
 	// carriers, connections are reused often; with more than one, the upstream stays
 	// reachable if a host fails.
 	maxCarriers = 3
+	// statementsPerSlot is how many statements are sent to an upstream for each of its
+	// slots. The second one starts without a round trip when the first one ends.
+	statementsPerSlot = 2
 )
 
 // Plan is how the hosts share the connections to one upstream.
@@ -22,6 +25,8 @@
 	// ConnectionsPerCarrier is the connection limit of a carrier, or zero if every
 	// host holds its own connections.
 	ConnectionsPerCarrier int
+	// DataCentres is the number of data centres that have carriers.
+	DataCentres int
 }
 
 // NewPlan divides the usable connections of an upstream. It is designed for
@@ -32,10 +37,23 @@
 		return Plan{}
 	}
 	carriers := min(maxCarriers, max(1, usable/(dataCentres*targetConnectionsPerCarrier)))
-	return Plan{Carriers: carriers, ConnectionsPerCarrier: max(1, usable/(dataCentres*carriers))}
+	return Plan{Carriers: carriers, ConnectionsPerCarrier: max(1, usable/(dataCentres*carriers)), DataCentres: dataCentres}
 }
 
 // Shared reports whether statements are forwarded.
 func (p Plan) Shared() bool {
 	return p.Carriers > 0
 }
+
+// StatementsPerCarrier returns how many statements a carrier may run at once at an
+// upstream. The carriers of one data centre can use all slots; all carriers together
+// send about statementsPerSlot for each slot, so that the upstream's own queue, which
+// knows no priorities, stays short. It is zero if every host sends its own statements
+// or the slots are unknown.
+func (p Plan) StatementsPerCarrier(slots int) int {
+	if !p.Shared() || slots <= 0 {
+		return 0
+	}
+	total := p.Carriers * p.DataCentres
+	return max((slots+p.Carriers-1)/p.Carriers, (statementsPerSlot*slots+total-1)/total)
+}
