--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -79,6 +79,17 @@
 	// lastCurrentAt is when it last knew that it missed no version.
 	followingFeeds bool
 	lastCurrentAt  dfclock.Millis
+	// feedConfirmedAt is when the newest poll of the catalog feed that was answered had
+	// been sent, or 0.
+	feedConfirmedAt dfclock.Millis
+	// newestVersion is the newest version of the desired state that a neighbour told
+	// of, and newestVersionAt when the host first knew that its own is older.
+	newestVersion   uint64
+	newestVersionAt dfclock.Millis
+	// tickedAt is when the last tick was, and resumedAt when one was last so late that
+	// the host must have been suspended. It lies before the start if none was.
+	tickedAt  dfclock.Millis
+	resumedAt dfclock.Millis
 }
 
 // service is the host's state of one group of upstreams.
@@ -141,6 +152,8 @@
 		sessions:         map[*session]struct{}{},
 		startedAt:        options.Now(),
 		unreadySince:     dfclock.Never,
+		tickedAt:         options.Now(),
+		resumedAt:        options.Now() - feedStallTimeout,
 		stoppingAt:       dfclock.Never,
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchangeTriggers: map[string]chan struct{}{},
@@ -220,6 +233,7 @@
 func (e *Edge) tick(ctx context.Context) {
 	e.mu.Lock()
 	now := e.options.Now()
+	e.recordTick(now)
 	if now-e.neighboursSelectedAt >= neighbourSelectPeriod {
 		e.neighboursSelectedAt = now
 		e.startExchanges(ctx, now)
@@ -234,8 +248,8 @@
 		if action := e.tickService(ctx, now, s); action != nil {
 			actions = append(actions, action)
 		}
-		plan := e.connectionPlan(now, s)
 		for id, pool := range s.pools {
+			plan := e.connectionPlan(now, s, id)
 			use := e.connectionUse(now, s, id, plan)
 			pool.Tick(e.connectionLimit(now, s, id, plan), use)
 			pool.SetAdmissionLimit(e.admissionLimit(id, plan, use))
@@ -273,8 +287,11 @@
 // connectionUse returns the purpose of this host's connections to an upstream.
 func (e *Edge) connectionUse(now dfclock.Millis, s *service, id dffleet.ID, plan dfforward.Plan) dfconnection.Use {
 	config, _ := e.catalog.Service(s.name)
+	carries := plan.Shared() && slices.Contains(e.carriers(now, id, plan), e.options.Self)
 	switch {
-	case plan.Shared() && slices.Contains(e.neighbours.Carriers(now, id, plan.Carriers), e.options.Self):
+	case carries && e.catalog.HasOrganisations():
+		return dfconnection.UseOrganisationCarrier
+	case carries:
 		return dfconnection.UseCarrier
 	case plan.Shared():
 		return dfconnection.UseNone
@@ -334,7 +351,7 @@
 	s.placer.Put(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
 		random := rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
-		plan := e.connectionPlan(now, s)
+		plan := e.connectionPlan(now, s, upstream.ID)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
 		use := e.connectionUse(now, s, upstream.ID, plan)
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, use, e.options.Now, e.openConnection, e.handleOpenResult, random)
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -5,7 +5,8 @@
 // Some hosts of each data centre have a role. The speaker polls the platform and
 // exchanges state with the other data centres. Probers, among them the speaker,
 // probe the leaders. Carriers hold the connections to an upstream that accepts
-// fewer of them than there are hosts, and run statements for the other hosts.
+// fewer of them than there are hosts, and run statements for the other hosts; where
+// connections belong to organisations, also for those of other data centres.
 package dfedge
 
 import (
@@ -61,6 +62,19 @@
 	feedPollTimeout = 20 * dfclock.Second
 	// feedMaxGap is the longest time from an answer of a feed to the next long poll.
 	feedMaxGap = 100 * dfclock.Millisecond
+	// strictPollTimeout is the timeout of a long poll where the revocation of keys is
+	// strict. Each answer confirms the version, and the hosts that ask this one still
+	// have one that is younger than versionMaxAge.
+	strictPollTimeout = 400 * dfclock.Millisecond
+	// feedStallTimeout is how long a connection to the platform may be dead until the
+	// host notices.
+	feedStallTimeout = 3 * dfclock.Second
+	// suspensionGap is the time between ticks from which on the host counts as
+	// suspended. Load alone delays ticks less.
+	suspensionGap = dfclock.Second
+	// resumeTimeout bounds how long a host that was suspended takes to read the versions
+	// that arrived meanwhile from its feed or from a neighbour.
+	resumeTimeout = 250 * dfclock.Millisecond
 	// feedRetryDelay is the pause after a failed call to the platform.
 	feedRetryDelay = 250 * time.Millisecond
 	// membersPollPeriod is how often the host table is read. It only helps hosts
@@ -103,6 +117,13 @@
 	// statement is planned again afterwards, because another upstream may lead by
 	// then.
 	maxAcquireWait = 300 * dfclock.Millisecond
+	// nextCarrierWait bounds the wait at each further carrier of an organisation. It
+	// allows for the opening of a connection in a queue of a few statements.
+	nextCarrierWait = 75 * dfclock.Millisecond
+	// maxLostCarriers is how many carriers of an organisation may not answer before a
+	// statement is sent to another upstream. Each costs a time-out if the data centre is
+	// cut off.
+	maxLostCarriers = 2
 	// refusedRetryDelay is the pause before a statement that an upstream refused
 	// without running it is sent again.
 	refusedRetryDelay = 15 * dfclock.Millisecond
@@ -123,7 +144,9 @@
 
 // Caller encodes and decodes the messages of one caller's session.
 type Caller interface {
-	ReadStartup() (database string, err error)
+	// ReadStartup returns the name that the caller connects to, and its key, or "" if
+	// it has none.
+	ReadStartup() (database, key string, err error)
 	ReadCall() (call dfstatement.Call, ended bool, err error)
 	// Pending reports whether part of another message has arrived.
 	Pending() bool
@@ -159,15 +182,19 @@
 	CallerAddress  string
 	ReadyAddress   string
 	MetricsAddress string
-	// ForwardPort is the port on which the hosts of a data centre accept forwarded
-	// statements from each other; 0 disables forwarding.
+	// ForwardPort is the port on which hosts accept forwarded statements from each
+	// other; 0 disables forwarding.
 	ForwardPort int
 	Seeds       []string
 	// DrainTimeout bounds new work on an upstream once it is known to be leaving.
 	DrainTimeout dfclock.Millis
 	// GracePeriod is the time from the stop request until the process is killed.
 	GracePeriod dfclock.Millis
-	Platform    Platform
+	// If StrictRevocation is true, a host that could not confirm for RevokeTimeout that
+	// its version of the desired state is the newest refuses callers with keys.
+	StrictRevocation bool
+	RevokeTimeout    dfclock.Millis
+	Platform         Platform
 	// Fencing is how a replaced leader is kept from serving.
 	Fencing dfsuccession.Fencing
 	Dialect Dialect
@@ -189,6 +216,8 @@
 		return eris.New("edge: platform, dialect, dial and clock are required")
 	case o.GracePeriod <= 0:
 		return eris.New("edge: the grace period must be positive")
+	case o.StrictRevocation && o.RevokeTimeout <= 0:
+		return eris.New("edge: strict revocation needs a positive timeout")
 	}
 	return nil
 }
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -17,16 +17,12 @@
 
 // target is the destination of a statement.
 type target struct {
-	source   connSource
+	connRoute
 	upstream dffleet.ID
 	// after is the position that the upstream's log must contain, or zero.
 	after dfposition.Position
-	// queued is true if a carrier queues the statement by priority.
-	queued bool
 	// needsProof is true if the upstream must prove that it leads.
 	needsProof bool
-	// acquireTimeout bounds the wait for a connection.
-	acquireTimeout dfclock.Millis
 	// replyTimeout is how long an answer may take before it counts as lost.
 	replyTimeout dfclock.Millis
 }
@@ -56,6 +52,8 @@
 	capacityRefusal *dfresult.Error
 	// avoid has the upstreams that failed the statement.
 	avoid []dffleet.ID
+	// refusals has the carrier hosts that the request is not sent to again.
+	refusals []carrierRefusal
 }
 
 // decision is the next step of a statement: sendTo, waitUntil or refuse.
@@ -114,15 +112,15 @@
 	if ok && e.acceptsNewWork(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
 		if pool != nil && s.placer.AvailableIn(now, leader.ID) == 0 {
-			source, queued := e.connSourceFor(now, s, leader.ID)
-			if !queued {
+			route := e.connRouteTo(now, req, leader.ID)
+			if !route.queued {
 				if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
 					return refuse{err}
 				}
 			}
 			return sendTo{target{
-				source: source, upstream: leader.ID, needsProof: true, queued: queued,
-				acquireTimeout: acquireTimeout(now, req, queued), replyTimeout: req.deadline - now,
+				connRoute: route, upstream: leader.ID, needsProof: true,
+				replyTimeout: req.deadline - now,
 			}}
 		}
 		// The last attempt to connect failed, or the upstream's queue was full.
@@ -204,30 +202,19 @@
 	if id == s.leader {
 		waitPercent = leaderWaitPercent
 	}
-	source, queued := e.connSourceFor(now, s, id)
-	if !queued {
+	route := e.connRouteTo(now, req, id)
+	if !route.queued {
 		if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
 			return refuse{err}
 		}
 	}
 	replyTimeout := min(req.deadline-now, max(minReadTimeout, readTimeoutFactor*s.placer.ExpectedWait(now, id)))
 	return sendTo{target{
-		source: source, upstream: id, after: wanted.Position, queued: queued,
-		acquireTimeout: acquireTimeout(now, req, queued), replyTimeout: replyTimeout,
+		connRoute: route, upstream: id, after: wanted.Position,
+		replyTimeout: replyTimeout,
 	}}
 }
 
-// acquireTimeout returns how long a statement may wait for a connection to one
-// upstream. If a carrier queues statements, the wait ends with its part of the target
-// latency, so that callers who would be late make room for others.
-func acquireTimeout(now dfclock.Millis, req *routeRequest, queued bool) dfclock.Millis {
-	timeout := min(req.deadline-now, maxAcquireWait)
-	if !queued || req.targetLatency <= 0 {
-		return timeout
-	}
-	return min(timeout, req.targetLatency*admitWaitPercent/100)
-}
-
 // refuseForCapacity records why an attempt failed. It returns the refusal of a
 // statement that carriers queue, once the upstreams have no capacity for it in time.
 func (e *Edge) refuseForCapacity(req *routeRequest, to target, err error) *dfresult.Error {
