Test the admission at carriers and the refusal without capacity

Cause: the wiring had no tests of its own. Ruled out: testing the order by times, which depend on the machine.

--- a/dfadmission/controller.go
+++ b/dfadmission/controller.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// ExpectedWait returns how long a new request of a priority is expected to wait.
-func (a *Controller) ExpectedWait(request dfadmit.Request) dfclock.Millis {
+// Queued returns the number of requests that wait.
+func (a *Controller) Queued() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.queue.ExpectedWait(a.now(), request)
+	return a.queue.Queued()
 }
--- a/dfadmit/queue.go
+++ b/dfadmit/queue.go
@@ -154,12 +154,6 @@
 	q.running[id] = q.now
 }
 
-// ExpectedWait returns how long a request would be queued.
-func (q *Queue) ExpectedWait(now dfclock.Millis, request Request) dfclock.Millis {
-	q.advanceTo(now)
-	return q.limiter.expectedWait(q.requestsAhead(q.bandOf(request), request))
-}
-
 // start marks the request as running.
 func (q *Queue) start(request Request) Action {
 	if !holds(len(q.running) < q.Limit(), "running requests do not exceed the concurrency limit") {
--- /dev/null
+++ b/dfedge/capacity_test.go
@@ -0,0 +1,47 @@
+package dfedge
+
+import (
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfresult"
+)
+
+// Guards against statements that are held until their deadline although the upstreams
+// have no capacity for them, and against connections that broke and are taken for a
+// lack of capacity, which would refuse a read that another upstream can serve.
+func TestStatementIsRefusedWithoutCapacity(t *testing.T) {
+	now := dfclock.Millis(1000)
+	e := &Edge{options: Options{Now: func() dfclock.Millis { return now }}}
+	full := dfresult.NewError(dfresult.QueueFull, "upstream u")
+	replica := target{connRoute: connRoute{queued: true, acquireTimeout: 240}, upstream: "u"}
+	leader, unqueued := replica, replica
+	leader.needsProof, unqueued.queued = true, false
+	cases := map[string]struct {
+		to      target
+		err     error
+		admitBy dfclock.Millis
+		refused bool
+	}{
+		"a replica, with time left":           {replica, full, 1200, false},
+		"a replica, after the wait":           {replica, full, 1000, true},
+		"the leader, which has no substitute": {leader, full, 1200, true},
+		"a carrier without a connection":      {replica, dfresult.NewError(dfresult.NoConnection, "upstream u"), 1000, true},
+		"a broken connection":                 {replica, eris.New("connection: receive: timeout"), 1000, false},
+		"a replica that is behind":            {replica, dfresult.NewError(dfresult.NoFreshUpstream, "u"), 1000, false},
+		"a host that does not queue":          {unqueued, full, 1000, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			refusal := e.refuseForCapacity(&routeRequest{admitBy: c.admitBy}, c.to, c.err)
+			require.Equal(t, c.refused, refusal != nil)
+			if refusal != nil {
+				require.Positive(t, refusal.RetryAfter)
+				require.Equal(t, dfresult.NotRun, refusal.Code.Outcome())
+			}
+		})
+	}
+}
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -367,3 +367,22 @@
 	require.False(t, eris.As(err, &carrierErr))
 	require.Eventually(t, func() bool { return h.lentCount() == 0 }, time.Second, time.Millisecond)
 }
+
+// Guards against slots of an upstream that stay free because its carriers may send too
+// few statements, and against a long queue at the upstream, which knows no priorities.
+func TestStatementsPerCarrierUseAllSlots(t *testing.T) {
+	const queuedPerSlot = 8
+	require.Zero(t, Plan{}.StatementsPerCarrier(4))
+	require.Zero(t, NewOrganisationPlan(42, 61).StatementsPerCarrier(0))
+	for _, slots := range []int{1, 2, 4, 5, 6, 16} {
+		for _, plan := range []Plan{NewPlan(37, 82, 3), NewPlan(16, 62, 3), NewPlan(42, 95, 5), NewOrganisationPlan(42, 61)} {
+			limit, total := plan.StatementsPerCarrier(slots), plan.Carriers
+			require.GreaterOrEqual(t, limit*plan.Carriers, slots, "carriers of one data centre")
+			if !plan.AllDataCentres {
+				total *= plan.DataCentres
+			}
+			require.GreaterOrEqual(t, limit*total, statementsPerSlot*slots)
+			require.LessOrEqual(t, limit*total, max(total, (1+queuedPerSlot)*slots), "what the upstream accepts")
+		}
+	}
+}
