--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -1,6 +1,8 @@
 package dfedge
 
 import (
+	"errors"
+
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
@@ -43,6 +45,11 @@
 	// commitDiscarded is true once a leader answered that it lacks lastCommit,
 	// which a promotion has discarded.
 	commitDiscarded bool
+	// admitBy is when the wait for capacity has taken its part of the target latency.
+	admitBy dfclock.Millis
+	// capacityRefusal is the last refusal for lack of capacity since the statement was
+	// last sent, or nil.
+	capacityRefusal *dfresult.Error
 	// avoid has the upstreams that failed the statement.
 	avoid []dffleet.ID
 	// refusals has the carrier hosts that the request is not sent to again.
@@ -105,11 +112,14 @@
 	if ok && e.acceptsNewWork(now, leader) && !s.successor.Suspected() {
 		pool := s.pools[leader.ID]
 		if pool != nil && s.placer.AvailableIn(now, leader.ID) == 0 {
-			if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
-				return refuse{err}
+			route := e.connRouteTo(now, req, leader.ID)
+			if !route.queued {
+				if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
+					return refuse{err}
+				}
 			}
 			return sendTo{target{
-				connRoute: e.connRouteTo(now, req, leader.ID), upstream: leader.ID, needsProof: true,
+				connRoute: route, upstream: leader.ID, needsProof: true,
 				replyTimeout: req.deadline - now,
 			}}
 		}
@@ -182,6 +192,9 @@
 	}
 	id, ok := s.placer.SelectForRead(now, wanted, e.usableUpstreams(now, s), s.leader, req.avoid)
 	if !ok {
+		if req.capacityRefusal != nil {
+			return refuse{req.capacityRefusal}
+		}
 		req.avoid = nil
 		return waitUntil{e.changed, min(req.deadline, now.Add(refusedRetryDelay))}
 	}
@@ -189,16 +202,37 @@
 	if id == s.leader {
 		waitPercent = leaderWaitPercent
 	}
-	if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
-		return refuse{err}
+	route := e.connRouteTo(now, req, id)
+	if !route.queued {
+		if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
+			return refuse{err}
+		}
 	}
 	replyTimeout := min(req.deadline-now, max(minReadTimeout, readTimeoutFactor*s.placer.ExpectedWait(now, id)))
 	return sendTo{target{
-		connRoute: e.connRouteTo(now, req, id), upstream: id, after: wanted.Position,
+		connRoute: route, upstream: id, after: wanted.Position,
 		replyTimeout: replyTimeout,
 	}}
 }
 
+// refuseForCapacity records why an attempt failed. It returns the refusal of a
+// statement that carriers queue, once the upstreams have no capacity for it in time.
+func (e *Edge) refuseForCapacity(req *routeRequest, to target, err error) *dfresult.Error {
+	req.capacityRefusal = nil
+	var why *dfresult.Error
+	if !to.queued || !errors.As(err, &why) || !dfresult.HasCode(why, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.NoConnection) {
+		return nil
+	}
+	if why.RetryAfter <= 0 {
+		why = why.WithRetryAfter(to.acquireTimeout)
+	}
+	req.capacityRefusal = why
+	if to.needsProof || e.options.Now() >= req.admitBy {
+		return why
+	}
+	return nil
+}
+
 // usableUpstreams returns the upstreams that may serve reads. Draining ones are
 // used only if there are no others.
 func (e *Edge) usableUpstreams(now dfclock.Millis, s *service) []dffleet.Upstream {
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -119,6 +119,9 @@
 	hasNext bool
 	// acquireTimeout bounds the wait for a connection.
 	acquireTimeout dfclock.Millis
+	// queued is true if a carrier, or this host as one, queues the statement by
+	// priority.
+	queued bool
 }
 
 // connRouteTo selects this host's pool or a carrier host for a statement to an
@@ -134,6 +137,11 @@
 	if len(carriers) == 0 {
 		return route
 	}
+	route.queued = true
+	if req.targetLatency > 0 {
+		// Callers who would be late make room for others.
+		route.acquireTimeout = min(route.acquireTimeout, req.targetLatency*admitWaitPercent/100)
+	}
 	if req.organisation != "" {
 		return e.organisationRoute(req, id, carriers, route)
 	}
@@ -154,12 +162,13 @@
 		req.forgetRefusals(id)
 		remaining = ranked
 	}
-	route := connRoute{source: own.source, carrier: remaining[0].ID, hasNext: len(remaining) > 1, acquireTimeout: maxAcquireWait}
+	route := own
+	route.carrier, route.hasNext = remaining[0].ID, len(remaining) > 1
 	switch {
 	case len(remaining) < len(ranked):
-		route.acquireTimeout = nextCarrierWait
+		route.acquireTimeout = min(route.acquireTimeout, nextCarrierWait)
 	case len(ranked) > 1:
-		route.acquireTimeout = maxAcquireWait - dfclock.Millis(len(ranked)-1)*nextCarrierWait
+		route.acquireTimeout = min(route.acquireTimeout, maxAcquireWait-dfclock.Millis(len(ranked)-1)*nextCarrierWait)
 	}
 	if remaining[0] != e.options.Self {
 		route.source = e.carrierSource(remaining[0], id)
--- a/dfforward/plan.go
+++ b/dfforward/plan.go
@@ -12,6 +12,9 @@
 	// carriers, connections are reused often; with more than one, the upstream stays
 	// reachable if a host fails.
 	maxCarriers = 3
+	// statementsPerSlot is how many statements are sent to an upstream for each of its
+	// slots. The second one starts without a round trip when the first one ends.
+	statementsPerSlot = 2
 	// MaxOrganisationCarriers bounds the carriers of an upstream whose connections
 	// belong to organisations. If each data centre had carriers of its own, there would
 	// be more organisations than connections at each, and most statements would open
@@ -29,7 +32,9 @@
 	// host holds its own connections.
 	ConnectionsPerCarrier int
 	// AllDataCentres is true if the carriers run the statements of all data centres.
+	// Otherwise DataCentres is the number of data centres that have carriers.
 	AllDataCentres bool
+	DataCentres    int
 }
 
 // NewPlan divides the usable connections of an upstream. It is designed for
@@ -40,7 +45,7 @@
 		return Plan{}
 	}
 	carriers := min(maxCarriers, max(1, usable/(dataCentres*targetConnectionsPerCarrier)))
-	return Plan{Carriers: carriers, ConnectionsPerCarrier: max(1, usable/(dataCentres*carriers))}
+	return Plan{Carriers: carriers, ConnectionsPerCarrier: max(1, usable/(dataCentres*carriers)), DataCentres: dataCentres}
 }
 
 // NewOrganisationPlan divides the usable connections of an upstream whose
@@ -58,3 +63,19 @@
 func (p Plan) Shared() bool {
 	return p.Carriers > 0
 }
+
+// StatementsPerCarrier returns how many statements a carrier may run at once at an
+// upstream. The carriers of one data centre can use all slots; all carriers together
+// send about statementsPerSlot for each slot, so that the upstream's own queue, which
+// knows no priorities, stays short. It is zero if every host sends its own statements
+// or the slots are unknown.
+func (p Plan) StatementsPerCarrier(slots int) int {
+	if !p.Shared() || slots <= 0 {
+		return 0
+	}
+	total := p.Carriers
+	if !p.AllDataCentres {
+		total *= p.DataCentres
+	}
+	return max((slots+p.Carriers-1)/p.Carriers, (statementsPerSlot*slots+total-1)/total)
+}
