--- a/dfedge/identity.go
+++ b/dfedge/identity.go
@@ -92,7 +92,7 @@
 }
 
 func (e *Edge) errUnconfirmed(now dfclock.Millis) *dfresult.Error {
-	return dfresult.NewError(dfresult.ConfigurationAbsent, "version %d may be outdated since %s",
+	return dfresult.NewError(dfresult.ConfigurationAbsent, "version %d may be outdated, confirmed %s ago",
 		e.catalog.Version(), now-e.confirmedAt(now)).WithRetryAfter(dfclock.Second)
 }
 
@@ -152,6 +152,15 @@
 	return nil
 }
 
+// revoke rolls back the open transaction of a caller that may run no more statements.
+func (sess *session) revoke(why *dfresult.Error) {
+	if why.Code == dfresult.AuthenticationFailed && sess.tx.attempt != nil {
+		sess.edge.log.Info().Str("Request", sess.tx.begin.ID).Str("Database", sess.database).
+			Str("Organisation", sess.organisation).Msg("session: key withdrawn")
+	}
+	sess.tx.revoke(why)
+}
+
 // executeInTransaction runs a call of the open transaction, unless the caller's key
 // was withdrawn. The session then ends.
 func (sess *session) executeInTransaction(call dfstatement.Call, now dfclock.Millis) dfstatement.Answer {
@@ -159,7 +168,7 @@
 	if failure == nil {
 		return sess.tx.execute(call, now)
 	}
-	sess.tx.revoke(failure)
+	sess.revoke(failure)
 	if failure.Code != dfresult.AuthenticationFailed {
 		return sess.tx.execute(call, now)
 	}
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -69,7 +69,7 @@
 	// host notices.
 	feedStallTimeout = 3 * dfclock.Second
 	// suspensionGap is the time between ticks from which on the host counts as
-	// suspended. Load alone delays ticks less.
+	// suspended. A tick that load delays as long costs requests resumeTimeout at most.
 	suspensionGap = dfclock.Second
 	// resumeTimeout bounds how long a host that was suspended takes to read the versions
 	// that arrived meanwhile from its feed or from a neighbour.
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		if failure := sess.checkKey(); failure != nil {
-			sess.tx.revoke(failure)
+			sess.revoke(failure)
 		} else {
 			sess.tx.expire()
 		}
