--- a/dfedge/quota_test.go
+++ b/dfedge/quota_test.go
@@ -15,6 +15,7 @@
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfmember"
+	"dragonflygrade/dfneighbour"
 	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfport"
 	"dragonflygrade/dfresult"
@@ -28,6 +29,21 @@
 
 func (absentStore) List(context.Context, string) ([]dfplatform.Row, error) { return nil, errNoStore }
 
+// Guards against owners that never learn of a majority, since contacts do not travel
+// between data centres, and against reports that grow where there are no limits.
+func TestContactsTravelWhereOrganisationsAre(t *testing.T) {
+	catalog := dfcatalog.New(1, nil, nil, 0)
+	for _, c := range []dfcatalog.Catalog{catalog, catalog.WithOrganisations([]dfcatalog.Organisation{{Name: "a", Rate: 1}})} {
+		e := newQuotaHosts(t, c, 3)[0]
+		e.mu.Lock()
+		e.neighbours.HandleRequest(e.options.Now(), e.options.Now(), dfmember.Host{ID: "h1", DataCentre: "dc1", Address: "127.0.1.2:1"}, nil)
+		e.mu.Unlock()
+		report := e.newReport(dfneighbour.Request{}, dfmember.Host{ID: "h2", DataCentre: "dc2", Address: "127.0.1.3:1"}, e.options.Now())
+		require.Equal(t, c.HasOrganisations(), len(report.Contacts) > 0)
+		require.Equal(t, c.HasOrganisations(), report.QuorumAge >= 0)
+	}
+}
+
 type noDialect struct{ Dialect }
 
 // newQuotaHosts starts the limits of hosts at 127.0.1.1 and so on, which know each
--- a/dfquota/ranking.go
+++ b/dfquota/ranking.go
@@ -44,7 +44,7 @@
 		seen[host.DataCentre] = true
 		first = append(first, host)
 	}
-	ordered := append(first, rest...)
+	ordered := slices.Concat(first, rest)
 	ordered = ordered[:min(maxCandidates, len(ordered))]
 	candidates := make([]uint16, len(ordered))
 	for i, host := range ordered {
