--- a/dfquota/constants.go
+++ b/dfquota/constants.go
@@ -69,6 +69,11 @@
 	// whose owner had fewer tokens than it was asked for. It bounds the messages at
 	// the owner of an organisation that has reached its limit.
 	shortAskInterval = 80 * dfclock.Millisecond
+	// quietAskInterval is the same at a host with less than busyRate operations per
+	// second of the organisation. It has operations that wait only now and then, and
+	// the shortest wait is 90 ms.
+	quietAskInterval = 20 * dfclock.Millisecond
+	busyRate         = 2
 	// declinedAskInterval is the time after which a host asks again that was told to
 	// ask another one. It covers a probe between the two.
 	declinedAskInterval = 30 * dfclock.Millisecond
--- a/dfquota/host.go
+++ b/dfquota/host.go
@@ -339,7 +339,11 @@
 		a.short = part.Tokens < want.Tokens
 		if a.short {
 			a.shortUntil = now.Add(part.RetryAfter)
-			a.askAt = now.Add(max(shortAskInterval, min(part.RetryAfter, maxRetryAfter)))
+			interval := shortAskInterval
+			if a.demand.perSecond(now) < busyRate {
+				interval = quietAskInterval
+			}
+			a.askAt = now.Add(max(interval, min(part.RetryAfter, maxRetryAfter)))
 		}
 		if grant.Version < h.loweredIn[want.Organisation] {
 			continue
--- a/dfquota/simulation_test.go
+++ b/dfquota/simulation_test.go
@@ -386,6 +386,7 @@
 }
 
 func (w *world) decide(n *node, decisions []Decision) {
+	sort.Slice(decisions, func(i, j int) bool { return decisions[i].Ticket < decisions[j].Ticket })
 	for _, decision := range decisions {
 		if _, ok := decision.Verdict.(Admitted); ok {
 			w.arrive(n, n.waiting[decision.Ticket])
