Take the tolerance of limits from the settings, and use the overage

Cause: window, overage and slack were constants, and the bucket refilled at the bare rate although the bound of a window also holds the burst, the overage and the slack. Change: dfquota.Tolerance from bounds.quota-window-s, quota-overage and quota-slack; the refill rate is the rate with its overage as far as bucket and interim tokens fit; hosts settle 0.6 s instead of 1 s.

--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -57,6 +57,7 @@
 
 		StrictRevocation: settings.StrictRevocation,
 		RevokeTimeout:    settings.RevokeTimeout,
+		LimitTolerance:   settings.LimitTolerance,
 
 		Fencing:  fencingOf(settings),
 		Platform: platform.NewClient(settings.StoreAddress, settings.PromotionAddress),
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -20,6 +20,7 @@
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfplatform"
+	"dragonflygrade/dfquota"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
@@ -194,7 +195,10 @@
 	// its version of the desired state is the newest refuses callers with keys.
 	StrictRevocation bool
 	RevokeTimeout    dfclock.Millis
-	Platform         Platform
+	// LimitTolerance is how far organisations may exceed their limits. It is the
+	// default if its window is zero.
+	LimitTolerance dfquota.Tolerance
+	Platform       Platform
 	// Fencing is how a replaced leader is kept from serving.
 	Fencing dfsuccession.Fencing
 	Dialect Dialect
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -147,7 +147,7 @@
 	var largest []dfcatalog.Organisation
 	for _, organisation := range catalog.Organisations() {
 		if organisation.Rate > 0 {
-			limits[organisation.Name] = dfquota.Limit{Rate: organisation.Rate, Burst: organisation.Burst}
+			limits[organisation.Name] = dfquota.Limit{Rate: organisation.Rate, Burst: organisation.Burst, Tolerance: e.options.LimitTolerance}
 			largest = append(largest, organisation)
 		}
 	}
--- a/dfquota/constants.go
+++ b/dfquota/constants.go
@@ -19,7 +19,7 @@
 	probeAnswerTimeout = 120 * dfclock.Millisecond
 	// settleDelay is how long a host that has just reached a majority grants
 	// nothing. Within that time the news of a new host reaches all others.
-	settleDelay = dfclock.Second
+	settleDelay = 600 * dfclock.Millisecond
 	// probeInterval is how often a host that grants in place of others asks whether
 	// they are back. It bounds the time in which both grant.
 	probeInterval = 100 * dfclock.Millisecond
@@ -48,18 +48,15 @@
 	// interimShare is the share of the rate that the second host by rank grants
 	// while the first may still grant.
 	interimShare = 0.4
-	// interimPause is the time after the last interim grant before the allowance of
-	// interim tokens is available again. It exceeds the window of the limit by the
-	// time that a grant can be under way.
-	interimPause = window + GrantTTL + 200*dfclock.Millisecond
-	// window, overage and slack are the sliding window of the limit and its
-	// tolerances.
-	window  = 5 * dfclock.Second
-	overage = 0.1
-	slack   = 20
+	// interimSpan is the time, in seconds, whose tokens the second host by rank may grant
+	// while the first may still grant.
+	interimSpan = interimShare * float64(QuorumTTL) / float64(dfclock.Second)
+	// handoverSpan is the time in which a returning owner and its substitute may both
+	// grant, until the next probe, and the way from the admission to the upstream.
+	handoverSpan = 200 * dfclock.Millisecond
 	// minDepthSpan is the part of the rate, in seconds, that a bucket holds at
 	// least, so that no tokens are lost between two asks.
-	minDepthSpan = 0.15
+	minDepthSpan = 0.25
 	// aheadSpan is the time for which a host asks ahead. It leaves a margin within
 	// GrantTTL for the way of the ask.
 	aheadSpan = 200 * dfclock.Millisecond
--- a/dfquota/owner.go
+++ b/dfquota/owner.go
@@ -156,10 +156,10 @@
 	}
 	b := o.bucket(want.Organisation, missedAt)
 	b.fill(now, limit)
-	available, rate := b.level, limit.Rate
+	available, rate := b.level, limit.RefillRate()
 	interim := missedAt != unset && now-missedAt < QuorumTTL
 	if interim {
-		if now-b.interimAt >= interimPause {
+		if now-b.interimAt >= limit.interimPause() {
 			b.interim = 0
 		}
 		available = math.Min(available, limit.interimTokens()-b.interim)
@@ -201,7 +201,7 @@
 	if b.missedAt != unset {
 		interim = min(span, max(0, b.missedAt.Add(QuorumTTL)-b.at))
 	}
-	b.level = math.Min(limit.Depth(), b.level+limit.Rate*(seconds(span-interim)+interimShare*seconds(interim)))
+	b.level = math.Min(limit.Depth(), b.level+limit.RefillRate()*(seconds(span-interim)+interimShare*seconds(interim)))
 	b.at = max(b.at, now)
 }
 
