Send callers elsewhere from a host that gets no tokens for them

Ruled out: a floor for each host that is cut off, which would take its tokens from the largest organisations all the time. Change: such a host turns not ready once its majority is 2 s old, and hands its sessions over, as hosts of an isolated data centre do.

--- a/dfedge/capacity_test.go
+++ b/dfedge/capacity_test.go
@@ -6,7 +6,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/dfquota"
 	"dragonflygrade/dfresult"
 )
 
@@ -45,3 +48,33 @@
 		})
 	}
 }
+
+// Guards against callers that stay with a host which has lost the majority and refuses
+// them all, because it gets no tokens for their organisations.
+func TestHostWithoutMajorityIsNotReady(t *testing.T) {
+	for name, c := range map[string]struct {
+		catalog dfcatalog.Catalog
+		unready bool
+	}{
+		"with limits":    {newCatalog(1), true},
+		"without limits": {newCatalog(0), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newCarrierNetwork(t, 2, c.catalog)
+			e := n.hosts["north0"]
+			e.neighbours.MarkComplete()
+			start := BootTime()
+			hear := func(now dfclock.Millis) {
+				for id := range n.hosts {
+					e.neighbours.HandleRequest(now, now, dfmember.Host{ID: id, DataCentre: id[:5], Address: id + ":1"}, nil)
+				}
+			}
+			require.False(t, e.majorityLost(start), "before the first contact")
+			hear(start)
+			require.False(t, e.majorityLost(start+dfquota.QuorumTTL-1))
+			require.Equal(t, c.unready, e.majorityLost(start+dfquota.QuorumTTL))
+			hear(start + dfquota.QuorumTTL)
+			require.False(t, e.majorityLost(start+2*dfquota.QuorumTTL-1))
+		})
+	}
+}
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -11,6 +11,7 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfneighbour"
+	"dragonflygrade/dfquota"
 )
 
 // httpTimeout bounds a request for readiness or metrics.
@@ -97,12 +98,12 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-// updateReadiness makes the host not ready while it is stopping, cut off or
-// without a lease, and closes idle sessions once the load balancer has had time
+// updateReadiness makes the host not ready while it is stopping, cut off, without a
+// lease or without the majority that limits need, and closes idle sessions once the load balancer has had time
 // to notice.
 func (e *Edge) updateReadiness(now dfclock.Millis) {
 	e.isolationKnown = e.isolationKnown || e.startupEvidence(now).isolationKnown() && e.leaseValid(now)
-	unready := e.stoppingAt != dfclock.Never || e.cutOff(now) || e.isolationKnown && !e.leaseValid(now)
+	unready := e.stoppingAt != dfclock.Never || e.cutOff(now) || e.isolationKnown && !e.leaseValid(now) || e.majorityLost(now)
 	switch {
 	case !unready && e.unreadySince != dfclock.Never:
 		e.unreadySince = dfclock.Never
@@ -120,6 +121,17 @@
 	}
 }
 
+// majorityLost reports whether the host was in contact with a majority of the hosts and
+// is not any more, where organisations have limits. It then gets no tokens for its callers,
+// who are served elsewhere.
+func (e *Edge) majorityLost(now dfclock.Millis) bool {
+	if !e.catalog.HasOrganisations() {
+		return false
+	}
+	at := e.neighbours.QuorumAt(now)
+	return at >= 0 && now-at >= dfquota.QuorumTTL
+}
+
 // cutOff reports whether hosts in other data centres and the leaders of at least
 // half of the services are unreachable. Hosts other than the speaker adopt the
 // verdict of their speaker, which detects it first, unless they hear from a
