--- a/dfedge/capacity_test.go
+++ b/dfedge/capacity_test.go
@@ -78,3 +78,22 @@
 		})
 	}
 }
+
+// Guards against a host that follows the feeds of a platform which has gone silent and
+// tells its neighbours that it misses no version: they would serve withdrawn keys.
+func TestSilentFeedsAreNotCurrent(t *testing.T) {
+	for name, c := range map[string]struct {
+		organisations int
+		want          dfclock.Millis
+	}{
+		"with keys":    {1, 5000},
+		"without keys": {0, 5000 + feedSilenceTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newCarrierNetwork(t, 2, newCatalog(c.organisations)).hosts["north0"]
+			e.followingFeeds, e.feedAnsweredAt = true, 5000
+			require.Equal(t, 5000+feedSilenceTimeout-1, e.currentAt(5000+feedSilenceTimeout-1))
+			require.Equal(t, c.want, e.currentAt(5000+feedSilenceTimeout))
+		})
+	}
+}
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -79,6 +79,8 @@
 	// lastCurrentAt is when it last knew that it missed no version.
 	followingFeeds bool
 	lastCurrentAt  dfclock.Millis
+	// feedAnsweredAt is when a poll of any feed was last answered.
+	feedAnsweredAt dfclock.Millis
 	// feedConfirmedAt is when the newest poll of the catalog feed that was answered had
 	// been sent, or 0.
 	feedConfirmedAt dfclock.Millis
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -236,7 +236,12 @@
 		return max(e.feedConfirmedAt, e.neighbours.CurrentAt())
 	}
 	if e.followingFeeds && !e.catalogFeedLost {
-		return now
+		if !e.catalog.HasOrganisations() || now-e.feedAnsweredAt < feedSilenceTimeout {
+			return now
+		}
+		// A platform that went silent leaves the long poll of the catalog open. Keys may
+		// have been withdrawn since.
+		return max(e.feedAnsweredAt, e.neighbours.CurrentAt())
 	}
 	return max(e.lastCurrentAt, e.neighbours.CurrentAt())
 }
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -113,6 +113,7 @@
 				Msg("platform: another era of the store")
 		}
 		lost = false
+		e.recordFeedAnswer()
 		e.observeEra(changes.Version.Era())
 		f.apply(changes, full)
 		f.setLost(false)
@@ -121,6 +122,12 @@
 	}
 }
 
+func (e *Edge) recordFeedAnswer() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.feedAnsweredAt = e.options.Now()
+}
+
 // pollFeed waits for changes after a position, which was answered at answeredAt. It
 // fails with dfplatform.ErrHistoryLost if a later era of the store is known, or gets
 // known meanwhile.
