Poll the catalog every second where keys can be withdrawn

Ruled out: a longer silence, since a withdrawn key must be refused 5 s after its version. Change: long polls of the catalog end after 1 s where the catalog has organisations, and feeds count as silent after 1.6 s.

--- a/dfedge/identity_test.go
+++ b/dfedge/identity_test.go
@@ -37,7 +37,7 @@
 	edge.catalog = dfcatalog.New(5, nil, nil, 0).WithOrganisations([]dfcatalog.Organisation{
 		{Name: "alpha", Keys: []dfcatalog.KeyHash{dfcatalog.HashKey("a1")}},
 	})
-	edge.followingFeeds, edge.feedConfirmedAt = true, testStart
+	edge.followingFeeds, edge.feedAnsweredAt, edge.feedConfirmedAt = true, testStart, testStart
 	return edge
 }
 
@@ -58,10 +58,12 @@
 	require.Equal(t, want, organisation)
 }
 
-// runTicks runs the ticks of a host from one time to another.
+// runTicks runs the ticks of a host from one time to another. The platform answers its
+// feeds meanwhile.
 func runTicks(e *Edge, from, until dfclock.Millis) {
 	for now := from; now < until; now += 50 {
 		e.recordTick(now)
+		e.feedAnsweredAt = now
 	}
 }
 
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -63,9 +63,11 @@
 	feedPollTimeout = 20 * dfclock.Second
 	// feedMaxGap is the longest time from an answer of a feed to the next long poll.
 	feedMaxGap = 100 * dfclock.Millisecond
-	// feedSilenceTimeout is the silence of all feeds after which the platform may not
-	// answer this host any more. Upstreams write their entries more often.
-	feedSilenceTimeout = dfclock.Second
+	// keyedPollTimeout is the timeout of a long poll of the catalog where keys can be
+	// withdrawn, and feedSilenceTimeout the silence of all feeds after which the platform
+	// may not answer this host any more.
+	keyedPollTimeout   = dfclock.Second
+	feedSilenceTimeout = 1600 * dfclock.Millisecond
 	// strictPollTimeout is the timeout of a long poll where the revocation of keys is
 	// strict. Each answer confirms the version, and the hosts that ask this one still
 	// have one that is younger than versionMaxAge.
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -29,10 +29,7 @@
 		},
 		poll: func(ctx context.Context, after dfrevision.Revision, wait dfclock.Millis) (dfplatform.Changes, error) {
 			sentAt = e.options.Now()
-			if e.options.StrictRevocation {
-				wait = min(wait, strictPollTimeout)
-			}
-			return e.options.Platform.WaitCatalog(ctx, after, wait)
+			return e.options.Platform.WaitCatalog(ctx, after, min(wait, e.catalogPollTimeout()))
 		},
 		apply: func(changes dfplatform.Changes, _ bool) { e.adoptDocument(changes.Catalog, "platform") },
 		setLost: func(lost bool) {
@@ -122,6 +119,20 @@
 	}
 }
 
+// catalogPollTimeout returns the timeout of a long poll of the catalog. Where keys can
+// be withdrawn, an answer must show often that the platform still answers.
+func (e *Edge) catalogPollTimeout() dfclock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.options.StrictRevocation:
+		return strictPollTimeout
+	case e.catalog.HasOrganisations():
+		return keyedPollTimeout
+	}
+	return feedPollTimeout
+}
+
 func (e *Edge) recordFeedAnswer() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
