Set failing and slow upstreams aside, and pace those that start

Cause: an upstream that fails part of its requests keeps its share of the reads, because a good answer ends the backoff; one that has just started is expected to be the fastest and gets the reads of all hosts at once.

Change: dfpace compares an upstream's share of failures and median latency over 10 s with the service's others, sets it aside for 1 s to 8 s, tries it with one statement, and limits the concurrent statements of this host to an upstream that started, recovered, returned or was promoted. Below 1 the limit is a mean over time, so that many hosts with little traffic start with a small part each. dfplace.Selector feeds and asks it; planLeader waits for the limit and refuses only what the deadline does not allow.

Ruled out: streaks of failures (a share of 45 % has few); counting refusals of carrier hosts as failures (RecordFailure stays a backoff only, losses are RecordConnectionLost); dropping the backoff for lost connections, which excludes an upstream after one loss, before any window can tell.

--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -32,10 +32,17 @@
 	logLinesDropped     *metrics.Counter
 	feedHistoryLost     *metrics.Counter
 	entriesIgnored      *metrics.Counter
+	upstreamsSetAside   *metrics.Counter
+	upstreamTrials      *metrics.Counter
+	upstreamsReturned   *metrics.Counter
+	upstreamsPaced      *metrics.Counter
 	// logSecond and logLines limit the rate of failure lines; they are guarded by
 	// Edge.mu.
 	logSecond dfclock.Millis
 	logLines  int
+	// paceLogSecond and paceLogLines do the same for lines about the pace.
+	paceLogSecond dfclock.Millis
+	paceLogLines  int
 }
 
 func newCounters() *counters {
@@ -56,6 +63,10 @@
 		logLinesDropped:     set.NewCounter("dragonflygrade_edge_log_lines_dropped_total"),
 		feedHistoryLost:     set.NewCounter("dragonflygrade_edge_feed_history_lost_total"),
 		entriesIgnored:      set.NewCounter("dragonflygrade_edge_fleet_entries_ignored_total"),
+		upstreamsSetAside:   set.NewCounter("dragonflygrade_edge_upstreams_set_aside_total"),
+		upstreamTrials:      set.NewCounter("dragonflygrade_edge_upstream_trials_total"),
+		upstreamsReturned:   set.NewCounter("dragonflygrade_edge_upstreams_returned_total"),
+		upstreamsPaced:      set.NewCounter("dragonflygrade_edge_upstreams_paced_total"),
 	}
 }
 
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -18,6 +18,7 @@
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
+	"dragonflygrade/dfpace"
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
@@ -122,6 +123,8 @@
 	leaderlessSince dfclock.Millis
 	termQueriedAt   map[dffleet.ID]dfclock.Millis
 	queryingTerm    bool
+	// limitGauges has the upstreams with a gauge of their limit.
+	limitGauges map[dffleet.ID]struct{}
 }
 
 // New returns a host that is not running yet.
@@ -231,6 +234,7 @@
 	var actions []func()
 	for _, s := range e.services {
 		e.updateLeader(now, s)
+		e.reportPace(now, s)
 		if action := e.tickService(ctx, now, s); action != nil {
 			actions = append(actions, action)
 		}
@@ -288,7 +292,7 @@
 		s := e.services[name]
 		if s == nil {
 			s = &service{
-				name: name, placer: dfplace.New(), successor: dfsuccession.New(now, e.options.Fencing),
+				name: name, placer: dfplace.NewWithPace(dfpace.New(dfpace.Gradient{}, e.random.Float64)), successor: dfsuccession.New(now, e.options.Fencing),
 				reservedEpochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 				leaderlessSince: dfclock.Never, termQueriedAt: map[dffleet.ID]dfclock.Millis{},
 			}
@@ -321,6 +325,8 @@
 	}
 	s.placer.Put(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
+		s.placer.SetHosts(e.neighbours.HostCount(now))
+		s.placer.StartPace(now, upstream.ID)
 		random := rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
 		plan := e.connectionPlan(now, s)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
@@ -337,6 +343,7 @@
 	}
 	e.log.Info().Str("Service", s.name).Str("Before", string(s.leader)).Str("Leader", string(leader.ID)).
 		Stringer("Entry", leader.Version).Msg("fleet: another upstream leads")
+	s.placer.SetLeader(now, leader.ID, s.leader != "")
 	s.leader = leader.ID
 	s.timeline.Discard()
 	e.counters.leaderChanges.Inc()
@@ -416,6 +423,6 @@
 		s.fullAt[id] = now
 		return
 	}
-	s.placer.RecordFailure(now, id)
+	s.placer.RecordConnectionLost(now, id)
 	s.successor.Handle(now, dfsuccession.ConnectionFailed{ID: id})
 }
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -108,6 +108,10 @@
 			if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
 				return refuse{err}
 			}
+			if delay := s.placer.PaceDelay(now, leader.ID); delay > 0 {
+				return e.awaitPace(now, req, delay)
+			}
+			s.placer.Admit(now, leader.ID)
 			return sendTo{target{
 				source: e.connSourceFor(now, s, leader.ID), upstream: leader.ID, needsProof: true,
 				acquireTimeout: min(req.deadline-now, maxAcquireWait), replyTimeout: req.deadline - now,
@@ -130,6 +134,16 @@
 	return waitUntil{e.changed, min(req.deadline, now.Add(10*refusedRetryDelay))}
 }
 
+// awaitPace makes a statement wait while the pace of a starting upstream delays it.
+// It is refused only if the delay exceeds its deadline: the pace grows within a few
+// answers, and no other upstream can run the statement now.
+func (e *Edge) awaitPace(now dfclock.Millis, req *routeRequest, delay dfclock.Millis) decision {
+	if now.Add(delay) >= req.deadline {
+		return refuse{dfresult.NewError(dfresult.QueueFull, "service %s: its upstreams are starting", req.service.name).WithRetryAfter(delay)}
+	}
+	return waitUntil{e.changed, now.Add(delay)}
+}
+
 // checkOverload refuses a statement whose answer would arrive later than the
 // caller expects. Under load above the capacity of the upstreams, admitted
 // statements are answered on time, and refused callers learn immediately when to
@@ -183,6 +197,9 @@
 	id, ok := s.placer.SelectForRead(now, wanted, e.usableUpstreams(now, s), s.leader, req.avoid)
 	if !ok {
 		req.avoid = nil
+		if delay := s.paceDelay(now, e.usableUpstreams(now, s)); delay > 0 {
+			return e.awaitPace(now, req, delay)
+		}
 		return waitUntil{e.changed, min(req.deadline, now.Add(refusedRetryDelay))}
 	}
 	waitPercent := admitWaitPercent
@@ -192,6 +209,7 @@
 	if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
 		return refuse{err}
 	}
+	s.placer.Admit(now, id)
 	replyTimeout := min(req.deadline-now, max(minReadTimeout, readTimeoutFactor*s.placer.ExpectedWait(now, id)))
 	return sendTo{target{
 		source: e.connSourceFor(now, s, id), upstream: id, after: wanted.Position,
@@ -199,6 +217,18 @@
 	}}
 }
 
+// paceDelay returns the shortest delay by the pace of the upstreams that it delays, or
+// zero.
+func (s *service) paceDelay(now dfclock.Millis, usable []dffleet.Upstream) dfclock.Millis {
+	shortest := dfclock.Millis(0)
+	for _, upstream := range usable {
+		if delay := s.placer.PaceDelay(now, upstream.ID); delay > 0 && (shortest == 0 || delay < shortest) {
+			shortest = delay
+		}
+	}
+	return shortest
+}
+
 // usableUpstreams returns the upstreams that may serve reads. Draining ones are
 // used only if there are no others.
 func (e *Edge) usableUpstreams(now dfclock.Millis, s *service) []dffleet.Upstream {
@@ -266,17 +296,24 @@
 	switch answer.Code {
 	case dfresult.OK:
 		s.placer.RecordAnswer(now, id, now-sentAt)
+	case dfresult.StatementFailed, dfresult.StatementTimeout, dfresult.Internal:
+		s.placer.RecordStatementFailure(now, id)
 	case dfresult.NeedsPrimary:
+		s.placer.RecordRefusal(id)
 		e.fleet.RecordDenial(now, id)
 		e.updateLeader(now, s)
 	case dfresult.NoFreshUpstream:
 		// A position that the leader lacks is lost for good. The next attempt asks
 		// the leader for proof instead.
+		s.placer.RecordRefusal(id)
 		req.commitDiscarded = req.commitDiscarded || id == s.leader
 	case dfresult.WrongUpstream:
-		s.placer.RecordFailure(now, id)
+		s.placer.RecordConnectionLost(now, id)
 	case dfresult.QueueFull:
 		s.recordFull(now, id)
+	default:
+		// The caller's statement is the cause.
+		s.placer.RecordRefusal(id)
 	}
 }
 
@@ -292,7 +329,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
-	s.placer.RecordFailure(now, id)
+	s.placer.RecordConnectionLost(now, id)
 	s.successor.Handle(now, dfsuccession.ConnectionFailed{ID: id})
 }
 
--- /dev/null
+++ b/dfpace/pace.go
@@ -0,0 +1,474 @@
+// Package dfpace decides which upstreams of a service are set aside because they
+// answer worse than the others, and how many statements this host sends to an
+// upstream that has just started, recovered, returned or been promoted. It uses only
+// the answers that this host saw.
+package dfpace
+
+import (
+	"math"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+)
+
+// state is the state of an upstream: open, aside, onTrial or paced.
+type state interface{ state() }
+
+// open means that nothing restricts the upstream.
+type open struct{}
+
+// aside means that the upstream gets no statements that others can run.
+type aside struct{ until dfclock.Millis }
+
+// onTrial means that one statement tries the upstream.
+type onTrial struct{ startedAt dfclock.Millis }
+
+// paced means that a limit is in force.
+type paced struct {
+	// limit bounds the concurrent statements of this host. Below 1 it is their mean
+	// over time: the interval between statements is the latency divided by it.
+	limit float64
+	// nextAt is the instant before which no statement starts, where limit is below 1.
+	nextAt dfclock.Millis
+	// delayedAt is when the limit last delayed a statement.
+	delayedAt   dfclock.Millis
+	decreasedAt dfclock.Millis
+	// base and nextBase are the lowest latencies of the last and the current second;
+	// zero if there was none.
+	base, nextBase dfclock.Millis
+	baseSecond     dfclock.Millis
+	// latency is the moving average of the latency in ms.
+	latency float64
+	// probation is the number of good answers that are left of the probation.
+	probation int
+}
+
+func (open) state()    {}
+func (aside) state()   {}
+func (onTrial) state() {}
+func (*paced) state()  {}
+
+// upstream is the state of one upstream.
+type upstream struct {
+	id     dffleet.ID
+	slots  int
+	state  state
+	window window
+	// inFlight has the start times of statements that were admitted while a trial or
+	// a limit was in force, in order.
+	inFlight []dfclock.Millis
+	// span is the last time aside, or zero. returnedAt is when that ended.
+	span       dfclock.Millis
+	returnedAt dfclock.Millis
+	// failures counts the failures since the last good answer, and failingSince is
+	// the first of them.
+	failures     int
+	failingSince dfclock.Millis
+}
+
+// Pace holds the upstreams of one service. It is not safe for concurrent use.
+type Pace struct {
+	growth    Growth
+	upstreams map[dffleet.ID]*upstream
+	// leader is the upstream whose latency is not compared, because it runs other
+	// statements than the replicas.
+	leader dffleet.ID
+	hosts  int
+	// spread returns a number in [0, 1) that differs between hosts, so that hosts do
+	// not send their first statements at the same moment.
+	spread func() float64
+	events []Event
+}
+
+// New returns a decision without upstreams.
+func New(growth Growth, spread func() float64) *Pace {
+	return &Pace{growth: growth, upstreams: map[dffleet.ID]*upstream{}, hosts: 1, spread: spread}
+}
+
+// Put adds an upstream or updates its number of slots.
+func (p *Pace) Put(id dffleet.ID, slots int) {
+	u := p.upstreams[id]
+	if u == nil {
+		u = &upstream{id: id, state: open{}}
+		p.upstreams[id] = u
+	}
+	u.slots = max(1, slots)
+}
+
+// Remove removes an upstream.
+func (p *Pace) Remove(id dffleet.ID) {
+	delete(p.upstreams, id)
+}
+
+// SetHosts sets the number of hosts that use the upstreams.
+func (p *Pace) SetHosts(hosts int) {
+	p.hosts = max(1, hosts)
+}
+
+// SetLeader sets the leader.
+func (p *Pace) SetLeader(id dffleet.ID) {
+	p.leader = id
+}
+
+// Events returns the events since the last call, at most maxEvents.
+func (p *Pace) Events() []Event {
+	events := p.events
+	p.events = nil
+	return events
+}
+
+func (p *Pace) emit(event Event) {
+	if len(p.events) < maxEvents {
+		p.events = append(p.events, event)
+	}
+}
+
+// Start puts a limit in force for an upstream that has just started, recovered or
+// been promoted.
+func (p *Pace) Start(now dfclock.Millis, id dffleet.ID, cause Cause) {
+	if u := p.upstreams[id]; u != nil {
+		p.startPace(now, u, cause)
+	}
+}
+
+func (p *Pace) startPace(now dfclock.Millis, u *upstream, cause Cause) {
+	if _, unlimited := p.growth.(Unlimited); unlimited {
+		u.state = open{}
+		return
+	}
+	limit := max(minLimit, startShare*float64(u.slots)/float64(p.hosts))
+	next := &paced{limit: limit, nextAt: now, delayedAt: now, decreasedAt: now, latency: float64(defaultLatency)}
+	if limit < 1 {
+		next.nextAt = now.Add(dfclock.Millis(p.spread() * float64(next.interval())))
+	}
+	if cause == TrialSucceeded {
+		next.probation = probationAnswers
+	}
+	u.state = next
+	u.inFlight = nil
+	u.window = window{}
+	p.emit(Paced{u.id, limit, cause})
+}
+
+// interval is the interval between two statements where the limit is below 1.
+func (s *paced) interval() dfclock.Millis {
+	return min(maxInterval, dfclock.Millis(math.Ceil(s.latency/s.limit)))
+}
+
+// IsAside reports whether an upstream is set aside and not due for a trial.
+func (p *Pace) IsAside(now dfclock.Millis, id dffleet.ID) bool {
+	u := p.upstreams[id]
+	if u == nil {
+		return false
+	}
+	switch s := u.state.(type) {
+	case aside:
+		return now < s.until
+	case onTrial:
+		return now < s.startedAt.Add(lostAfter)
+	}
+	return false
+}
+
+// IsTrial reports whether the next statement on the upstream would be a trial.
+func (p *Pace) IsTrial(now dfclock.Millis, id dffleet.ID) bool {
+	u := p.upstreams[id]
+	if u == nil {
+		return false
+	}
+	switch u.state.(type) {
+	case aside, onTrial:
+		return !p.IsAside(now, id)
+	}
+	return false
+}
+
+// AvailableIn returns how long the limit delays the next statement, or zero. It is a
+// lower bound where the limit counts statements that have not ended.
+func (p *Pace) AvailableIn(now dfclock.Millis, id dffleet.ID) dfclock.Millis {
+	u := p.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	s, isPaced := u.state.(*paced)
+	if !isPaced {
+		return 0
+	}
+	if p.liftIfIdle(now, u, s) {
+		return 0
+	}
+	u.dropLost(now)
+	wait := dfclock.Millis(0)
+	if s.limit < 1 {
+		wait = max(0, s.nextAt-now)
+	}
+	if len(u.inFlight) >= max(1, int(s.limit)) {
+		wait = max(wait, dfclock.Millis(math.Ceil(s.latency))-(now-u.inFlight[0]), 1)
+	}
+	if wait > 0 {
+		s.delayedAt = now
+	}
+	return wait
+}
+
+// liftIfIdle ends a limit that delayed no statement for idleSpan.
+func (p *Pace) liftIfIdle(now dfclock.Millis, u *upstream, s *paced) bool {
+	if now < s.delayedAt.Add(idleSpan) || now < s.decreasedAt.Add(idleSpan) || s.probation > 0 {
+		return false
+	}
+	u.state = open{}
+	u.inFlight = nil
+	p.emit(LimitLifted{u.id, s.limit})
+	return true
+}
+
+// dropLost forgets statements whose end was not recorded.
+func (u *upstream) dropLost(now dfclock.Millis) {
+	for len(u.inFlight) > 0 && now >= u.inFlight[0].Add(lostAfter) {
+		u.inFlight = u.inFlight[1:]
+	}
+}
+
+// Admit counts a statement that is about to be sent.
+func (p *Pace) Admit(now dfclock.Millis, id dffleet.ID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	switch s := u.state.(type) {
+	case aside:
+		if id != p.leader || now >= s.until {
+			p.startTrial(now, u)
+		}
+	case onTrial:
+		if now >= s.startedAt.Add(lostAfter) {
+			p.startTrial(now, u)
+		}
+	case *paced:
+		u.inFlight = append(u.inFlight, now)
+		if s.limit < 1 {
+			s.nextAt = now.Add(s.interval())
+		}
+	}
+}
+
+func (p *Pace) startTrial(now dfclock.Millis, u *upstream) {
+	u.state = onTrial{startedAt: now}
+	p.emit(TrialStarted{u.id})
+}
+
+// Cancel uncounts a statement that was not sent, or whose end says nothing about the
+// upstream. The next statement then is the trial.
+func (p *Pace) Cancel(id dffleet.ID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	if trial, ok := u.state.(onTrial); ok {
+		u.state = aside{until: trial.startedAt}
+	}
+	u.ended()
+}
+
+// ended uncounts the oldest statement in flight.
+func (u *upstream) ended() {
+	if len(u.inFlight) > 0 {
+		u.inFlight = u.inFlight[1:]
+	}
+}
+
+// RecordGood records a good answer.
+func (p *Pace) RecordGood(now dfclock.Millis, id dffleet.ID, latency dfclock.Millis) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	recovered := u.failures >= recoveryFailures && now >= u.failingSince.Add(recoveryOutage)
+	u.failures = 0
+	u.ended()
+	switch s := u.state.(type) {
+	case aside:
+		// Statements from before, and those that only the leader can run.
+	case onTrial:
+		p.endTrial(now, u, latency)
+	case *paced:
+		u.window.addGood(now, latency)
+		p.grow(now, s, latency)
+		s.probation = max(0, s.probation-1)
+		p.compareLatency(now, u)
+	case open:
+		u.window.addGood(now, latency)
+		if recovered {
+			p.startPace(now, u, Recovered)
+			return
+		}
+		p.compareLatency(now, u)
+	}
+}
+
+func (p *Pace) grow(now dfclock.Millis, s *paced, latency dfclock.Millis) {
+	if second := now / bucketSpan; second != s.baseSecond {
+		s.baseSecond, s.base, s.nextBase = second, s.nextBase, 0
+	}
+	if s.nextBase == 0 || latency < s.nextBase {
+		s.nextBase = latency
+	}
+	base := s.nextBase
+	if s.base > 0 {
+		base = min(base, s.base)
+	}
+	s.latency += (float64(latency) - s.latency) / 4
+	s.limit = max(minLimit, p.growth.next(s.limit, latency, base))
+}
+
+func (p *Pace) endTrial(now dfclock.Millis, u *upstream, latency dfclock.Millis) {
+	others := p.others(now, u, u.id != p.leader)
+	if u.id != p.leader && others.good >= minSlowAnswers && isSlow(latency, others.medianLatency()) {
+		p.setAside(now, u, totals{}, others)
+		return
+	}
+	u.returnedAt = now
+	p.emit(Returned{u.id})
+	p.startPace(now, u, TrialSucceeded)
+}
+
+// RecordFailure records a failed statement or a lost connection.
+func (p *Pace) RecordFailure(now dfclock.Millis, id dffleet.ID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	if u.failures == 0 {
+		u.failingSince = now
+	}
+	u.failures++
+	u.ended()
+	switch s := u.state.(type) {
+	case aside:
+	case onTrial:
+		p.setAside(now, u, totals{}, p.others(now, u, false))
+	case *paced:
+		u.window.addFailed(now)
+		p.halve(now, s)
+		if s.probation > 0 {
+			var own totals
+			u.window.addTo(now, &own)
+			p.setAside(now, u, own, p.others(now, u, false))
+			return
+		}
+		p.compareFailures(now, u)
+	case open:
+		u.window.addFailed(now)
+		p.compareFailures(now, u)
+	}
+}
+
+// RecordOverload records that the upstream refused a statement because it has too
+// many. It is no failure.
+func (p *Pace) RecordOverload(now dfclock.Millis, id dffleet.ID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.ended()
+	switch s := u.state.(type) {
+	case onTrial:
+		// The upstream answers; others fill it.
+		u.state = aside{until: now.Add(minAside / 4)}
+	case *paced:
+		p.halve(now, s)
+	}
+}
+
+func (p *Pace) halve(now dfclock.Millis, s *paced) {
+	if now < s.decreasedAt.Add(decreaseSpan) {
+		return
+	}
+	s.decreasedAt = now
+	s.limit = max(minLimit, s.limit/2)
+	if s.limit < 1 {
+		s.nextAt = max(s.nextAt, now.Add(s.interval()))
+	}
+}
+
+// others returns the answers of the other upstreams that are not set aside, without
+// the leader if it is not comparable.
+func (p *Pace) others(now dfclock.Millis, u *upstream, withoutLeader bool) totals {
+	var others totals
+	for _, other := range p.upstreams {
+		if other == u || other.isAside() || withoutLeader && other.id == p.leader {
+			continue
+		}
+		other.window.addTo(now, &others)
+	}
+	return others
+}
+
+func (u *upstream) isAside() bool {
+	switch u.state.(type) {
+	case aside, onTrial:
+		return true
+	}
+	return false
+}
+
+func (p *Pace) compareFailures(now dfclock.Millis, u *upstream) {
+	var own totals
+	u.window.addTo(now, &own)
+	others := p.others(now, u, false)
+	if own.failsMore(&others) {
+		p.setAside(now, u, own, others)
+	}
+}
+
+func (p *Pace) compareLatency(now dfclock.Millis, u *upstream) {
+	if u.id == p.leader {
+		return
+	}
+	var own totals
+	u.window.addTo(now, &own)
+	others := p.others(now, u, true)
+	if own.slower(&others) {
+		p.setAside(now, u, own, others)
+	}
+}
+
+// setAside sets an upstream aside, unless half of the upstreams are already.
+func (p *Pace) setAside(now dfclock.Millis, u *upstream, own, others totals) {
+	if !u.isAside() {
+		count := 1
+		for _, other := range p.upstreams {
+			if other.isAside() {
+				count++
+			}
+		}
+		if 2*count > len(p.upstreams) {
+			return
+		}
+	}
+	switch {
+	case u.span == 0 || !u.isAside() && now >= u.returnedAt.Add(asideMemory):
+		u.span = minAside
+	default:
+		u.span = min(maxAside, 2*u.span)
+	}
+	u.state = aside{until: now.Add(u.span)}
+	u.window = window{}
+	u.inFlight = nil
+	p.emit(SetAside{
+		ID: u.id, Span: u.span, Answers: own.answers(), Failed: own.failed, OtherAnswers: others.answers(), OtherFailed: others.failed,
+		Latency: own.medianLatency(), OtherLatency: others.medianLatency(),
+	})
+}
+
+// Limit returns the limit in force for an upstream. ok is false if there is none.
+func (p *Pace) Limit(id dffleet.ID) (limit float64, ok bool) {
+	u := p.upstreams[id]
+	if u == nil {
+		return 0, false
+	}
+	if s, isPaced := u.state.(*paced); isPaced {
+		return s.limit, true
+	}
+	return 0, false
+}
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -8,6 +8,7 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfpace"
 	"dragonflygrade/dfposition"
 )
 
@@ -82,11 +83,20 @@
 // Selector holds the candidates of one service. It is not safe for concurrent use.
 type Selector struct {
 	candidates map[dffleet.ID]*candidate
+	pace       *dfpace.Pace
+	// inUse is true once an upstream answered. Before that, upstreams are new to this
+	// host only.
+	inUse bool
 }
 
 // New returns a selector without candidates.
 func New() *Selector {
-	return &Selector{candidates: map[dffleet.ID]*candidate{}}
+	return NewWithPace(dfpace.New(dfpace.Gradient{}, func() float64 { return 0 }))
+}
+
+// NewWithPace returns a selector without candidates. The pace must have none either.
+func NewWithPace(pace *dfpace.Pace) *Selector {
+	return &Selector{candidates: map[dffleet.ID]*candidate{}, pace: pace}
 }
 
 // Put adds an upstream, or updates whether it is local and its number of slots.
@@ -97,11 +107,55 @@
 		s.candidates[id] = c
 	}
 	c.local, c.slots = local, max(1, slots)
+	s.pace.Put(id, slots)
 }
 
 // Remove removes an upstream.
 func (s *Selector) Remove(id dffleet.ID) {
 	delete(s.candidates, id)
+	s.pace.Remove(id)
+}
+
+// StartPace paces an upstream that has just started. On a host that has just started
+// itself it does nothing.
+func (s *Selector) StartPace(now dfclock.Millis, id dffleet.ID) {
+	if s.inUse {
+		s.pace.Start(now, id, dfpace.Started)
+	}
+}
+
+// SetLeader sets the leader. One that replaces another is paced.
+func (s *Selector) SetLeader(now dfclock.Millis, id dffleet.ID, promoted bool) {
+	s.pace.SetLeader(id)
+	if promoted {
+		s.pace.Start(now, id, dfpace.Promoted)
+	}
+}
+
+// SetHosts sets the number of hosts that share the upstreams.
+func (s *Selector) SetHosts(hosts int) {
+	s.pace.SetHosts(hosts)
+}
+
+// Events returns the changes of the pace since the last call.
+func (s *Selector) Events() []dfpace.Event {
+	return s.pace.Events()
+}
+
+// PaceDelay returns how long the pace delays a statement that only this upstream can
+// run, or zero.
+func (s *Selector) PaceDelay(now dfclock.Millis, id dffleet.ID) dfclock.Millis {
+	return s.pace.AvailableIn(now, id)
+}
+
+// Limit returns the limit that paces an upstream. ok is false if there is none.
+func (s *Selector) Limit(id dffleet.ID) (limit float64, ok bool) {
+	return s.pace.Limit(id)
+}
+
+// Admit counts a statement that is sent to a selected upstream against its limit.
+func (s *Selector) Admit(now dfclock.Millis, id dffleet.ID) {
+	s.pace.Admit(now, id)
 }
 
 // Enqueue counts a statement that waits for a connection.
@@ -124,6 +178,7 @@
 	if c := s.candidates[id]; c != nil {
 		c.waiting = max(0, c.waiting-1)
 	}
+	s.pace.Cancel(id)
 }
 
 // Finish uncounts a running statement.
@@ -144,6 +199,21 @@
 	c.measuredAt = now
 	c.failures = 0
 	c.excludedUntil = 0
+	s.inUse = true
+	s.pace.RecordGood(now, id, latency)
+}
+
+// RecordStatementFailure records that a statement failed at the upstream, for no
+// fault of the statement. One failure says little, so the upstream stays selectable
+// until the pace sets it aside.
+func (s *Selector) RecordStatementFailure(now dfclock.Millis, id dffleet.ID) {
+	s.pace.RecordFailure(now, id)
+}
+
+// RecordRefusal records an answer that says nothing about the upstream's condition,
+// such as one of a replica that is behind.
+func (s *Selector) RecordRefusal(id dffleet.ID) {
+	s.pace.Cancel(id)
 }
 
 // RecordPosition records the end of an upstream's log and how far it was behind.
@@ -153,9 +223,21 @@
 	}
 }
 
-// RecordFailure records that a connection or statement failed because of the
-// upstream.
+// RecordConnectionLost records that a connection to the upstream was lost, could not
+// be opened, or was not answered in time.
+func (s *Selector) RecordConnectionLost(now dfclock.Millis, id dffleet.ID) {
+	s.pace.RecordFailure(now, id)
+	s.backOff(now, id)
+}
+
+// RecordFailure records that an upstream could not be used. It is no evidence about
+// its answers, because a carrier host may be the cause.
 func (s *Selector) RecordFailure(now dfclock.Millis, id dffleet.ID) {
+	s.pace.Cancel(id)
+	s.backOff(now, id)
+}
+
+func (s *Selector) backOff(now dfclock.Millis, id dffleet.ID) {
 	c := s.candidates[id]
 	if c == nil {
 		return
@@ -203,17 +285,34 @@
 // SelectForRead selects the upstream for a read. Upstreams in avoid were already
 // tried. ok is false if no upstream that may be selected is likely to have the
 // position. The leader always has it and is selected if no replica is better.
+// Upstreams that are set aside are selected for a trial, or if there are no others.
 func (s *Selector) SelectForRead(now dfclock.Millis, required Requirement, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID) (id dffleet.ID, ok bool) {
+	best := s.bestForRead(now, required, usable, leader, avoid, false)
+	if best == nil && len(avoid) == 0 {
+		best = s.bestForRead(now, required, usable, leader, avoid, true)
+	}
+	if best == nil {
+		return "", false
+	}
+	if covers, trial := best.mayCover(now, required); covers && trial {
+		best.lagKnownAt = now
+	}
+	return best.id, true
+}
+
+// bestForRead returns the candidate with the lowest wait, or nil.
+func (s *Selector) bestForRead(now dfclock.Millis, required Requirement, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID, asideToo bool) *candidate {
 	var best *candidate
 	var bestWait dfclock.Millis
-	bestTrial := false
 	for _, upstream := range usable {
 		c := s.candidates[upstream.ID]
 		if c == nil || now.Before(c.excludedUntil) || slices.Contains(avoid, c.id) {
 			continue
 		}
-		covers, trial := c.mayCover(now, required)
-		if c.id != leader && !covers {
+		if covers, _ := c.mayCover(now, required); c.id != leader && !covers {
+			continue
+		}
+		if !asideToo && s.pace.IsAside(now, c.id) {
 			continue
 		}
 		wait := c.score(now)
@@ -223,22 +322,18 @@
 		if upstream.Draining {
 			wait *= 4
 		}
-		if best == nil || wait < bestWait {
-			best, bestWait, bestTrial = c, wait, trial
+		// A limit counts as used only by statements that want the upstream.
+		if (best == nil || wait < bestWait) && s.pace.AvailableIn(now, c.id) == 0 {
+			best, bestWait = c, wait
 		}
 	}
-	if best == nil {
-		return "", false
-	}
-	if bestTrial {
-		best.lagKnownAt = now
-	}
-	return best.id, true
+	return best
 }
 
 // RecordQueueFull records that an upstream's queue was full. It handles loads of
 // many hosts, each of which measures too few statements to detect the queue.
 func (s *Selector) RecordQueueFull(now dfclock.Millis, id dffleet.ID) {
+	s.pace.RecordOverload(now, id)
 	if c := s.candidates[id]; c != nil {
 		c.excludedUntil = max(c.excludedUntil, now.Add(queueFullBackoff))
 		c.latency = max(c.expectedLatency(now), queueFullLatency*latencyScale)
