--- a/dfpace/pace.go
+++ b/dfpace/pace.go
@@ -17,8 +17,12 @@
 // open means that nothing restricts the upstream.
 type open struct{}
 
-// aside means that the upstream gets no statements that others can run.
-type aside struct{ until dfclock.Millis }
+// aside means that the upstream gets no statements that others can run until a trial.
+type aside struct {
+	until dfclock.Millis
+	// admitted is Pace.admitted at the begin.
+	admitted int
+}
 
 // onTrial means that one statement tries the upstream.
 type onTrial struct{ startedAt dfclock.Millis }
@@ -28,6 +32,15 @@
 	// limit bounds the concurrent statements of this host. Below 1 it is their mean
 	// over time: the interval between statements is the latency divided by it.
 	limit float64
+	// start is the first limit, which was in force from startedAt on.
+	start     float64
+	startedAt dfclock.Millis
+	// answeredAt is when the last good answer arrived.
+	answeredAt dfclock.Millis
+	// awaitsFirst is true from a loss until the next statement. A host with many
+	// answers then grows the limit from that statement on; for one with rare answers
+	// the time since the loss counts, as its time between answers does.
+	awaitsFirst bool
 	// nextAt is the instant before which no statement starts, where limit is below 1.
 	nextAt dfclock.Millis
 	// delayedAt is when the limit last delayed a statement.
@@ -60,10 +73,13 @@
 	// span is the last time aside, or zero. returnedAt is when that ended.
 	span       dfclock.Millis
 	returnedAt dfclock.Millis
-	// failures counts the failures since the last good answer, and failingSince is
-	// the first of them.
-	failures     int
-	failingSince dfclock.Millis
+	// losses counts the losses since the last good answer, from losingSince to lostAt.
+	losses      int
+	losingSince dfclock.Millis
+	lostAt      dfclock.Millis
+	everLost    bool
+	// comparedAt is when the latency was last compared.
+	comparedAt dfclock.Millis
 }
 
 // Pace holds the upstreams of one service. It is not safe for concurrent use.
@@ -74,6 +90,8 @@
 	// statements than the replicas.
 	leader dffleet.ID
 	hosts  int
+	// admitted counts the statements that were admitted.
+	admitted int
 	// spread returns a number in [0, 1) that differs between hosts, so that hosts do
 	// not send their first statements at the same moment.
 	spread func() float64
@@ -136,8 +154,13 @@
 		u.state = open{}
 		return
 	}
-	limit := max(minLimit, startShare*float64(u.slots)/float64(p.hosts))
-	next := &paced{limit: limit, nextAt: now, delayedAt: now, decreasedAt: now, latency: float64(defaultLatency)}
+	next := &paced{startedAt: now, answeredAt: now, nextAt: now, delayedAt: now, decreasedAt: now, latency: float64(coldLatency)}
+	share := coldStartShare
+	if cause == Promoted {
+		share, next.latency = warmStartShare, float64(warmLatency)
+	}
+	limit := max(next.least(), float64(u.slots)*min(maxHostStartShare, share/float64(p.hosts)))
+	next.limit, next.start = limit, limit
 	if limit < 1 {
 		next.nextAt = now.Add(dfclock.Millis(p.spread() * float64(next.interval())))
 	}
@@ -150,6 +173,11 @@
 	p.emit(Paced{u.id, limit, cause})
 }
 
+// least is the limit at which the interval is maxInterval.
+func (s *paced) least() float64 {
+	return s.latency / float64(maxInterval)
+}
+
 // interval is the interval between two statements where the limit is below 1.
 func (s *paced) interval() dfclock.Millis {
 	return min(maxInterval, dfclock.Millis(math.Ceil(s.latency/s.limit)))
@@ -163,13 +191,19 @@
 	}
 	switch s := u.state.(type) {
 	case aside:
-		return now < s.until
+		return !p.isDue(now, s)
 	case onTrial:
 		return now < s.startedAt.Add(lostAfter)
 	}
 	return false
 }
 
+// isDue reports whether an upstream is due for a trial: its time aside is over, and
+// the trial is a small part of this host's statements, or late.
+func (p *Pace) isDue(now dfclock.Millis, s aside) bool {
+	return now >= s.until && (p.admitted-s.admitted >= statementsPerTrial || now >= s.until.Add(maxAside))
+}
+
 // IsTrial reports whether the next statement on the upstream would be a trial.
 func (p *Pace) IsTrial(now dfclock.Millis, id dffleet.ID) bool {
 	u := p.upstreams[id]
@@ -213,7 +247,7 @@
 
 // liftIfIdle ends a limit that delayed no statement for idleSpan.
 func (p *Pace) liftIfIdle(now dfclock.Millis, u *upstream, s *paced) bool {
-	if now < s.delayedAt.Add(idleSpan) || now < s.decreasedAt.Add(idleSpan) || s.probation > 0 {
+	if now < s.startedAt.Add(minPaceSpan) || now < s.delayedAt.Add(idleSpan) || now < s.decreasedAt.Add(idleSpan) || s.probation > 0 {
 		return false
 	}
 	u.state = open{}
@@ -235,9 +269,10 @@
 	if u == nil {
 		return
 	}
+	p.admitted++
 	switch s := u.state.(type) {
 	case aside:
-		if id != p.leader || now >= s.until {
+		if id != p.leader || p.isDue(now, s) {
 			p.startTrial(now, u)
 		}
 	case onTrial:
@@ -245,6 +280,10 @@
 			p.startTrial(now, u)
 		}
 	case *paced:
+		if s.awaitsFirst && s.limit >= 1 {
+			s.answeredAt = now
+		}
+		s.awaitsFirst = false
 		u.inFlight = append(u.inFlight, now)
 		if s.limit < 1 {
 			s.nextAt = now.Add(s.interval())
@@ -265,7 +304,7 @@
 		return
 	}
 	if trial, ok := u.state.(onTrial); ok {
-		u.state = aside{until: trial.startedAt}
+		u.state = aside{until: trial.startedAt, admitted: p.admitted - statementsPerTrial}
 	}
 	u.ended()
 }
@@ -283,8 +322,7 @@
 	if u == nil {
 		return
 	}
-	recovered := u.failures >= recoveryFailures && now >= u.failingSince.Add(recoveryOutage)
-	u.failures = 0
+	u.losses = 0
 	u.ended()
 	switch s := u.state.(type) {
 	case aside:
@@ -298,10 +336,6 @@
 		p.compareLatency(now, u)
 	case open:
 		u.window.addGood(now, latency)
-		if recovered {
-			p.startPace(now, u, Recovered)
-			return
-		}
 		p.compareLatency(now, u)
 	}
 }
@@ -318,13 +352,17 @@
 		base = min(base, s.base)
 	}
 	s.latency += (float64(latency) - s.latency) / 4
-	s.limit = max(minLimit, p.growth.next(s.limit, latency, base))
+	s.limit = max(s.least(), p.growth.next(sample{
+		limit: s.limit, start: s.start, latency: latency, base: base, elapsed: now - s.answeredAt,
+	}))
+	s.answeredAt = now
 }
 
 func (p *Pace) endTrial(now dfclock.Millis, u *upstream, latency dfclock.Millis) {
-	others := p.others(now, u, u.id != p.leader)
-	if u.id != p.leader && others.good >= minSlowAnswers && isSlow(latency, others.medianLatency()) {
-		p.setAside(now, u, totals{}, others)
+	comparable := p.others(u, u.id != p.leader)
+	others := sum(now, comparable...)
+	if u.id != p.leader && others.good >= minStratumLatencies && isSlow(latency, others.medianLatency()) {
+		p.setAside(now, u, comparable)
 		return
 	}
 	u.returnedAt = now
@@ -332,28 +370,82 @@
 	p.startPace(now, u, TrialSucceeded)
 }
 
-// RecordFailure records a failed statement or a lost connection.
-func (p *Pace) RecordFailure(now dfclock.Millis, id dffleet.ID) {
+// RecordLoss records a lost connection or a statement without an answer in time.
+// Statements in one queue are lost together, so losses within lossSpan count once.
+func (p *Pace) RecordLoss(now dfclock.Millis, id dffleet.ID) {
 	u := p.upstreams[id]
 	if u == nil {
 		return
 	}
-	if u.failures == 0 {
-		u.failingSince = now
+	if u.losses == 0 {
+		u.losingSince = now
+	}
+	if u.losses > 0 && now < u.lostAt.Add(lossSpan) && !u.isAside() {
+		u.ended()
+		return
+	}
+	u.losses++
+	u.lostAt, u.everLost = now, true
+	if p.lossIsShared(now, u) {
+		// Queues that all outlast the timeout end at one upstream before the other.
+		u.ended()
+		if s, ok := u.state.(*paced); ok {
+			p.halve(now, s)
+		}
+		return
+	}
+	p.RecordFailure(now, id)
+	if u.losses >= recoveryLosses && now >= u.losingSince.Add(recoveryOutage) {
+		p.expectRecovery(now, u)
+	}
+}
+
+// lossIsShared reports whether another upstream that is not set aside lost statements
+// recently as well.
+func (p *Pace) lossIsShared(now dfclock.Millis, u *upstream) bool {
+	if u.isAside() {
+		return false
+	}
+	for _, other := range p.upstreams {
+		if other != u && !other.isAside() && other.everLost && now < other.lostAt.Add(sharedLossSpan) {
+			return true
+		}
+	}
+	return false
+}
+
+// expectRecovery puts a limit in force for an upstream that does not answer, so that
+// it is in force when the upstream recovers.
+func (p *Pace) expectRecovery(now dfclock.Millis, u *upstream) {
+	switch s := u.state.(type) {
+	case open:
+		window := u.window
+		p.startPace(now, u, Recovered)
+		u.window = window
+		if limited, ok := u.state.(*paced); ok {
+			limited.awaitsFirst = true
+		}
+	case *paced:
+		s.limit, s.startedAt, s.delayedAt, s.awaitsFirst = s.start, now, now, true
+	}
+}
+
+// RecordFailure records a failed statement.
+func (p *Pace) RecordFailure(now dfclock.Millis, id dffleet.ID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
 	}
-	u.failures++
 	u.ended()
 	switch s := u.state.(type) {
 	case aside:
 	case onTrial:
-		p.setAside(now, u, totals{}, p.others(now, u, false))
+		p.setAside(now, u, p.others(u, false))
 	case *paced:
 		u.window.addFailed(now)
 		p.halve(now, s)
 		if s.probation > 0 {
-			var own totals
-			u.window.addTo(now, &own)
-			p.setAside(now, u, own, p.others(now, u, false))
+			p.setAside(now, u, p.others(u, false))
 			return
 		}
 		p.compareFailures(now, u)
@@ -374,7 +466,7 @@
 	switch s := u.state.(type) {
 	case onTrial:
 		// The upstream answers; others fill it.
-		u.state = aside{until: now.Add(minAside / 4)}
+		u.state = aside{until: now.Add(minAside / 4), admitted: p.admitted - statementsPerTrial}
 	case *paced:
 		p.halve(now, s)
 	}
@@ -385,25 +477,33 @@
 		return
 	}
 	s.decreasedAt = now
-	s.limit = max(minLimit, s.limit/2)
+	s.limit = max(s.least(), s.limit/2)
 	if s.limit < 1 {
 		s.nextAt = max(s.nextAt, now.Add(s.interval()))
 	}
 }
 
-// others returns the answers of the other upstreams that are not set aside, without
+// others returns the windows of the other upstreams that are not set aside, without
 // the leader if it is not comparable.
-func (p *Pace) others(now dfclock.Millis, u *upstream, withoutLeader bool) totals {
-	var others totals
+func (p *Pace) others(u *upstream, withoutLeader bool) []*window {
+	var others []*window
 	for _, other := range p.upstreams {
 		if other == u || other.isAside() || withoutLeader && other.id == p.leader {
 			continue
 		}
-		other.window.addTo(now, &others)
+		others = append(others, &other.window)
 	}
 	return others
 }
 
+func sum(now dfclock.Millis, windows ...*window) totals {
+	var t totals
+	for _, w := range windows {
+		w.addTo(now, &t)
+	}
+	return t
+}
+
 func (u *upstream) isAside() bool {
 	switch u.state.(type) {
 	case aside, onTrial:
@@ -413,28 +513,25 @@
 }
 
 func (p *Pace) compareFailures(now dfclock.Millis, u *upstream) {
-	var own totals
-	u.window.addTo(now, &own)
-	others := p.others(now, u, false)
-	if own.failsMore(&others) {
-		p.setAside(now, u, own, others)
+	others := p.others(u, false)
+	if failsMore(strata(now, &u.window, others, hasAnswers)) {
+		p.setAside(now, u, others)
 	}
 }
 
 func (p *Pace) compareLatency(now dfclock.Millis, u *upstream) {
-	if u.id == p.leader {
+	if u.id == p.leader || now < u.comparedAt.Add(compareSpan) {
 		return
 	}
-	var own totals
-	u.window.addTo(now, &own)
-	others := p.others(now, u, true)
-	if own.slower(&others) {
-		p.setAside(now, u, own, others)
+	u.comparedAt = now
+	others := p.others(u, true)
+	if slower(strata(now, &u.window, others, hasLatencies)) {
+		p.setAside(now, u, others)
 	}
 }
 
 // setAside sets an upstream aside, unless half of the upstreams are already.
-func (p *Pace) setAside(now dfclock.Millis, u *upstream, own, others totals) {
+func (p *Pace) setAside(now dfclock.Millis, u *upstream, othersWindows []*window) {
 	if !u.isAside() {
 		count := 1
 		for _, other := range p.upstreams {
@@ -452,7 +549,8 @@
 	default:
 		u.span = min(maxAside, 2*u.span)
 	}
-	u.state = aside{until: now.Add(u.span)}
+	u.state = aside{until: now.Add(u.span), admitted: p.admitted}
+	own, others := sum(now, &u.window), sum(now, othersWindows...)
 	u.window = window{}
 	u.inFlight = nil
 	p.emit(SetAside{
--- a/dfpace/script_test.go
+++ b/dfpace/script_test.go
@@ -57,6 +57,10 @@
 		for range s.number(words, 2, 1) {
 			s.pace.RecordFailure(s.now, id)
 		}
+	case "lose":
+		for range s.number(words, 2, 1) {
+			s.pace.RecordLoss(s.now, id)
+		}
 	case "full":
 		s.pace.RecordOverload(s.now, id)
 	case "other", "cancel":
@@ -80,7 +84,9 @@
 	case "at":
 		s.now = dfclock.Millis(s.number(words, 1, 0))
 	case "admit":
-		s.pace.Admit(s.now, dffleet.ID(words[1]))
+		for range s.number(words, 2, 1) {
+			s.pace.Admit(s.now, dffleet.ID(words[1]))
+		}
 	case "start":
 		cause := map[string]Cause{"started": Started, "recovered": Recovered, "promoted": Promoted}[words[2]]
 		require.NotZero(s.t, cause)
--- a/dfpace/window.go
+++ b/dfpace/window.go
@@ -51,17 +51,27 @@
 	latencies    [latencyBuckets]int
 }
 
+func (t *totals) add(b *bucket) {
+	t.good += b.good
+	t.failed += b.failed
+	for j, n := range b.latencies {
+		t.latencies[j] += n
+	}
+}
+
+// second returns the counts of one second of the window, or nil.
+func (w *window) second(second dfclock.Millis) *bucket {
+	b := &w.buckets[second%bucketCount]
+	if second < 0 || b.second != second {
+		return nil
+	}
+	return b
+}
+
 func (w *window) addTo(now dfclock.Millis, t *totals) {
-	oldest := now/bucketSpan - bucketCount + 1
-	for i := range w.buckets {
-		b := &w.buckets[i]
-		if b.second < oldest {
-			continue
-		}
-		t.good += b.good
-		t.failed += b.failed
-		for j, n := range b.latencies {
-			t.latencies[j] += n
+	for second := max(0, now/bucketSpan-bucketCount+1); second <= now/bucketSpan; second++ {
+		if b := w.second(second); b != nil {
+			t.add(b)
 		}
 	}
 }
@@ -80,26 +90,85 @@
 	return 0
 }
 
-// failsMore reports whether the share of failures exceeds that of the others by more
-// than chance explains (two-proportion z-test).
-func (t *totals) failsMore(others *totals) bool {
-	n, m := float64(t.answers()), float64(others.answers())
-	if n < minAnswers || m < minAnswers || t.failed < minFailures {
-		return false
+// stratum has the answers of an upstream and of the others in the same seconds.
+type stratum struct{ own, others totals }
+
+// strata divides the windows into runs of seconds, each as short as full allows. An
+// upstream's share of the reads changes with the faults of others, so sums over the
+// whole window would compare different times.
+func strata(now dfclock.Millis, own *window, others []*window, full func(*stratum) bool) []stratum {
+	var all []stratum
+	var current stratum
+	for second := max(0, now/bucketSpan-bucketCount+1); second <= now/bucketSpan; second++ {
+		if b := own.second(second); b != nil {
+			current.own.add(b)
+		}
+		for _, other := range others {
+			if b := other.second(second); b != nil {
+				current.others.add(b)
+			}
+		}
+		if full(&current) {
+			all = append(all, current)
+			current = stratum{}
+		}
 	}
-	excess := float64(t.failed)/n - float64(others.failed)/m
-	pooled := float64(t.failed+others.failed) / (n + m)
-	deviation := math.Sqrt(pooled * (1 - pooled) * (1/n + 1/m))
-	return excess > max(minExcessShare, deviations*deviation)
+	return append(all, current)
 }
 
-// slower reports whether the latency exceeds that of the others by more than a queue
-// of usual length explains.
-func (t *totals) slower(others *totals) bool {
-	if t.good < minSlowAnswers || others.good < minSlowAnswers {
+// failsMore reports whether an upstream fails more statements than chance explains if
+// all upstreams fail alike (the Mantel-Haenszel test).
+func failsMore(all []stratum) bool {
+	var own, others totals
+	expected, variance := 0.0, 0.0
+	for i := range all {
+		s := &all[i]
+		n, m := float64(s.own.answers()), float64(s.others.answers())
+		failed := float64(s.own.failed + s.others.failed)
+		own.good, own.failed = own.good+s.own.good, own.failed+s.own.failed
+		others.good, others.failed = others.good+s.others.good, others.failed+s.others.failed
+		if n+m == 0 {
+			continue
+		}
+		// Failures in a stratum without answers of the others are expected in full: they
+		// are no evidence.
+		expected += n * failed / (n + m)
+		variance += n * m * failed * (n + m - failed) / ((n + m) * (n + m) * max(1, n+m-1))
+	}
+	if own.answers() < minAnswers || others.answers() < minAnswers || own.failed < minFailures {
 		return false
 	}
-	return isSlow(t.medianLatency(), others.medianLatency())
+	share, otherShare := float64(own.failed)/float64(own.answers()), float64(others.failed)/float64(others.answers())
+	needed := deviations
+	if own.failed >= minDistinctFailures && share >= minDistinctShare && otherShare*distinctFactor <= share {
+		needed = distinctDeviations
+	}
+	return share-otherShare > minExcessShare && float64(own.failed)-expected > needed*math.Sqrt(variance)
+}
+
+// slower reports whether the median latency exceeds that of the others in each of the
+// last slowStrata strata.
+func slower(all []stratum) bool {
+	compared := 0
+	for i := len(all) - 1; i >= 0 && compared < slowStrata; i-- {
+		s := &all[i]
+		if !hasLatencies(s) {
+			continue
+		}
+		if !isSlow(s.own.medianLatency(), s.others.medianLatency()) {
+			return false
+		}
+		compared++
+	}
+	return compared == slowStrata
+}
+
+func hasAnswers(s *stratum) bool {
+	return s.own.answers()+s.others.answers() >= minStratumAnswers
+}
+
+func hasLatencies(s *stratum) bool {
+	return s.own.good >= minStratumLatencies && s.others.good >= minStratumLatencies
 }
 
 func isSlow(latency, others dfclock.Millis) bool {
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -226,7 +226,7 @@
 // RecordConnectionLost records that a connection to the upstream was lost, could not
 // be opened, or was not answered in time.
 func (s *Selector) RecordConnectionLost(now dfclock.Millis, id dffleet.ID) {
-	s.pace.RecordFailure(now, id)
+	s.pace.RecordLoss(now, id)
 	s.backOff(now, id)
 }
 
