Pace only upstreams that report a warm-up, and compare them where the terms ask for it

Change: a start or a promotion is paced where the upstream's entry reports a warm-up; outlier ejection is on where the contracts of the settings have health.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -324,7 +324,7 @@
 		s := e.services[name]
 		if s == nil {
 			s = &service{
-				name: name, placer: dfplace.NewWithPace(dfpace.New(dfpace.Gradient{}, e.random.Float64)), successor: dfsuccession.New(now, e.options.Fencing),
+				name: name, placer: e.newPlacer(), successor: dfsuccession.New(now, e.options.Fencing),
 				reservedEpochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 				leaderlessSince: dfclock.Never, termQueriedAt: map[dffleet.ID]dfclock.Millis{},
 			}
@@ -348,6 +348,15 @@
 	e.notifyWaiters()
 }
 
+// newPlacer returns the selector of a service. Upstreams are compared and paced only
+// where the settings ask for it.
+func (e *Edge) newPlacer() *dfplace.Selector {
+	if !e.options.OutlierEjection {
+		return dfplace.NewWithPace(dfpace.NewDisabled())
+	}
+	return dfplace.NewWithPace(dfpace.New(dfpace.Gradient{}, e.random.Float64))
+}
+
 func (e *Edge) updatePool(now dfclock.Millis, s *service, upstream dffleet.Upstream) {
 	pool := s.pools[upstream.ID]
 	if pool != nil && (pool.Upstream().Born != upstream.Born || pool.Upstream().Address != upstream.Address) {
@@ -358,7 +367,9 @@
 	s.placer.Put(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
 		s.placer.SetHosts(e.neighbours.HostCount(now))
-		s.placer.StartPace(now, upstream.ID)
+		if upstream.Warming {
+			s.placer.StartPace(now, upstream.ID)
+		}
 		random := rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
 		plan := e.connectionPlan(now, s, upstream.ID)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
@@ -375,7 +386,8 @@
 	}
 	e.log.Info().Str("Service", s.name).Str("Before", string(s.leader)).Str("Leader", string(leader.ID)).
 		Stringer("Entry", leader.Version).Msg("fleet: another upstream leads")
-	s.placer.SetLeader(now, leader.ID, s.leader != "")
+	// A replica that is promoted is warm unless it has just started.
+	s.placer.SetLeader(now, leader.ID, s.leader != "" && leader.Warming)
 	s.leader = leader.ID
 	s.timeline.Discard()
 	e.counters.leaderChanges.Inc()
--- a/dffleet/fleet.go
+++ b/dffleet/fleet.go
@@ -44,6 +44,8 @@
 	Draining bool
 	// Primary is true if the upstream reports itself as the leader.
 	Primary bool
+	// Warming is true while the upstream reports that it is slow after its start.
+	Warming bool
 	// Version orders entries of the same ID; it increases with each change.
 	Version dfrevision.Revision
 }
--- a/dfpace/pace.go
+++ b/dfpace/pace.go
@@ -96,6 +96,8 @@
 	// not send their first statements at the same moment.
 	spread func() float64
 	events []Event
+	// disabled is true if upstreams are neither compared nor paced.
+	disabled bool
 }
 
 // New returns a decision without upstreams.
@@ -103,8 +105,18 @@
 	return &Pace{growth: growth, upstreams: map[dffleet.ID]*upstream{}, hosts: 1, spread: spread}
 }
 
+// NewDisabled returns a decision that sets no upstream aside and paces none.
+func NewDisabled() *Pace {
+	p := New(Gradient{}, func() float64 { return 0 })
+	p.disabled = true
+	return p
+}
+
 // Put adds an upstream or updates its number of slots.
 func (p *Pace) Put(id dffleet.ID, slots int) {
+	if p.disabled {
+		return
+	}
 	u := p.upstreams[id]
 	if u == nil {
 		u = &upstream{id: id, state: open{}}
