--- a/dfcli/edge.go
+++ b/dfcli/edge.go
@@ -58,6 +58,7 @@
 		StrictRevocation: settings.StrictRevocation,
 		RevokeTimeout:    settings.RevokeTimeout,
 		LimitTolerance:   settings.LimitTolerance,
+		OutlierEjection:  settings.OutlierEjection,
 
 		Fencing:  fencingOf(settings),
 		Platform: platform.NewClient(settings.StoreAddress, settings.PromotionAddress),
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -195,6 +195,9 @@
 	// its version of the desired state is the newest refuses callers with keys.
 	StrictRevocation bool
 	RevokeTimeout    dfclock.Millis
+	// OutlierEjection sets upstreams aside that answer worse than the others of their
+	// service, and paces those that start or recover.
+	OutlierEjection bool
 	// LimitTolerance is how far organisations may exceed their limits. It is the
 	// default if its window is zero.
 	LimitTolerance dfquota.Tolerance
