--- a/dfedge/capacity_test.go
+++ b/dfedge/capacity_test.go
@@ -6,7 +6,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfmember"
+	"dragonflygrade/dfquota"
 	"dragonflygrade/dfresult"
 )
 
@@ -45,3 +48,52 @@
 		})
 	}
 }
+
+// Guards against callers that stay with a host which has lost the majority and refuses
+// them all, because it gets no tokens for their organisations.
+func TestHostWithoutMajorityIsNotReady(t *testing.T) {
+	for name, c := range map[string]struct {
+		catalog dfcatalog.Catalog
+		unready bool
+	}{
+		"with limits":    {newCatalog(1), true},
+		"without limits": {newCatalog(0), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newCarrierNetwork(t, 2, c.catalog)
+			e := n.hosts["north0"]
+			e.neighbours.MarkComplete()
+			start := BootTime()
+			hear := func(now dfclock.Millis) {
+				for id := range n.hosts {
+					e.neighbours.HandleRequest(now, now, dfmember.Host{ID: id, DataCentre: id[:5], Address: id + ":1"}, nil)
+				}
+			}
+			require.False(t, e.majorityLost(start), "before the first contact")
+			hear(start)
+			require.False(t, e.majorityLost(start+dfquota.QuorumTTL-1))
+			require.Equal(t, c.unready, e.majorityLost(start+dfquota.QuorumTTL))
+			hear(start + dfquota.QuorumTTL)
+			require.False(t, e.majorityLost(start+2*dfquota.QuorumTTL-1))
+		})
+	}
+}
+
+// Guards against a host that follows the feeds of a platform which has gone silent and
+// tells its neighbours that it misses no version: they would serve withdrawn keys.
+func TestSilentFeedsAreNotCurrent(t *testing.T) {
+	for name, c := range map[string]struct {
+		organisations int
+		want          dfclock.Millis
+	}{
+		"with keys":    {1, 5000},
+		"without keys": {0, 5000 + feedSilenceTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newCarrierNetwork(t, 2, newCatalog(c.organisations)).hosts["north0"]
+			e.followingFeeds, e.feedAnsweredAt = true, 5000
+			require.Equal(t, 5000+feedSilenceTimeout-1, e.currentAt(5000+feedSilenceTimeout-1))
+			require.Equal(t, c.want, e.currentAt(5000+feedSilenceTimeout))
+		})
+	}
+}
