--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -18,6 +18,7 @@
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfneighbour"
+	"dragonflygrade/dfpace"
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
@@ -136,6 +137,8 @@
 	leaderlessSince dfclock.Millis
 	termQueriedAt   map[dffleet.ID]dfclock.Millis
 	queryingTerm    bool
+	// limitGauges has the upstreams with a gauge of their limit.
+	limitGauges map[dffleet.ID]struct{}
 }
 
 // New returns a host that is not running yet.
@@ -250,6 +253,7 @@
 	var actions []func()
 	for _, s := range e.services {
 		e.updateLeader(now, s)
+		e.reportPace(now, s)
 		if action := e.tickService(ctx, now, s); action != nil {
 			actions = append(actions, action)
 		}
@@ -322,7 +326,7 @@
 		s := e.services[name]
 		if s == nil {
 			s = &service{
-				name: name, placer: dfplace.New(), successor: dfsuccession.New(now, e.options.Fencing),
+				name: name, placer: e.newPlacer(), successor: dfsuccession.New(now, e.options.Fencing),
 				reservedEpochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 				leaderlessSince: dfclock.Never, termQueriedAt: map[dffleet.ID]dfclock.Millis{},
 			}
@@ -346,6 +350,15 @@
 	e.notifyWaiters()
 }
 
+// newPlacer returns the selector of a service. Upstreams are compared and paced only
+// where the settings ask for it.
+func (e *Edge) newPlacer() *dfplace.Selector {
+	if !e.options.OutlierEjection {
+		return dfplace.NewWithPace(dfpace.NewDisabled())
+	}
+	return dfplace.NewWithPace(dfpace.New(dfpace.Gradient{}, e.random.Float64))
+}
+
 func (e *Edge) updatePool(now dfclock.Millis, s *service, upstream dffleet.Upstream) {
 	pool := s.pools[upstream.ID]
 	if pool != nil && (pool.Upstream().Born != upstream.Born || pool.Upstream().Address != upstream.Address) {
@@ -355,6 +368,10 @@
 	}
 	s.placer.Put(upstream.ID, upstream.DataCentre == e.options.Self.DataCentre, upstream.Slots)
 	if pool == nil {
+		s.placer.SetHosts(e.neighbours.HostCount(now))
+		if upstream.Warming {
+			s.placer.StartPace(now, upstream.ID)
+		}
 		random := rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
 		plan := e.connectionPlan(now, s, upstream.ID)
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
@@ -371,6 +388,8 @@
 	}
 	e.log.Info().Str("Service", s.name).Str("Before", string(s.leader)).Str("Leader", string(leader.ID)).
 		Stringer("Entry", leader.Version).Msg("fleet: another upstream leads")
+	// A replica that is promoted is warm unless it has just started.
+	s.placer.SetLeader(now, leader.ID, s.leader != "" && leader.Warming)
 	s.leader = leader.ID
 	s.timeline.Discard()
 	e.counters.leaderChanges.Inc()
@@ -456,6 +475,6 @@
 		s.fullAt[id] = now
 		return
 	}
-	s.placer.RecordFailure(now, id)
+	s.placer.RecordConnectionLost(now, id)
 	s.successor.Handle(now, dfsuccession.ConnectionFailed{ID: id})
 }
