Ask the next carrier before a statement is refused for lack of a connection

The other identity tests failed because their organisations had limits, and a host that has just started gets no tokens for 0.6 s. Ruled out: a weaker expectation.

--- a/dfedge/capacity_test.go
+++ b/dfedge/capacity_test.go
@@ -23,6 +23,8 @@
 	replica := target{connRoute: connRoute{queued: true, acquireTimeout: 240}, upstream: "u"}
 	leader, unqueued := replica, replica
 	leader.needsProof, unqueued.queued = true, false
+	firstOfTwo := leader
+	firstOfTwo.hasNext = true
 	cases := map[string]struct {
 		to      target
 		err     error
@@ -33,6 +35,8 @@
 		"a replica, after the wait":           {replica, full, 1000, true},
 		"the leader, which has no substitute": {leader, full, 1200, true},
 		"a carrier without a connection":      {replica, dfresult.NewError(dfresult.NoConnection, "upstream u"), 1000, true},
+		"the first of two carriers":           {firstOfTwo, dfresult.NewError(dfresult.NoConnection, "upstream u"), 1000, false},
+		"the first of two, with a full queue": {firstOfTwo, full, 1000, true},
 		"a broken connection":                 {replica, eris.New("connection: receive: timeout"), 1000, false},
 		"a replica that is behind":            {replica, dfresult.NewError(dfresult.NoFreshUpstream, "u"), 1000, false},
 		"a host that does not queue":          {unqueued, full, 1000, false},
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -245,6 +245,10 @@
 		why = why.WithRetryAfter(to.acquireTimeout)
 	}
 	req.capacityRefusal = why
+	if to.hasNext && why.Code == dfresult.NoConnection {
+		// Another carrier of the organisation may have a connection.
+		return nil
+	}
 	if to.needsProof || e.options.Now() >= req.admitBy {
 		return why
 	}
