--- a/dfconnection/organisation_test.go
+++ b/dfconnection/organisation_test.go
@@ -123,13 +123,13 @@
 			lastWaiter++
 			arrivedAt[lastWaiter] = now
 			result.arrived++
-			tenant := drawOrganisation()
+			organisation := drawOrganisation()
 			host := 0
-			for hosts[host].ID != carrierOf[tenant][0].ID {
+			for hosts[host].ID != carrierOf[organisation][0].ID {
 				host++
 			}
 			handle(now, host, dfpool.Acquire{
-				Waiter: lastWaiter, Organisation: fmt.Sprintf("organisation-%d", tenant), Deadline: now.Add(organisationWaitBound),
+				Waiter: lastWaiter, Organisation: fmt.Sprintf("organisation-%d", organisation), Deadline: now.Add(organisationWaitBound),
 			})
 		}
 		if now%50 == 0 {
