List that carriers of organisations do not queue statements

Cause: Edge.admissionLimit asks for UseCarrier only, so where connections belong to organisations there is no admission at the carrier, and the check of the expected wait is skipped because the route says that the statement is queued.

--- a/dfedge/capacity_test.go
+++ b/dfedge/capacity_test.go
@@ -8,6 +8,7 @@
 
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfconnection"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfquota"
 	"dragonflygrade/dfresult"
@@ -101,3 +102,21 @@
 		})
 	}
 }
+
+// Guards against carriers of organisations that take statements as queued, so that no
+// expected wait is checked, and have no queue for them.
+func TestOrganisationCarriersQueueStatements(t *testing.T) {
+	n := newCarrierNetwork(t, 4, newCatalog(3))
+	carriers := 0
+	for _, e := range n.hosts {
+		now, s := BootTime(), e.services["orders"]
+		plan := e.connectionPlan(now, s, "u")
+		use := e.connectionUse(now, s, "u", plan)
+		if use != dfconnection.UseOrganisationCarrier {
+			continue
+		}
+		carriers++
+		require.Positive(t, e.admissionLimit("u", plan, use))
+	}
+	require.Positive(t, carriers)
+}
