Queue statements at the carriers of organisations

Cause: Edge.admissionLimit named UseCarrier only, so carriers of organisations had no queue, while connRouteTo marked their statements as queued and skipped the check of the expected wait. Ruled out: a missing limit in the plan, which was computed. Change: the limit applies to UseOrganisationCarrier too.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -286,7 +286,7 @@
 // admissionLimit returns how many statements this host may run at an upstream at once,
 // or zero if it does not queue them.
 func (e *Edge) admissionLimit(id dffleet.ID, plan dfforward.Plan, use dfconnection.Use) int {
-	if use != dfconnection.UseCarrier {
+	if use != dfconnection.UseCarrier && use != dfconnection.UseOrganisationCarrier {
 		return 0
 	}
 	upstream, _ := e.fleet.Find(id)
