Drop the statements of callers that leave

Cause: a host noticed that a caller was gone when it wrote the answer. A fifth of the callers of one deployment leave early; until then their statements kept places in the queues of carriers, waited for connections and tokens, and took slots.

Ruled out: closing the connection to the carrier, because the next request then dials again; a further field of the request, because a request without calls had no meaning yet and costs 13 bytes; reading ahead from the caller, because a closed connection behind pipelined statements would stay unseen. The kernel's state of the connection shows it.

Change: a host watches the caller's connection while it executes a call, where organisations are in force or the contracts have health. Waits for a token, a leader, a pace, a place in the queue and a connection end when the caller leaves, with the new code CallerLeft (1013, not run). The client of a carrier cancels its request on the same connection, and the carrier frees the place. Statements that were sent go on as before. A carrier also frees the places of a client host that dies.

--- a/dfconnection/admission_test.go
+++ b/dfconnection/admission_test.go
@@ -1,6 +1,7 @@
 package dfconnection
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 
 func mustAcquire(t *testing.T, pool *Pool, organisation string, priority int) *Conn {
 	t.Helper()
-	conn, err := pool.Acquire(organisation, priority, pool.clock().Add(10*dfclock.Second))
+	conn, err := pool.Acquire(context.Background(), organisation, priority, pool.clock().Add(10*dfclock.Second))
 	require.NoError(t, err)
 	return conn
 }
@@ -39,7 +40,7 @@
 	started := make(chan int, 2)
 	for i, priority := range []int{5, 0} {
 		go func() {
-			conn, err := pool.Acquire("a", priority, pool.clock().Add(10*dfclock.Second))
+			conn, err := pool.Acquire(context.Background(), "a", priority, pool.clock().Add(10*dfclock.Second))
 			if err != nil {
 				started <- -1
 				return
--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"dragonflygrade/dfadmission"
 	"dragonflygrade/dfclock"
@@ -264,9 +263,7 @@
 	}
 	closed := false
 	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, recvErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n > 0 || recvErr == nil || !eris.Is(recvErr, unix.EAGAIN)
+		closed = readable(int(fd))
 	})
 	return closed || err != nil
 }
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -146,18 +146,24 @@
 }
 
 // Acquire returns a connection that was opened in the name of an organisation, or of
-// none if it is empty. Otherwise it returns an error whose outcome is "not run".
-func (p *Pool) Acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
-	admission, admitted, err := p.admit(organisation, priority, deadline)
+// none if it is empty. Otherwise it returns an error whose outcome is "not run". caller
+// ends when the caller of the statement leaves, which then gives up its place.
+func (p *Pool) Acquire(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
+	admission, admitted, err := p.admit(caller, organisation, priority, deadline)
 	if err != nil {
 		return nil, err
 	}
 	for {
-		conn, err := p.acquire(organisation, priority, deadline)
+		conn, err := p.acquire(caller, organisation, priority, deadline)
 		if err != nil {
 			admitted(false)
 			return nil, err
 		}
+		if caller.Err() != nil {
+			admitted(false)
+			p.Release(conn, true)
+			return nil, p.errCallerLeft()
+		}
 		if !conn.ClosedByUpstream() {
 			conn.admission, conn.admitted = admission, admitted
 			return conn, nil
@@ -167,15 +173,25 @@
 	}
 }
 
+func (p *Pool) errCallerLeft() *dfresult.Error {
+	return dfresult.NewError(dfresult.CallerLeft, "before the statement was sent to upstream %s", p.upstream.ID)
+}
+
 // admit waits until a statement may start.
-func (p *Pool) admit(organisation string, priority int, deadline dfclock.Millis) (*dfadmission.Controller, dfadmission.Release, error) {
+func (p *Pool) admit(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (*dfadmission.Controller, dfadmission.Release, error) {
 	p.mu.Lock()
 	admission := p.admission
 	p.mu.Unlock()
 	if admission == nil {
 		return nil, func(bool) {}, nil
 	}
-	release, err := admission.Admit(p.ctx, dfadmit.Request{Caller: organisation, Priority: priority, Deadline: deadline})
+	ctx, cancel := context.WithCancel(caller)
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)()
+	release, err := admission.Admit(ctx, dfadmit.Request{Caller: organisation, Priority: priority, Deadline: deadline})
+	if err != nil && caller.Err() != nil {
+		return nil, nil, p.errCallerLeft()
+	}
 	return admission, release, err
 }
 
@@ -199,16 +215,17 @@
 	}
 }
 
-func (p *Pool) acquire(organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
+func (p *Pool) acquire(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
 	results := make(chan acquireResult, 1)
 	p.mu.Lock()
 	p.lastWaiter++
-	p.waiting[p.lastWaiter] = results
+	waiter := p.lastWaiter
+	p.waiting[waiter] = results
 	p.perform(p.policy.Handle(p.clock(), dfpool.Acquire{
-		Waiter: p.lastWaiter, Organisation: organisation, Priority: priority, Deadline: deadline,
+		Waiter: waiter, Organisation: organisation, Priority: priority, Deadline: deadline,
 	}))
 	p.mu.Unlock()
-	result := p.awaitResult(results)
+	result := p.awaitResult(caller, waiter, results)
 	if result.err != nil {
 		return nil, result.err
 	}
@@ -217,7 +234,7 @@
 
 // awaitResult waits for the result of an acquisition. After openDelay it makes
 // the pool consider another connection.
-func (p *Pool) awaitResult(results chan acquireResult) acquireResult {
+func (p *Pool) awaitResult(caller context.Context, waiter dfpool.WaiterID, results chan acquireResult) acquireResult {
 	select {
 	case result := <-results:
 		return result
@@ -225,7 +242,19 @@
 	}
 	timer := time.AfterFunc(time.Duration(openDelay)*time.Millisecond, func() { p.handle(dfpool.Tick{}) })
 	defer timer.Stop()
-	return <-results
+	select {
+	case result := <-results:
+		return result
+	case <-caller.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting[waiter] == nil {
+		return <-results
+	}
+	delete(p.waiting, waiter)
+	p.perform(p.policy.Handle(p.clock(), dfpool.Cancelled{Waiter: waiter}))
+	return acquireResult{err: p.errCallerLeft()}
 }
 
 // Release returns a connection to the pool. reusable is false if its state is
--- a/dfconnection/startup_test.go
+++ b/dfconnection/startup_test.go
@@ -68,7 +68,7 @@
 			start.Wait()
 		}
 		start.Go(func() {
-			if conn, err := pools[i].Acquire("", 0, clock().Add(10)); err == nil {
+			if conn, err := pools[i].Acquire(context.Background(), "", 0, clock().Add(10)); err == nil {
 				pools[i].Release(conn, true)
 			}
 		})
@@ -79,7 +79,7 @@
 	for _, pool := range pools[hosts-carriers:] {
 		for range each {
 			callers.Go(func() {
-				_, err := pool.Acquire("", 0, clock().Add(dfclock.Second))
+				_, err := pool.Acquire(context.Background(), "", 0, clock().Add(dfclock.Second))
 				held <- err == nil
 			})
 		}
--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -29,6 +29,7 @@
 	statementsForwarded *metrics.Counter
 	statementsCarried   *metrics.Counter
 	carriersLost        *metrics.Counter
+	callersLeft         *metrics.Counter
 	logLinesDropped     *metrics.Counter
 	feedHistoryLost     *metrics.Counter
 	entriesIgnored      *metrics.Counter
@@ -60,6 +61,7 @@
 		statementsForwarded: set.NewCounter("dragonflygrade_edge_forwarded_total"),
 		statementsCarried:   set.NewCounter("dragonflygrade_edge_carried_total"),
 		carriersLost:        set.NewCounter("dragonflygrade_edge_carriers_lost_total"),
+		callersLeft:         set.NewCounter("dragonflygrade_edge_callers_left_total"),
 		logLinesDropped:     set.NewCounter("dragonflygrade_edge_log_lines_dropped_total"),
 		feedHistoryLost:     set.NewCounter("dragonflygrade_edge_feed_history_lost_total"),
 		entriesIgnored:      set.NewCounter("dragonflygrade_edge_fleet_entries_ignored_total"),
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -402,8 +402,9 @@
 	e.changed = make(chan struct{})
 }
 
-// waitForChange returns when changed is closed, or at the given time.
-func (e *Edge) waitForChange(changed chan struct{}, until dfclock.Millis) {
+// waitForChange returns when changed is closed, when departure ends because the caller
+// leaves, or at the given time.
+func (e *Edge) waitForChange(departure context.Context, changed chan struct{}, until dfclock.Millis) {
 	wait := until - e.options.Now()
 	if wait <= 0 {
 		return
@@ -412,6 +413,7 @@
 	defer timer.Stop()
 	select {
 	case <-changed:
+	case <-departure.Done():
 	case <-timer.C:
 	}
 }
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -30,7 +30,7 @@
 func (e *Edge) acquire(req *routeRequest, to target, priority int) (*attempt, error) {
 	a := &attempt{target: to, led: e.statementStarted(req.service, to.upstream)}
 	now := e.options.Now()
-	conn, err := to.source.acquire(req.organisation, priority, min(req.deadline, now.Add(to.acquireTimeout)))
+	conn, err := to.source.acquire(req.caller(), req.organisation, priority, min(req.deadline, now.Add(to.acquireTimeout)))
 	if err != nil {
 		e.statementEnded(req.service, to.upstream, a.led, false)
 		req.recordRefusal(to, err)
@@ -71,8 +71,8 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		isCapacity := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed)
-		if !req.recordRefusal(a.target, err) && !isCapacity {
+		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft)
+		if !req.recordRefusal(a.target, err) && !ownCause {
 			e.carrierRefused(req.service, a.upstream)
 		}
 	case errors.As(err, &carrierLost):
@@ -124,7 +124,7 @@
 		return
 	}
 	if to.needsProof {
-		e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
+		e.waitForChange(req.caller(), nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 		return
 	}
 	req.avoid = append(req.avoid, to.upstream)
@@ -190,6 +190,10 @@
 	if err := e.openTransaction(req, a, sess.sessionState, dfstatement.Call{Statement: dfstatement.Begin{}}); err != nil {
 		return dfstatement.Answer{}, err
 	}
+	if req.caller().Err() != nil {
+		e.rollBack(req, a)
+		return dfstatement.Answer{}, errCallerLeft(req)
+	}
 	answers, err := e.send(req, a, sess.sessionState, call, dfstatement.Call{Statement: dfstatement.Rollback{}})
 	if err != nil {
 		e.abandon(req, a, err)
@@ -228,7 +232,7 @@
 			if refusal := e.refuseForCapacity(req, to, err); refusal != nil {
 				return sess.refused(call, refusal, last)
 			}
-			e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
+			e.waitForChange(req.caller(), nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 			continue
 		}
 		answers, err := e.send(req, a, sess.sessionState, call)
@@ -241,7 +245,7 @@
 			if refusal := e.refuseForCapacity(req, to, err); refusal != nil {
 				return sess.refused(call, refusal, last)
 			}
-			e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
+			e.waitForChange(req.caller(), nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 			continue
 		}
 		answer := answers[0]
@@ -259,7 +263,7 @@
 		}
 		last = dfresult.NewError(answer.Code, "%s", answer.Detail)
 		sess.logRetry(call, a.upstream, last)
-		e.waitForChange(nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
+		e.waitForChange(req.caller(), nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 	}
 	return sess.refused(call, last, last)
 }
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -98,17 +98,19 @@
 	if req.targetLatency > 0 {
 		wait = req.targetLatency * admitWaitPercent / 100
 	}
-	verdict := e.admit(req.organisation, catalog, min(e.options.Now().Add(wait), req.deadline))
-	refused, ok := verdict.(dfquota.Refused)
-	if !ok {
-		return nil
-	}
-	return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(refused.RetryAfter)
+	verdict := e.admit(req.caller(), req.organisation, catalog, min(e.options.Now().Add(wait), req.deadline))
+	switch v := verdict.(type) {
+	case dfquota.Refused:
+		return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(v.RetryAfter)
+	case dfquota.Withdrawn:
+		return errCallerLeft(req)
+	}
+	return nil
 }
 
 // admit decides on an operation of an organisation. It waits for a token until the
-// given time at most.
-func (e *Edge) admit(organisation string, catalog dfcatalog.Catalog, until dfclock.Millis) dfquota.Verdict {
+// given time at most, and until departure ends because the caller leaves.
+func (e *Edge) admit(departure context.Context, organisation string, catalog dfcatalog.Catalog, until dfclock.Millis) dfquota.Verdict {
 	q := e.quota
 	q.mu.Lock()
 	now := e.options.Now()
@@ -125,11 +127,15 @@
 	e.quota.wakeUp()
 	q.mu.Unlock()
 	if decided != nil {
-		verdict = <-decided
+		ticket := verdict.(dfquota.Waiting).Ticket
+		verdict = q.await(departure, organisation, ticket, decided)
 	}
 	event := "used"
-	if _, refused := verdict.(dfquota.Refused); refused {
+	switch verdict.(type) {
+	case dfquota.Refused:
 		event = "refused"
+	case dfquota.Withdrawn:
+		return verdict
 	}
 	q.mu.Lock()
 	e.countQuota(event, organisation, 1)
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -1,6 +1,7 @@
 package dfedge
 
 import (
+	"context"
 	"errors"
 
 	"dragonflygrade/dfcatalog"
@@ -31,6 +32,9 @@
 type routeRequest struct {
 	service   *service
 	freshness dfcatalog.Freshness
+	// departure ends when the caller leaves. It is nil if the caller is not watched, or
+	// if the host itself is the caller.
+	departure context.Context
 	// organisation is the name of the caller's organisation, or empty.
 	organisation string
 	// arrivedAt is when the statement, or its transaction, arrived.
@@ -75,12 +79,16 @@
 func (waitUntil) decision() {}
 func (refuse) decision()    {}
 
-// selectTarget waits until the plan returns a target or refuses the statement.
+// selectTarget waits until the plan returns a target or refuses the statement, or the
+// caller leaves.
 func (e *Edge) selectTarget(req *routeRequest, plan func(*routeRequest) decision) (target, *dfresult.Error) {
 	for {
+		if req.caller().Err() != nil {
+			return target{}, errCallerLeft(req)
+		}
 		switch next := plan(req).(type) {
 		case waitUntil:
-			e.waitForChange(next.changed, next.until)
+			e.waitForChange(req.caller(), next.changed, next.until)
 		case refuse:
 			return target{}, next.err
 		case sendTo:
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -1,6 +1,7 @@
 package dfedge
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -45,6 +46,9 @@
 	closing bool
 	// ended ends the session after the answer to the current call.
 	ended bool
+	// departure ends when the caller leaves while the current call is executed. It is nil
+	// if the caller is not watched.
+	departure context.Context
 }
 
 // serveCaller runs a session until the caller disconnects.
@@ -108,7 +112,7 @@
 		if failure == nil || failure.Code != dfresult.ConfigurationAbsent || e.options.Now() >= until {
 			return failure
 		}
-		e.waitForChange(changed, until)
+		e.waitForChange(context.Background(), changed, until)
 	}
 }
 
@@ -143,7 +147,9 @@
 	}
 	started := sess.edge.options.Now()
 	sess.edge.awaitVersion()
+	stop := sess.watchCaller()
 	answer := sess.execute(call, started)
+	stop()
 	sess.edge.counters.recordStatement(answer, sess.edge.options.Now()-started)
 	return sess.caller.WriteAnswer(answer) == nil && !sess.ended
 }
@@ -286,6 +292,7 @@
 	req := &routeRequest{
 		service:       sess.edge.services[sess.route.Service],
 		freshness:     sess.route.Freshness,
+		departure:     sess.departure,
 		organisation:  sess.organisation,
 		arrivedAt:     beganAt,
 		deadline:      now.Add(sess.route.Timeout),
@@ -315,6 +322,10 @@
 	if sess.tx != nil {
 		state = dfstatement.FailedTransaction
 	}
+	if err.Code == dfresult.CallerLeft {
+		sess.edge.counters.callersLeft.Inc()
+		return dfstatement.Failure(err.Code, err.Error(), state)
+	}
 	sess.edge.logFailure(call, sess.route, "request: refused", err.Code, err.Error(), last.Error(), err.RetryAfter)
 	return dfstatement.Failure(err.Code, refusalDetail(err), state)
 }
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -41,7 +41,9 @@
 type connSource interface {
 	// acquire returns a connection that was opened in the name of an organisation, or
 	// of none if it is empty. Otherwise it returns an error whose outcome is "not run".
-	acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error)
+	// caller ends when the caller of the statement leaves, which then gives up its
+	// place, unless the statement was sent to the upstream.
+	acquire(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error)
 }
 
 // poolSource provides this host's own connections.
@@ -49,8 +51,8 @@
 	pool *dfconnection.Pool
 }
 
-func (p poolSource) acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
-	conn, err := p.pool.Acquire(organisation, priority, deadline)
+func (p poolSource) acquire(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
+	conn, err := p.pool.Acquire(caller, organisation, priority, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -80,8 +82,8 @@
 	clock    dfconnection.Clock
 }
 
-func (c carrierSource) acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
-	return c.client.Conn(c.upstream, organisation, priority, max(0, deadline-c.clock())), nil
+func (c carrierSource) acquire(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
+	return c.client.Conn(caller, c.upstream, organisation, priority, max(0, deadline-c.clock())), nil
 }
 
 // connectionPlan returns how the hosts share the connections to an upstream of a
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -186,6 +186,10 @@
 	if err := e.openTransaction(t.request, a, nil, t.beginCall(to)); err != nil {
 		return dfstatement.Answer{}, err
 	}
+	if t.request.caller().Err() != nil {
+		e.rollBack(t.request, a)
+		return dfstatement.Answer{}, errCallerLeft(t.request)
+	}
 	answers, err := e.send(t.request, a, sess.sessionState, call)
 	if err != nil {
 		e.abandon(t.request, a, err)
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -68,10 +68,11 @@
 
 // Conn returns a connection to an upstream through the carrier, in the name of an
 // organisation or of none. The carrier acquires it from its pool with the first
-// exchange.
-func (c *Client) Conn(upstream dffleet.ID, organisation string, priority int, acquireTimeout dfclock.Millis) *Conn {
+// exchange. If caller ends meanwhile, because the caller of the statement left, the
+// exchange is cancelled, unless the carrier has sent it to the upstream.
+func (c *Client) Conn(caller context.Context, upstream dffleet.ID, organisation string, priority int, acquireTimeout dfclock.Millis) *Conn {
 	return &Conn{
-		client: c, upstream: upstream, organisation: organisation, priority: priority, acquireTimeout: acquireTimeout,
+		client: c, caller: caller, upstream: upstream, organisation: organisation, priority: priority, acquireTimeout: acquireTimeout,
 		state: dfstatement.Idle,
 	}
 }
@@ -129,7 +130,9 @@
 // Conn is a connection to an upstream that a carrier lends to this host from the
 // first exchange until it is released. It is used by one goroutine.
 type Conn struct {
-	client         *Client
+	client *Client
+	// caller ends when the caller of the first exchange leaves.
+	caller         context.Context
 	upstream       dffleet.ID
 	organisation   string
 	priority       int
@@ -161,13 +164,17 @@
 		}
 		req.Calls = append(req.Calls, call)
 	}
-	if c.netConn == nil {
+	first := c.netConn == nil
+	if first {
 		if c.netConn, err = c.client.getConn(); err != nil {
 			c.netConn = nil
 			return nil, false, &CarrierError{Carrier: c.client.carrier, Err: err}
 		}
+		if c.caller.Err() != nil {
+			return nil, false, dfresult.NewError(dfresult.CallerLeft, "before the request was sent to carrier %s", c.client.carrier.ID)
+		}
 	}
-	rep, sent, err := c.roundTrip(req, deadline)
+	rep, sent, err := c.roundTrip(req, deadline, first)
 	if err != nil {
 		c.closeNetConn()
 		return nil, sent, &CarrierError{Carrier: c.client.carrier, Err: err}
@@ -175,16 +182,36 @@
 	return c.handleReply(rep)
 }
 
-func (c *Conn) roundTrip(req request, deadline time.Time) (rep reply, sent bool, err error) {
+func (c *Conn) roundTrip(req request, deadline time.Time, cancellable bool) (rep reply, sent bool, err error) {
 	if err := c.netConn.SetDeadline(deadline.Add(replyMargin)); err != nil {
 		return rep, false, err
 	}
 	if err := dfmessage.Write(c.netConn, req); err != nil {
 		return rep, true, err
 	}
+	if cancellable {
+		defer c.cancelWhenCallerLeaves()()
+	}
 	return rep, true, dfmessage.Read(c.netConn, &rep)
 }
 
+// cancelWhenCallerLeaves cancels the request under way once its caller leaves. The
+// returned function ends this. It returns after a cancellation was sent, so that a
+// cancellation never follows a later request.
+func (c *Conn) cancelWhenCallerLeaves() (stop func()) {
+	sent := make(chan struct{})
+	remove := context.AfterFunc(c.caller, func() {
+		defer close(sent)
+		// After a failure the request keeps its place until its admission deadline.
+		_ = dfmessage.Write(c.netConn, request{})
+	})
+	return func() {
+		if !remove() {
+			<-sent
+		}
+	}
+}
+
 func (c *Conn) handleReply(rep reply) ([]dfstatement.Answer, bool, error) {
 	c.state = rep.State
 	c.reports = rep.Reports
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -94,6 +94,8 @@
 	state        dfstatement.State
 	unresponsive bool
 	closed       bool
+	// held delays the answers until it is closed, unless it is nil.
+	held chan struct{}
 }
 
 func (f *fakeTransport) Send(calls []dfstatement.Call) error {
@@ -104,6 +106,12 @@
 }
 
 func (f *fakeTransport) Receive() (dfstatement.Answer, error) {
+	f.mu.Lock()
+	held := f.held
+	f.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unresponsive {
@@ -237,7 +245,7 @@
 // than its BEGIN, and against statements of other clients inside it.
 func TestTransactionKeepsItsConnection(t *testing.T) {
 	h, client := newFakeHost(t)
-	first, second := client.Conn("u", "", 0, 500), client.Conn("u", "", 0, 50)
+	first, second := client.Conn(context.Background(), "u", "", 0, 500), client.Conn(context.Background(), "u", "", 0, 50)
 	_, _, err := first.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
 	require.Equal(t, dfstatement.InTransaction, first.State())
@@ -263,15 +271,15 @@
 func TestOrganisationsShareACarrier(t *testing.T) {
 	h, client := newFakeHost(t)
 	for _, organisation := range []string{"a", "b", "", "a"} {
-		conn := client.Conn("u", organisation, 0, 500)
+		conn := client.Conn(context.Background(), "u", organisation, 0, 500)
 		_, _, err := conn.Exchange(dfconnection.NewSessionState(), inOneSecond(), newCall(dfstatement.Write{Item: organisation}))
 		require.NoError(t, err)
 		conn.Release(true)
 	}
-	open := client.Conn("u", "a", 0, 500)
+	open := client.Conn(context.Background(), "u", "a", 0, 500)
 	_, _, err := open.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
-	other := client.Conn("u", "b", 0, 50)
+	other := client.Conn(context.Background(), "u", "b", 0, 50)
 	_, sent, err := other.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "b"}))
 	require.Error(t, err)
 	require.False(t, sent)
@@ -297,7 +305,7 @@
 // has disconnected.
 func TestLostClientRollsBack(t *testing.T) {
 	h, client := newFakeHost(t)
-	conn := client.Conn("u", "", 0, 500)
+	conn := client.Conn(context.Background(), "u", "", 0, 500)
 	_, _, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
 	require.Equal(t, 1, h.lentCount())
@@ -310,14 +318,14 @@
 func TestCarrierFailures(t *testing.T) {
 	h, client := newFakeHost(t)
 	h.stopped = true
-	conn := client.Conn("u", "", 0, 500)
+	conn := client.Conn(context.Background(), "u", "", 0, 500)
 	_, sent, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	var carrierErr *CarrierError
 	require.ErrorAs(t, err, &carrierErr)
 	require.False(t, sent, "the carrier accepts no statements")
 
 	h.stopped, h.failure = false, dfresult.NewError(dfresult.NoConnection, "upstream is down").WithRetryAfter(200)
-	conn = client.Conn("u", "", 0, 500)
+	conn = client.Conn(context.Background(), "u", "", 0, 500)
 	_, sent, err = conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	var refused *dfresult.Error
 	require.ErrorAs(t, err, &refused)
@@ -327,7 +335,7 @@
 	conn.Release(true)
 
 	h.failure = nil
-	conn = client.Conn("u", "", 0, 500)
+	conn = client.Conn(context.Background(), "u", "", 0, 500)
 	_, _, err = conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Begin{}))
 	require.NoError(t, err)
 	for _, accepted := range h.conns {
@@ -341,7 +349,7 @@
 	dead := NewClient(dfmember.Host{ID: "dead"}, "dead:1", func(context.Context, string) (net.Conn, error) {
 		return nil, eris.New("refused")
 	})
-	_, sent, err = dead.Conn("u", "", 0, 500).Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
+	_, sent, err = dead.Conn(context.Background(), "u", "", 0, 500).Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	require.ErrorAs(t, err, &carrierErr)
 	require.False(t, sent)
 }
@@ -349,7 +357,7 @@
 // Guards against blaming the carrier for a timeout of the upstream.
 func TestUpstreamTimeout(t *testing.T) {
 	h, client := newFakeHost(t)
-	conn := client.Conn("u", "", 0, 500)
+	conn := client.Conn(context.Background(), "u", "", 0, 500)
 	answers, _, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Status{}))
 	require.NoError(t, err)
 	report, err := conn.Report(answers[0])
@@ -359,7 +367,7 @@
 	h.transports[0].mu.Lock()
 	h.transports[0].unresponsive = true
 	h.transports[0].mu.Unlock()
-	conn = client.Conn("u", "", 0, 500)
+	conn = client.Conn(context.Background(), "u", "", 0, 500)
 	_, sent, err := conn.Exchange(nil, inOneSecond(), newCall(dfstatement.Write{Item: "x"}))
 	require.True(t, sent)
 	require.True(t, dfconnection.IsTimeout(err))
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -35,6 +35,8 @@
 type Handler struct {
 	provider PoolProvider
 	clock    dfconnection.Clock
+	// client is the client connection.
+	client net.Conn
 	// pool and conn are the connection of the client's open transaction, or nil.
 	// organisation is the one that the connection belongs to.
 	pool         *dfconnection.Pool
@@ -50,6 +52,7 @@
 // Serve runs requests until the client closes the connection or is idle for too
 // long.
 func (h *Handler) Serve(client net.Conn) {
+	h.client = client
 	defer func() {
 		_ = client.Close()
 		h.release(false)
@@ -66,6 +69,10 @@
 		if err := dfmessage.Read(client, &req); err != nil {
 			return
 		}
+		if req.cancels() {
+			// The request before it was answered in the meantime.
+			continue
+		}
 		if err := dfmessage.Write(client, h.handle(req)); err != nil {
 			return
 		}
@@ -89,7 +96,7 @@
 		}
 		calls = append(calls, statement)
 	}
-	if len(calls) == 0 || !h.accepts(req) {
+	if !h.accepts(req) {
 		return refusedReply(dfresult.NewError(dfresult.ProtocolViolation, "request for upstream %s", req.Upstream))
 	}
 	if h.conn == nil {
@@ -135,9 +142,12 @@
 	return h.conn == nil || h.conn.Upstream() == req.Upstream && h.organisation == req.Organisation
 }
 
-// acquire gets a connection for the client's calls.
+// acquire gets a connection for the client's calls. The client sends nothing before the
+// reply but a cancellation.
 func (h *Handler) acquire(pool *dfconnection.Pool, req request) *dfresult.Error {
-	conn, err := pool.Acquire(req.Organisation, req.Priority, h.clock().Add(min(req.AcquireTimeout, req.Timeout)))
+	caller, stop := dfconnection.UntilMessage(h.client)
+	defer stop()
+	conn, err := pool.Acquire(caller, req.Organisation, req.Priority, h.clock().Add(min(req.AcquireTimeout, req.Timeout)))
 	if err != nil {
 		return dfresult.FromError(err, dfresult.NoConnection)
 	}
--- a/dfforward/message.go
+++ b/dfforward/message.go
@@ -12,8 +12,10 @@
 )
 
 // request asks a carrier to run calls on one connection to an upstream. The
-// client keeps the connection while a transaction is open. Fields of messages
-// are encoded by position.
+// client keeps the connection while a transaction is open. A request without calls
+// cancels the request before it, as long as the carrier has sent nothing to the
+// upstream. It has no reply; the cancelled request has one. Fields of messages are
+// encoded by position.
 type request struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream dffleet.ID
@@ -30,6 +32,11 @@
 	Organisation string
 }
 
+// cancels reports whether the request cancels the one before it.
+func (r request) cancels() bool {
+	return len(r.Calls) == 0
+}
+
 // reply answers a request.
 type reply struct {
 	_ struct{} `cbor:",toarray"`
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -54,6 +54,7 @@
 	ConnectionLimit Code = 1010
 	WrongUpstream   Code = 1011
 	OverLimit       Code = 1012
+	CallerLeft      Code = 1013
 
 	CommitUnknown     Code = 1101
 	ConnectionLost    Code = 1102
@@ -115,6 +116,7 @@
 	ConnectionLimit:       {NotRun, "53300", "the upstream has reached its limit of connections"},
 	WrongUpstream:         {NotRun, "57P03", "another upstream answers at the address"},
 	OverLimit:             {NotRun, "53400", "the organisation has reached its limit"},
+	CallerLeft:            {NotRun, "57014", "the caller closed its connection before the request ran"},
 	CommitUnknown:         {Unknown, "40003", "the commit was sent and its result is not known"},
 	ConnectionLost:        {Unknown, "08007", "the connection to the upstream was lost during the request"},
 	TransactionLost:       {NotRun, "40001", "the transaction was rolled back because its connection was lost"},
