Spread the callers that come back after a refusal

Cause: a refusal gave the expected wait of its moment as the time to come back, 0 where nothing was known, and times beyond the caller's end.

Change: dfadmit.Returns decides, in the order of the refusals, as fast as the callers can be served, never 0 and never beyond half of the remaining time. Queues of carriers use it, and hosts for refusals of their own: no leader, no majority, the pace, the expected wait, the limit of an organisation. It acts where organisations are in force or the contracts have health.

--- a/dfadmission/controller.go
+++ b/dfadmission/controller.go
@@ -154,6 +154,13 @@
 	a.advance()
 }
 
+// SetSpreadReturns sets whether callers that are refused come back one after the other.
+func (a *Controller) SetSpreadReturns(spread bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetSpreadReturns(spread)
+}
+
 // Close stops the timer.
 func (a *Controller) Close() {
 	a.mu.Lock()
--- a/dfadmit/load_test.go
+++ b/dfadmit/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfresult"
 )
 
 // upstreamSlots is the number of statements that the modelled upstream runs at once.
@@ -96,23 +98,51 @@
 	// longestRefusal is the longest time from a request's arrival to its refusal, as a
 	// multiple of its patience.
 	longestRefusal float64
+	// returns counts the refused callers who came back, in steps of 10 ms, and outside the
+	// times to come back that were 0 or beyond half of the caller's remaining time.
+	returns map[dfclock.Millis]int
+	outside int
 }
 
-// play runs a load for 20 s against the queue.
-func (l *scriptedLoad) play(q *Queue) loadResult {
-	random := rand.New(rand.NewPCG(7, 11))
+// peakReturns returns the most callers who came back in 10 ms as a multiple of the mean.
+func (r loadResult) peakReturns() float64 {
+	most, sum := 0, 0
+	for _, count := range r.returns {
+		most, sum = max(most, count), sum+count
+	}
+	return float64(most) / float64(sum) * float64(loadSpan/10)
+}
+
+// loadSpan is the duration of a play. Callers who come back do so returnTrip after the
+// time that they were given, and give up after patienceFactor times their target.
+const (
+	loadSpan       = 20 * dfclock.Second
+	returnTrip     = 2 * dfclock.Millisecond
+	patienceFactor = 8
+)
+
+// loadCaller is the caller of a request.
+type loadCaller struct {
+	loadClass
+	organisation       string
+	retries            int
+	arrived, givesUpAt dfclock.Millis
+}
+
+// play runs a load against the queue. Refused callers come back up to maxRetries times.
+func (l *scriptedLoad) play(q *Queue, seed uint64, maxRetries int) loadResult {
+	random := rand.New(rand.NewPCG(seed, 11))
 	r := loadResult{
-		asked: map[string]int{}, served: map[string]int{}, servedWork: map[string]float64{},
+		returns: map[dfclock.Millis]int{},
+		asked:   map[string]int{}, served: map[string]int{}, servedWork: map[string]float64{},
 		refusedAt: map[int]int{}, servedAt: map[int]int{},
 	}
 	type running struct {
-		request        Request
-		arrived, until dfclock.Millis
-		work           float64
+		request Request
+		until   dfclock.Millis
+		work    float64
 	}
-	const end = 20 * dfclock.Second
-	arrivals := map[uint64]dfclock.Millis{}
-	classOf := map[uint64]loadClass{}
+	callers, due := map[uint64]loadCaller{}, map[dfclock.Millis][]loadCaller{}
 	var active []running
 	rate := l.factor * upstreamSlots / l.meanWork()
 	shares := 0
@@ -120,13 +150,39 @@
 		shares += o.share
 	}
 	id, work := uint64(0), 0.0
-	for now := dfclock.Millis(1); now < end; now++ {
+	for now := dfclock.Millis(1); now < loadSpan; now++ {
 		lessUrgentStarted, mostUrgentRefused := false, false
-		refuse := func(request Request) {
+		refuse := func(request Request, err *dfresult.Error) {
+			c := callers[request.ID]
 			r.refusedAt[request.Priority]++
 			mostUrgentRefused = mostUrgentRefused || request.Priority == l.classes[0].priority
-			patience := classOf[request.ID].target * 60 / 100
-			r.longestRefusal = max(r.longestRefusal, float64(now-arrivals[request.ID])/float64(patience))
+			r.longestRefusal = max(r.longestRefusal, float64(now-c.arrived)/float64(c.target*60/100))
+			after := FitReturn(err.RetryAfter, c.givesUpAt-now)
+			if q.returns == nil {
+				after = err.RetryAfter
+			}
+			if after <= 0 || after > max(1, (c.givesUpAt-now)/2) {
+				r.outside++
+			}
+			at := now + after + returnTrip
+			if c.retries++; c.retries <= maxRetries && at < min(c.givesUpAt, loadSpan) {
+				due[at] = append(due[at], c)
+				r.returns[at/10]++
+			}
+		}
+		arrive := func(c loadCaller) {
+			id++
+			request := Request{ID: id, Caller: c.organisation, Priority: c.priority, Deadline: now + c.target*60/100}
+			c.arrived = now
+			callers[id] = c
+			r.asked[c.organisation]++
+			var refusal *dfresult.Error
+			if errors.As(q.Enqueue(now, request), &refusal) {
+				refuse(request, refusal)
+			}
+		}
+		for _, c := range due[now] {
+			arrive(c)
 		}
 		kept := active[:0]
 		for _, run := range active {
@@ -135,7 +191,7 @@
 				continue
 			}
 			q.Finish(now, run.request.ID, false)
-			if c := classOf[run.request.ID]; now-run.arrived <= c.target {
+			if c := callers[run.request.ID]; now-c.arrived <= c.target {
 				r.served[run.request.Caller]++
 				r.servedWork[run.request.Caller] += run.work
 				r.servedAt[run.request.Priority]++
@@ -155,31 +211,25 @@
 						}
 					}
 				}
-				id++
-				request := Request{ID: id, Caller: o.name, Priority: c.priority, Deadline: now + c.target*60/100}
-				arrivals[id], classOf[id] = now, c
-				r.asked[o.name]++
-				if q.Enqueue(now, request) != nil {
-					refuse(request)
-				}
+				arrive(loadCaller{loadClass: c, organisation: o.name, givesUpAt: now + patienceFactor*c.target})
 			}
 		}
 		for action, ok := q.Next(now); ok; action, ok = q.Next(now) {
 			switch a := action.(type) {
 			case Start:
-				c := classOf[a.Request.ID]
+				c := callers[a.Request.ID]
 				took := dfclock.Millis(1 + random.ExpFloat64()*float64(c.work-1))
-				active = append(active, running{request: a.Request, arrived: arrivals[a.Request.ID], until: now + took, work: float64(took)})
+				active = append(active, running{request: a.Request, until: now + took, work: float64(took)})
 				lessUrgentStarted = lessUrgentStarted || c.priority > l.classes[0].priority
 			case Refuse:
-				refuse(a.Request)
+				refuse(a.Request, a.Error)
 			}
 		}
 		if mostUrgentRefused && lessUrgentStarted {
 			r.inversions++
 		}
 	}
-	r.goodput = work / (float64(end) * upstreamSlots)
+	r.goodput = work / (float64(loadSpan) * upstreamSlots)
 	return r
 }
 
@@ -208,7 +258,7 @@
 func TestLoads(t *testing.T) {
 	for _, l := range readLoads(t) {
 		t.Run(l.name, func(t *testing.T) {
-			r := l.play(newFixedQueue(upstreamSlots, 1000))
+			r := l.play(newFixedQueue(upstreamSlots, 1000), 7, 0)
 			t.Logf("goodput %.3f, served %v of %v, refused by priority %v, inversions %d, longest refusal %.2f",
 				r.goodput, r.served, r.asked, r.refusedAt, r.inversions, r.longestRefusal)
 			require.Zero(t, r.inversions, "a request of the most urgent priority is refused while a less urgent one starts")
--- a/dfadmit/queue.go
+++ b/dfadmit/queue.go
@@ -62,6 +62,9 @@
 	// evicted has the refusals of requests that were removed to make room, until
 	// Next returns them.
 	evicted []Refuse
+	// returns spreads the refused callers, or is nil if all come back after the expected
+	// wait.
+	returns *Returns
 	now     dfclock.Millis
 }
 
@@ -105,7 +108,7 @@
 	// because of an estimate.
 	if q.now >= request.Deadline || ahead > 0 && q.missesDeadline(request, wait) {
 		return dfresult.NewError(dfresult.DeadlinePassed, "%s remain, the expected wait is %s", request.Deadline-q.now, wait).
-			WithRetryAfter(max(1, wait))
+			WithRetryAfter(q.returnAfter(wait))
 	}
 	if len(q.waiting) >= q.options.MaxQueued && !q.evictFor(b, request) {
 		return q.queueFullError()
@@ -223,6 +226,17 @@
 	q.limiter.limit = float64(max(1, limit))
 }
 
+// SetSpreadReturns sets whether callers that are refused come back one after the other,
+// as fast as the queue can take them.
+func (q *Queue) SetSpreadReturns(spread bool) {
+	switch {
+	case !spread:
+		q.returns = nil
+	case q.returns == nil:
+		q.returns = NewReturns(0)
+	}
+}
+
 // Limit returns the current concurrency limit.
 func (q *Queue) Limit() int {
 	return int(q.limiter.limit)
@@ -348,7 +362,15 @@
 
 func (q *Queue) queueFullError() *dfresult.Error {
 	return dfresult.NewError(dfresult.QueueFull, "%d requests wait", len(q.waiting)).
-		WithRetryAfter(max(1, q.limiter.expectedWait(len(q.waiting))))
+		WithRetryAfter(q.returnAfter(q.limiter.expectedWait(len(q.waiting))))
+}
+
+// returnAfter returns when a refused caller comes back that can be served after a wait.
+func (q *Queue) returnAfter(wait dfclock.Millis) dfclock.Millis {
+	if q.returns == nil {
+		return max(1, wait)
+	}
+	return q.returns.After(q.now, wait, MaxReturnDelay, q.limiter.meanServiceTime()/q.limiter.limit)
 }
 
 func (q *Queue) expire(e *entry) Refuse {
@@ -358,7 +380,7 @@
 
 func (q *Queue) refuseLate(request Request) Refuse {
 	err := dfresult.NewError(dfresult.DeadlinePassed, "%s remain after the wait", max(0, request.Deadline-q.now))
-	return Refuse{Request: request, Error: err.WithRetryAfter(max(1, q.limiter.expectedWait(len(q.waiting))))}
+	return Refuse{Request: request, Error: err.WithRetryAfter(q.returnAfter(q.limiter.expectedWait(len(q.waiting))))}
 }
 
 func (q *Queue) remove(e *entry) {
--- a/dfconnection/admission_test.go
+++ b/dfconnection/admission_test.go
@@ -20,7 +20,7 @@
 	startedAt := time.Now()
 	clock := func() dfclock.Millis { return dfclock.Millis(time.Since(startedAt).Milliseconds()) }
 	pool := NewPool(dffleet.Upstream{ID: "u"}, 8, UseCarrier, clock, upstream.opener, func(dffleet.ID, error) {}, rand.New(rand.NewPCG(1, 2)))
-	pool.SetAdmissionLimit(1)
+	pool.SetAdmissionLimit(1, false)
 	t.Cleanup(pool.Close)
 	return pool
 }
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -113,9 +113,11 @@
 
 	mu sync.Mutex
 	// admission orders statements before they get a connection, or is nil if they are
-	// not queued. admissionLimit is its limit.
+	// not queued. admissionLimit and spreadReturns
+	// are its settings.
 	admission      *dfadmission.Controller
 	admissionLimit int
+	spreadReturns  bool
 	use            Use
 	policy         *dfpool.Pool
 	conns          map[dfpool.ConnID]*Conn
@@ -197,14 +199,15 @@
 
 // SetAdmissionLimit sets how many statements may run at the upstream over this pool at
 // once. Further ones are queued by priority and organisation. Zero ends the queueing of
-// new statements.
-func (p *Pool) SetAdmissionLimit(limit int) {
+// new statements. With spreadReturns, callers that are refused come back one after the
+// other.
+func (p *Pool) SetAdmissionLimit(limit int, spreadReturns bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit == p.admissionLimit {
+	if limit == p.admissionLimit && spreadReturns == p.spreadReturns {
 		return
 	}
-	p.admissionLimit = limit
+	p.admissionLimit, p.spreadReturns = limit, spreadReturns
 	switch {
 	case limit == 0:
 		p.admission = nil
@@ -213,6 +216,9 @@
 	default:
 		p.admission.SetLimit(limit)
 	}
+	if p.admission != nil {
+		p.admission.SetSpreadReturns(spreadReturns)
+	}
 }
 
 func (p *Pool) acquire(caller context.Context, organisation string, priority int, deadline dfclock.Millis) (*Conn, error) {
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
+	"dragonflygrade/dfadmit"
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfconnection"
@@ -94,6 +95,9 @@
 	tickedAt  dfclock.Millis
 	resumedAt dfclock.Millis
 	quota     *quota
+	// limitReturns decides when callers come back whose organisation has reached its
+	// limit, by organisation.
+	limitReturns map[string]*dfadmit.Returns
 }
 
 // service is the host's state of one group of upstreams.
@@ -116,6 +120,8 @@
 	leaderStatements int
 	lastReadAt       dfclock.Millis
 	refreshingProof  bool
+	// returns decides when callers come back that this host refuses.
+	returns *dfadmit.Returns
 	// reservedEpoch is the epoch held for the next promotion, or 0. reservedEpochAt
 	// is when it was last reserved, dropped or attempted, and reservingEpoch is
 	// true during an attempt.
@@ -164,6 +170,7 @@
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchangeTriggers: map[string]chan struct{}{},
 		carrierClients:   map[string]*dfforward.Client{},
+		limitReturns:     map[string]*dfadmit.Returns{},
 		quota:            newQuota(options.Self.ID),
 	}, nil
 }
@@ -261,7 +268,7 @@
 			plan := e.connectionPlan(now, s, id)
 			use := e.connectionUse(now, s, id, plan)
 			pool.Tick(e.connectionLimit(now, s, id, plan), use)
-			pool.SetAdmissionLimit(e.admissionLimit(id, plan, use))
+			pool.SetAdmissionLimit(e.admissionLimit(id, plan, use), e.ordersAdmission())
 		}
 	}
 	e.updateReadiness(now)
@@ -329,6 +336,7 @@
 				name: name, placer: e.newPlacer(), successor: dfsuccession.New(now, e.options.Fencing),
 				reservedEpochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 				leaderlessSince: dfclock.Never, termQueriedAt: map[dffleet.ID]dfclock.Millis{},
+				returns: dfadmit.NewReturns(e.random.Float64()),
 			}
 			e.services[name] = s
 		}
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -101,7 +101,7 @@
 	verdict := e.admit(req.caller(), req.organisation, catalog, min(e.options.Now().Add(wait), req.deadline))
 	switch v := verdict.(type) {
 	case dfquota.Refused:
-		return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(v.RetryAfter)
+		return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(e.returnUnderLimit(req, v.RetryAfter))
 	case dfquota.Withdrawn:
 		return errCallerLeft(req)
 	}
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -111,7 +111,7 @@
 	}
 	if !e.leaseValid(now) {
 		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s: no majority of the hosts is in touch", s.name).
-			WithRetryAfter(dfrevocation.LeaseSpan)}
+			WithRetryAfter(e.returnAfter(now, req, dfrevocation.LeaseSpan))}
 	}
 	leader, ok := e.fleet.Leader(now, s.name)
 	if s.leaderPaused {
@@ -122,7 +122,7 @@
 		if pool != nil && s.placer.AvailableIn(now, leader.ID) == 0 {
 			route := e.connRouteTo(now, req, leader.ID)
 			if !route.queued {
-				if err := checkOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
+				if err := e.refuseOverload(now, req, admitWaitPercent, s.placer.ExpectedWait(now, leader.ID)); err != nil {
 					return refuse{err}
 				}
 			}
@@ -137,7 +137,7 @@
 		}
 		// The last attempt to connect failed, or the upstream's queue was full.
 		wait := s.placer.AvailableIn(now, leader.ID)
-		if err := checkOverload(now, req, admitWaitPercent, wait); err != nil {
+		if err := e.refuseOverload(now, req, admitWaitPercent, wait); err != nil {
 			return refuse{err}
 		}
 		return waitUntil{e.changed, min(req.deadline, now.Add(max(wait, refusedRetryDelay)))}
@@ -147,7 +147,8 @@
 		recoveryAt = reported
 	}
 	if recoveryAt >= req.deadline {
-		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s has no leader", s.name).WithRetryAfter(recoveryAt - now)}
+		return refuse{dfresult.NewError(dfresult.NoPrimary, "service %s has no leader", s.name).
+			WithRetryAfter(e.returnAfter(now, req, recoveryAt-now))}
 	}
 	return waitUntil{e.changed, min(req.deadline, now.Add(10*refusedRetryDelay))}
 }
@@ -157,11 +158,22 @@
 // answers, and no other upstream can run the statement now.
 func (e *Edge) awaitPace(now dfclock.Millis, req *routeRequest, delay dfclock.Millis) decision {
 	if now.Add(delay) >= req.deadline {
-		return refuse{dfresult.NewError(dfresult.QueueFull, "service %s: its upstreams are starting", req.service.name).WithRetryAfter(delay)}
+		return refuse{dfresult.NewError(dfresult.QueueFull, "service %s: its upstreams are starting", req.service.name).
+			WithRetryAfter(e.returnAfter(now, req, delay))}
 	}
 	return waitUntil{e.changed, now.Add(delay)}
 }
 
+// refuseOverload does what checkOverload does and decides when the caller comes back.
+// e.mu must be held.
+func (e *Edge) refuseOverload(now dfclock.Millis, req *routeRequest, percent, wait dfclock.Millis) *dfresult.Error {
+	err := checkOverload(now, req, percent, wait)
+	if err == nil {
+		return nil
+	}
+	return err.WithRetryAfter(e.returnAfter(now, req, err.RetryAfter))
+}
+
 // checkOverload refuses a statement whose answer would arrive later than the
 // caller expects. Under load above the capacity of the upstreams, admitted
 // statements are answered on time, and refused callers learn immediately when to
@@ -229,7 +241,7 @@
 	}
 	route := e.connRouteTo(now, req, id)
 	if !route.queued {
-		if err := checkOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
+		if err := e.refuseOverload(now, req, waitPercent, s.placer.ExpectedWait(now, id)); err != nil {
 			return refuse{err}
 		}
 	}
@@ -250,7 +262,9 @@
 		return nil
 	}
 	if why.RetryAfter <= 0 {
-		why = why.WithRetryAfter(to.acquireTimeout)
+		e.mu.Lock()
+		why = why.WithRetryAfter(e.returnAfter(e.options.Now(), req, to.acquireTimeout))
+		e.mu.Unlock()
 	}
 	req.capacityRefusal = why
 	if to.hasNext && why.Code == dfresult.NoConnection {
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -49,6 +49,9 @@
 	// departure ends when the caller leaves while the current call is executed. It is nil
 	// if the caller is not watched.
 	departure context.Context
+	// deadline is when the caller gives up the current call, or Never if this is not
+	// known.
+	deadline dfclock.Millis
 }
 
 // serveCaller runs a session until the caller disconnects.
@@ -147,6 +150,7 @@
 	}
 	started := sess.edge.options.Now()
 	sess.edge.awaitVersion()
+	sess.deadline = dfclock.Never
 	stop := sess.watchCaller()
 	answer := sess.execute(call, started)
 	stop()
@@ -289,13 +293,14 @@
 func (sess *session) newRequest(now, beganAt dfclock.Millis) *routeRequest {
 	sess.edge.mu.Lock()
 	defer sess.edge.mu.Unlock()
+	sess.deadline = now.Add(sess.route.Timeout)
 	req := &routeRequest{
 		service:       sess.edge.services[sess.route.Service],
 		freshness:     sess.route.Freshness,
 		departure:     sess.departure,
 		organisation:  sess.organisation,
 		arrivedAt:     beganAt,
-		deadline:      now.Add(sess.route.Timeout),
+		deadline:      sess.deadline,
 		admitBy:       now.Add(sess.route.Timeout),
 		targetLatency: sess.route.TargetLatency,
 	}
@@ -326,6 +331,7 @@
 		sess.edge.counters.callersLeft.Inc()
 		return dfstatement.Failure(err.Code, err.Error(), state)
 	}
+	err = sess.withReturn(err)
 	sess.edge.logFailure(call, sess.route, "request: refused", err.Code, err.Error(), last.Error(), err.RetryAfter)
 	return dfstatement.Failure(err.Code, refusalDetail(err), state)
 }
--- a/dfforward/departure_test.go
+++ b/dfforward/departure_test.go
@@ -45,7 +45,7 @@
 	} {
 		t.Run(step.name, func(t *testing.T) {
 			h, client := newFakeHost(t)
-			h.pool.SetAdmissionLimit(step.admissionLimit)
+			h.pool.SetAdmissionLimit(step.admissionLimit, false)
 			held, err := h.pool.Acquire(context.Background(), "", 0, now()+1000)
 			require.NoError(t, err)
 			dialed, dial := make(chan net.Conn, 2), client.dial
