--- a/dfconnection/admission_test.go
+++ b/dfconnection/admission_test.go
@@ -1,6 +1,7 @@
 package dfconnection
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,14 +20,14 @@
 	startedAt := time.Now()
 	clock := func() dfclock.Millis { return dfclock.Millis(time.Since(startedAt).Milliseconds()) }
 	pool := NewPool(dffleet.Upstream{ID: "u"}, 8, UseCarrier, clock, upstream.opener, func(dffleet.ID, error) {}, rand.New(rand.NewPCG(1, 2)))
-	pool.SetAdmissionLimit(1)
+	pool.SetAdmissionLimit(1, false)
 	t.Cleanup(pool.Close)
 	return pool
 }
 
 func mustAcquire(t *testing.T, pool *Pool, organisation string, priority int) *Conn {
 	t.Helper()
-	conn, err := pool.Acquire(organisation, priority, pool.clock().Add(10*dfclock.Second))
+	conn, err := pool.Acquire(context.Background(), organisation, priority, pool.clock().Add(10*dfclock.Second))
 	require.NoError(t, err)
 	return conn
 }
@@ -39,7 +40,7 @@
 	started := make(chan int, 2)
 	for i, priority := range []int{5, 0} {
 		go func() {
-			conn, err := pool.Acquire("a", priority, pool.clock().Add(10*dfclock.Second))
+			conn, err := pool.Acquire(context.Background(), "a", priority, pool.clock().Add(10*dfclock.Second))
 			if err != nil {
 				started <- -1
 				return
