Ask every listed leader for its term at the start

Cause: on a platform that does not fence, a replaced leader is listed as the leader beside its successor for a while. A host that starts then, and finds no claim that shows the lowest term that may lead, used the one of the two whose term it learned first, and asked the other only once that one was gone.

Later, the speaker asks a listed leader of unknown term also while it knows another leader.

--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"dragonflygrade/dfclock"
@@ -74,6 +75,7 @@
 		sleep(ctx, feedRetryDelay)
 		return
 	}
+	e.compareLeaders(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, row := range rows {
@@ -94,6 +96,67 @@
 	e.log.Info().Int("Claims", len(rows)).Msg("lease: claims loaded")
 }
 
+// compareLeaders asks for the terms of the listed leaders of each service that has
+// several. Without a claim that shows the lowest term that may lead, this host would use
+// the one whose term it learns first, which may have been replaced. A leader that does
+// not answer within claimsWaitTimeout has mostly crashed.
+func (e *Edge) compareLeaders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(claimsWaitTimeout)*time.Millisecond)
+	defer cancel()
+	answered := map[dffleet.ID]bool{}
+	for ctx.Err() == nil {
+		unknown := e.rivalLeaders(answered)
+		if len(unknown) == 0 {
+			return
+		}
+		e.askForTerms(ctx, unknown, answered)
+		sleep(ctx, tickInterval)
+	}
+}
+
+// rivalLeaders returns the listed leaders that were not asked for their unknown term, of
+// the services that have several listed leaders.
+func (e *Edge) rivalLeaders(answered map[dffleet.ID]bool) []dffleet.Upstream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	var rivals []dffleet.Upstream
+	for _, s := range e.services {
+		listed := 0
+		for _, upstream := range e.fleet.ByService(s.name) {
+			if upstream.Primary {
+				listed++
+			}
+		}
+		for _, upstream := range e.fleet.LeadersOfUnknownTerm(now, s.name) {
+			if listed > 1 && !answered[upstream.ID] {
+				rivals = append(rivals, upstream)
+			}
+		}
+	}
+	return rivals
+}
+
+// askForTerms asks upstreams for their terms at the same time and records which of them
+// answered.
+func (e *Edge) askForTerms(ctx context.Context, upstreams []dffleet.Upstream, answered map[dffleet.ID]bool) {
+	errs := make([]error, len(upstreams))
+	var queries sync.WaitGroup
+	for i, upstream := range upstreams {
+		e.mu.Lock()
+		s := e.services[upstream.Service]
+		e.mu.Unlock()
+		queries.Go(func() { _, errs[i] = e.queryStatus(ctx, s, upstream, statusTimeout, false) })
+	}
+	queries.Wait()
+	for i, upstream := range upstreams {
+		if errs[i] == nil {
+			answered[upstream.ID] = true
+		}
+		e.log.Info().Str("Service", upstream.Service).Str("Upstream", string(upstream.ID)).Err(errs[i]).Msg("lease: term asked for at start")
+	}
+}
+
 // leaseExpiry returns when this host's lease expires unless it is renewed.
 func (e *Edge) leaseExpiry(now dfclock.Millis) dfclock.Millis {
 	at := e.neighbours.QuorumAt(now)
@@ -172,20 +235,25 @@
 }
 
 // nextTermQuery returns an upstream that claims to lead in a term unknown to this
-// host. The speaker queries it; other hosts do so only if they get no leader for
-// a while.
+// host. The speaker queries it, also beside a known leader, whose successor it may be;
+// other hosts do so only if they get no leader for a while.
 func (e *Edge) nextTermQuery(now dfclock.Millis, s *service) (dffleet.Upstream, bool) {
-	if _, led := e.fleet.Leader(now, s.name); led || !e.usesLeases() || s.queryingTerm || !e.neighbours.IsProber(now) {
-		if led {
-			s.leaderlessSince = dfclock.Never
-		}
+	_, led := e.fleet.Leader(now, s.name)
+	if led {
+		s.leaderlessSince = dfclock.Never
+	}
+	if !e.usesLeases() || s.queryingTerm || !e.neighbours.IsProber(now) {
 		return dffleet.Upstream{}, false
 	}
-	s.leaderlessSince = min(s.leaderlessSince, now)
-	if !e.neighbours.IsSpeaker(now) && now-s.leaderlessSince < leaderlessQueryDelay {
+	unverified := e.fleet.LeadersOfUnknownTerm(now, s.name)
+	if !led {
+		s.leaderlessSince = min(s.leaderlessSince, now)
+		unverified = e.fleet.UnverifiedLeaders(now, s.name)
+	}
+	if !e.neighbours.IsSpeaker(now) && (led || now-s.leaderlessSince < leaderlessQueryDelay) {
 		return dffleet.Upstream{}, false
 	}
-	for _, upstream := range e.fleet.UnverifiedLeaders(now, s.name) {
+	for _, upstream := range unverified {
 		if now-s.termQueriedAt[upstream.ID] >= termQueryPause {
 			s.termQueriedAt[upstream.ID] = now
 			s.queryingTerm = true
--- a/dffleet/fleet.go
+++ b/dffleet/fleet.go
@@ -275,6 +275,20 @@
 	return unverified
 }
 
+// LeadersOfUnknownTerm returns the listed upstreams of a service that report themselves
+// as the leader in a term that is unknown. One of them may be the successor of a known
+// leader.
+func (f *Fleet) LeadersOfUnknownTerm(now dfclock.Millis, service string) []Upstream {
+	var unknown []Upstream
+	for _, upstream := range f.ByService(service) {
+		known := f.members[upstream.ID]
+		if upstream.Primary && known.term == 0 && known.lapsedAt == dfclock.Never && known.reportsLeader(now) {
+			unknown = append(unknown, upstream)
+		}
+	}
+	return unknown
+}
+
 // RecordDenial records that an upstream denied being the leader.
 func (f *Fleet) RecordDenial(now dfclock.Millis, id ID) {
 	if known := f.members[id]; known != nil {
