Keep promises in force when the store loses their claims

Cause: a host that starts learns from the claims in the platform's table which promotions may still take effect. A store that comes back from an older copy has lost claims; if all hosts that accepted the notice start again, nobody knows of the order any more. The hosts rewrote the claims only while one of them was alive. The model found two neighbouring holes: a host that has forgotten its promises counted as a contact for the lease of a host that was never told, and a starting host took the claims from such a host.

Ruled out: the epochs (they rise over restores), the list of upstreams (the first list of an era is no evidence of who leads), and a leader that is demoted late (it is no fault where the hosts have leases).

Change: in each era but the first, hosts refuse notices under epochs of earlier eras, drop their reserved epoch and write a record of their promises. A starting host trusts the claims of such an era if more than half of the hosts have a record in it. A host without its promises is no contact, answers no notices, writes no claims and reserves no epoch. Claims are taken only from a host that was in contact with a majority since the own start, or has just loaded them. Nothing changes where the platform fences; a store in its first era is read as before.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -53,10 +53,13 @@
 	// whether its data centre is cut off.
 	isolationKnown bool
 	// claimsLoaded is true once the host knows all hosts and all claims, so that no
-	// promotion order from before its start can surprise it. membersLoaded is true
-	// once it has read the host table.
-	claimsLoaded  bool
-	membersLoaded bool
+	// promotion order from before its start can surprise it, and claimsLoadedAt when it
+	// got so. claimsLost is true if the store has lost claims that no host has written
+	// again. membersLoaded is true once the host has read the host table.
+	claimsLoaded   bool
+	claimsLoadedAt dfclock.Millis
+	claimsLost     bool
+	membersLoaded  bool
 	// compressedDocument is the document for neighbours, or nil until it is first
 	// requested.
 	compressedDocument []byte
@@ -203,6 +206,7 @@
 	go e.quotaLoop(work)
 	if e.usesLeases() {
 		go e.loadClaims(work)
+		go e.keepRecord(work)
 	}
 	go e.acceptCallers(listener)
 	<-ctx.Done()
@@ -329,6 +333,7 @@
 				name: name, placer: e.newPlacer(), successor: dfsuccession.New(now, e.options.Fencing),
 				reservedEpochAt: now, pools: map[dffleet.ID]*dfconnection.Pool{}, fullAt: map[dffleet.ID]dfclock.Millis{},
 				leaderlessSince: dfclock.Never, termQueriedAt: map[dffleet.ID]dfclock.Millis{},
+				voter: dfrevocation.Voter{}.WithLowestEpoch(e.lowestEpoch()),
 			}
 			e.services[name] = s
 		}
--- a/dfedge/era.go
+++ b/dfedge/era.go
@@ -46,6 +46,9 @@
 	if number > e.storeEra.number {
 		e.storeEra.end()
 		e.storeEra = newStoreEra(number)
+		if e.usesLeases() {
+			e.retireEpochs()
+		}
 	}
 }
 
@@ -105,7 +108,7 @@
 func (e *Edge) rewriteClaims(ctx context.Context) error {
 	terms := map[string]dfposition.Term{}
 	e.mu.Lock()
-	if e.neighbours.IsSpeaker(e.options.Now()) {
+	if e.neighbours.IsSpeaker(e.options.Now()) && e.countsAsContactLocked() {
 		for _, s := range e.services {
 			terms[s.name] = e.fleet.MinTerm(s.name)
 		}
--- a/dfedge/lease.go
+++ b/dfedge/lease.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
-	"sync"
-	"time"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
@@ -23,9 +19,6 @@
 	// leaderlessQueryDelay is how long a service has no leader before hosts other
 	// than the speaker query terms too.
 	leaderlessQueryDelay = dfclock.Second
-	// claimsWaitTimeout is how long a host that does not probe waits for a
-	// neighbour to provide the claims.
-	claimsWaitTimeout = 1500 * dfclock.Millisecond
 )
 
 // usesLeases reports whether hosts use leaders only under a lease, because the
@@ -46,117 +39,6 @@
 	return max(e.fleet.LatestLedTerm(s.name)+1, e.fleet.MinTerm(s.name))
 }
 
-// loadClaims loads the promotion claims at startup, because an order can take
-// effect after every host that knew of it has stopped. The host list must be
-// complete as well, since a host that knows only a few hosts would mistake them
-// for a majority. Hosts that do not probe first wait, up to claimsWaitTimeout, to
-// get the claims from hosts that do.
-func (e *Edge) loadClaims(ctx context.Context) {
-	for ctx.Err() == nil {
-		e.mu.Lock()
-		now := e.options.Now()
-		loaded := e.claimsLoaded
-		canRead := e.loaded() && e.membersLoaded && (e.neighbours.IsProber(now) || now-e.startedAt >= claimsWaitTimeout)
-		e.mu.Unlock()
-		if loaded {
-			return
-		}
-		if canRead {
-			e.readClaims(ctx)
-		}
-		time.Sleep(tickInterval)
-	}
-}
-
-func (e *Edge) readClaims(ctx context.Context) {
-	rows, err := e.options.Platform.List(ctx, claimsTable)
-	if err != nil {
-		e.log.Info().Err(err).Msg("lease: cannot read claims")
-		sleep(ctx, feedRetryDelay)
-		return
-	}
-	e.compareLeaders(ctx)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, row := range rows {
-		var last claim
-		if err := json.Unmarshal(row.Value, &last); err != nil {
-			e.log.Warn().Str("Row", row.Key).Err(err).Msg("lease: cannot decode claim")
-			continue
-		}
-		if s := e.services[strings.TrimPrefix(row.Key, claimsTable)]; s != nil {
-			s.voter = s.voter.WithClaim(e.options.Now(), dfrevocation.Notice{
-				Holder: last.Holder, Target: last.Target, Epoch: uint64(row.Version), Term: last.Term,
-			})
-			e.raiseMinTerm(s, last.Term)
-		}
-	}
-	e.claimsLoaded = true
-	e.neighbours.MarkComplete()
-	e.log.Info().Int("Claims", len(rows)).Msg("lease: claims loaded")
-}
-
-// compareLeaders asks for the terms of the listed leaders of each service that has
-// several. Without a claim that shows the lowest term that may lead, this host would use
-// the one whose term it learns first, which may have been replaced. A leader that does
-// not answer within claimsWaitTimeout has mostly crashed.
-func (e *Edge) compareLeaders(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(claimsWaitTimeout)*time.Millisecond)
-	defer cancel()
-	answered := map[dffleet.ID]bool{}
-	for ctx.Err() == nil {
-		unknown := e.rivalLeaders(answered)
-		if len(unknown) == 0 {
-			return
-		}
-		e.askForTerms(ctx, unknown, answered)
-		sleep(ctx, tickInterval)
-	}
-}
-
-// rivalLeaders returns the listed leaders that were not asked for their unknown term, of
-// the services that have several listed leaders.
-func (e *Edge) rivalLeaders(answered map[dffleet.ID]bool) []dffleet.Upstream {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.options.Now()
-	var rivals []dffleet.Upstream
-	for _, s := range e.services {
-		listed := 0
-		for _, upstream := range e.fleet.ByService(s.name) {
-			if upstream.Primary {
-				listed++
-			}
-		}
-		for _, upstream := range e.fleet.LeadersOfUnknownTerm(now, s.name) {
-			if listed > 1 && !answered[upstream.ID] {
-				rivals = append(rivals, upstream)
-			}
-		}
-	}
-	return rivals
-}
-
-// askForTerms asks upstreams for their terms at the same time and records which of them
-// answered.
-func (e *Edge) askForTerms(ctx context.Context, upstreams []dffleet.Upstream, answered map[dffleet.ID]bool) {
-	errs := make([]error, len(upstreams))
-	var queries sync.WaitGroup
-	for i, upstream := range upstreams {
-		e.mu.Lock()
-		s := e.services[upstream.Service]
-		e.mu.Unlock()
-		queries.Go(func() { _, errs[i] = e.queryStatus(ctx, s, upstream, statusTimeout, false) })
-	}
-	queries.Wait()
-	for i, upstream := range upstreams {
-		if errs[i] == nil {
-			answered[upstream.ID] = true
-		}
-		e.log.Info().Str("Service", upstream.Service).Str("Upstream", string(upstream.ID)).Err(errs[i]).Msg("lease: term asked for at start")
-	}
-}
-
 // leaseExpiry returns when this host's lease expires unless it is renewed.
 func (e *Edge) leaseExpiry(now dfclock.Millis) dfclock.Millis {
 	at := e.neighbours.QuorumAt(now)
@@ -209,18 +91,6 @@
 	}
 }
 
-// adoptClaims takes over the promised epochs of a neighbour that has loaded all
-// claims. e.mu must be held.
-func (e *Edge) adoptClaims(states []dfneighbour.LeaderState) {
-	for _, state := range states {
-		if s := e.services[state.Service]; s != nil {
-			s.voter = s.voter.WithEpoch(state.Epoch)
-		}
-	}
-	e.claimsLoaded = true
-	e.neighbours.MarkComplete()
-}
-
 // raiseMinTerm raises the lowest term that may lead a service; leaders of older
 // terms are no longer used. e.mu must be held.
 func (e *Edge) raiseMinTerm(s *service, term dfposition.Term) {
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -100,13 +100,16 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	request := e.newRequest(address)
+	introduced := e.countsAsContact()
 	if conn == nil {
 		opened, err := e.options.Dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		conn = opened
-		request.Host = e.options.Self
+		if introduced {
+			request.Host = e.options.Self
+		}
 	}
 	deadline, _ := ctx.Deadline()
 	askedAt := e.options.Now()
@@ -122,6 +125,10 @@
 	}
 	e.handleReport(askedAt, answer)
 	e.fetchNewerDocument(address, answer)
+	if !introduced {
+		// The next exchange names this host, if it counts as a contact by then.
+		return nil, closeOnError(conn, nil)
+	}
 	return conn, nil
 }
 
@@ -197,13 +204,13 @@
 		QuorumAge:       -1,
 	}
 	if e.usesLeases() {
-		report.ClaimsLoaded = e.claimsLoaded
+		report.ClaimsLoaded = e.claimsAdoptable(now)
 	}
 	if e.needsQuorum() {
 		if at := e.neighbours.QuorumAt(now); at >= 0 {
 			report.QuorumAge = now - at
 		}
-		if sender.DataCentre != e.options.Self.DataCentre {
+		if sender.DataCentre != e.options.Self.DataCentre && e.countsAsContactLocked() {
 			report.Contacts = e.neighbours.Contacts(now)
 		}
 	}
@@ -294,7 +301,7 @@
 		e.adoptNeighbourFleet(report.Upstreams, report.Fleet, report.Host.ID)
 	}
 	e.adoptLeaderStates(now, report.Leaders)
-	if report.ClaimsLoaded && !e.claimsLoaded && e.loaded() {
+	if report.ClaimsLoaded && !e.claimsLoaded && e.loaded() && e.coversOwnPromises(askedAt, report.QuorumAge) {
 		e.adoptClaims(report.Leaders)
 	}
 	for _, state := range report.Leaders {
--- a/dfedge/options.go
+++ b/dfedge/options.go
@@ -177,6 +177,9 @@
 	dfplatform.Table
 	dfplatform.Feeds
 	dfplatform.Orders
+	// Era returns the latest era that was seen in the store's answers, or 0. It rises each
+	// time that the store comes back from an older copy.
+	Era() uint64
 }
 
 // Options are the settings of a host. New validates them.
--- a/dfedge/revocation.go
+++ b/dfedge/revocation.go
@@ -220,6 +220,9 @@
 
 // replyToNotice handles a neighbour's notice and sends the reply.
 func (e *Edge) replyToNotice(conn net.Conn, notice dfrevocation.Notice) error {
+	if e.promisesUnknown() {
+		return eris.Errorf("lease: notice under epoch %d not answered, earlier promises are not known", notice.Epoch)
+	}
 	reply := e.handleNotice(notice)
 	return dfneighbour.WriteReport(conn, dfneighbour.Report{Host: e.options.Self, Reply: &reply})
 }
--- a/dfedge/source_test.go
+++ b/dfedge/source_test.go
@@ -78,6 +78,8 @@
 	dfplatform.Orders
 }
 
+func (fakePlatform) Era() uint64 { return 0 }
+
 // Accept implements Dialect.
 func (n *carrierNetwork) Accept(net.Conn) Caller { return nil }
 
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -284,7 +284,7 @@
 func (e *Edge) shouldReserveEpoch(now dfclock.Millis, s *service, situation dfsuccession.Observation) bool {
 	return s.reservedEpoch == 0 && !s.reservingEpoch && now-s.reservedEpochAt >= epochReserveDelay &&
 		situation.Rank <= e.maxReservingRank() && situation.Leader != "" && !s.successor.Suspected() && !s.successor.ChangingLeader() &&
-		e.neighbours.IsSpeaker(now) && e.followingFeeds && !e.catalogFeedLost
+		e.neighbours.IsSpeaker(now) && e.followingFeeds && !e.catalogFeedLost && e.countsAsContactLocked()
 }
 
 // maxReservingRank returns the last rank whose hosts reserve epochs.
--- a/dfrevocation/explore_test.go
+++ b/dfrevocation/explore_test.go
@@ -21,13 +21,20 @@
 	modelUpstreams = 3
 	// modelTimeStep is the unit in which time passes.
 	modelTimeStep = LeaseSpan
-	// maxClaims, maxOrders, maxRestarts and maxLosses bound the events of one run.
+	// modelOrderSteps is the number of time steps in which an order is carried out, if
+	// the store came back from an older copy.
+	modelOrderSteps = 1
+	// maxClaims, maxOrders, maxRestarts, maxLosses and maxRestores bound the events of
+	// one run.
 	maxClaims   = 2
 	maxOrders   = 2
 	maxRestarts = 2
 	maxLosses   = 1
-	// maxStates bounds the search.
-	maxStates = 500_000
+	maxRestores = 1
+	// maxStates bounds the search, and maxLostStates that from a state whose order was
+	// sent already.
+	maxStates     = 500_000
+	maxLostStates = 150_000
 )
 
 // defect is a mechanism that is removed from the model, to check that the search
@@ -40,6 +47,10 @@
 	confirmationNotAwaited
 	claimsOverlap
 	claimsNotRead
+	lostClaimsIgnored
+	recordsOfFewHosts
+	lostEpochsAccepted
+	forgetfulContacts
 )
 
 // modelHost is the state of one host.
@@ -49,6 +60,12 @@
 	leaseUntil dfclock.Millis
 	leader     int
 	term       dfposition.Term
+	// era is the era of the store that the host knows, and record the one that it wrote
+	// last.
+	era    uint64
+	record Record
+	// unsettledAt is when it started without knowing its promises, or Never.
+	unsettledAt dfclock.Millis
 	// notice is what it sends to the others since startedAt; zero if it replaces no
 	// leader.
 	notice    Notice
@@ -63,6 +80,7 @@
 type modelOrder struct {
 	target int
 	epoch  uint64
+	sentAt dfclock.Millis
 }
 
 // modelState is one state of the model. It is copied by value.
@@ -81,17 +99,55 @@
 	ordersSent, restarts, losses int
 	// highestEpoch is the highest epoch of a promotion that was sent.
 	highestEpoch uint64
+	// restorable is true if the store can come back from an older copy, which has no
+	// claim. era counts from 1 how often it did, and lowestEpoch is the lowest epoch
+	// since.
+	restorable  bool
+	era         uint64
+	lowestEpoch uint64
 }
 
 func newModelState() modelState {
-	s := modelState{term: 1}
+	s := modelState{term: 1, era: firstEra}
 	s.led[0] = 1
 	for i := range s.hosts {
-		s.hosts[i] = modelHost{leaseUntil: LeaseSpan, term: 1, majorityAt: dfclock.Never}
+		s.hosts[i] = modelHost{leaseUntil: LeaseSpan, term: 1, majorityAt: dfclock.Never, unsettledAt: dfclock.Never, era: firstEra}
 	}
 	return s
 }
 
+// stateAfter returns the state after events in which the store can come back from a copy
+// without the claim.
+func stateAfter(t *testing.T, events []string) modelState {
+	t.Helper()
+	s := newModelState()
+	s.restorable = true
+	for _, event := range events {
+		found := false
+		for _, next := range s.transitions(none) {
+			if next.name == event {
+				s, found = next.state, true
+				break
+			}
+		}
+		require.True(t, found, event)
+	}
+	return s
+}
+
+// Histories from which the search of lost claims starts.
+var (
+	orderedByAll = []string{"h0 claims for u1", "h1 is told by h0", "h2 is told by h0", "h0 orders u1 under epoch 1"}
+	orderedByTwo = []string{
+		"h0 claims for u1", "h1 is told by h0", "time passes", "h0 is in touch with h1", "h1 is in touch with h0",
+		"h0 orders u1 under epoch 1",
+	}
+	claimLostBeforeNotices = []string{
+		"h0 claims for u1", "the store comes back without the claim", "h1 learns of the era", "h1 writes its record",
+		"h2 learns of the era", "h2 writes its record",
+	}
+)
+
 // key identifies a state. Instants are relative to now, in time steps and capped,
 // so that states which differ only in older instants are equal.
 func (s modelState) key() string {
@@ -117,6 +173,7 @@
 		put(int64(h.voter.epoch), int64(h.voter.term), age(h.voter.acceptedAt), int64(max(0, h.leaseUntil-s.now)), int64(h.leader), int64(h.term))
 		b = append(b, h.voter.holder...)
 		b = append(b, h.voter.target...)
+		put(int64(h.era), int64(h.record.Era), int64(h.record.Terms["u"]), age(h.unsettledAt), int64(h.voter.lowestEpoch)) // #nosec G115 -- small
 		put(int64(h.notice.Epoch), int64(h.notice.Term), age(h.startedAt), age(h.majorityAt), flag(h.demoted))
 		for _, yes := range h.accepted {
 			put(flag(yes))
@@ -125,9 +182,9 @@
 	for _, led := range s.led {
 		put(int64(led))
 	}
-	put(int64(s.term), int64(s.claims), int64(s.ordersSent), int64(s.restarts), int64(s.losses), int64(s.highestEpoch), int64(s.claim.Epoch), age(s.claimedAt), int64(len(s.orders)))
+	put(int64(s.term), int64(s.claims), int64(s.ordersSent), int64(s.restarts), int64(s.losses), int64(s.highestEpoch), int64(s.claim.Epoch), age(s.claimedAt), int64(len(s.orders)), int64(s.era))
 	for _, o := range s.orders {
-		put(int64(o.target), int64(o.epoch))
+		put(int64(o.target), int64(o.epoch), age(o.sentAt))
 	}
 	return string(b)
 }
@@ -148,7 +205,25 @@
 		violation := change(&state)
 		next = append(next, transition{name, state, violation})
 	}
-	add("time passes", func(n *modelState) string { n.now += modelTimeStep; return "" })
+	if !s.orderDue() {
+		add("time passes", func(n *modelState) string { n.now += modelTimeStep; return "" })
+	}
+	if s.restorable && s.era <= maxRestores {
+		add("the store comes back without the claim", func(n *modelState) string {
+			n.era, n.lowestEpoch = n.era+1, uint64(n.claims)+1 // #nosec G115 -- small
+			n.claim, n.claimedAt = Notice{}, 0
+			return ""
+		})
+	}
+	if s.restorable && s.restarts < maxRestarts {
+		add("all hosts start again", func(n *modelState) string {
+			n.restarts++
+			for i := range n.hosts {
+				n.restart(d, i)
+			}
+			return ""
+		})
+	}
 	for i := range s.hosts {
 		s.hostTransitions(d, i, add)
 		if i < modelHolders {
@@ -182,7 +257,8 @@
 		})
 	}
 	for j := range s.hosts {
-		if j != i {
+		settled := h.settled() && (s.hosts[j].settled() || d == forgetfulContacts)
+		if j != i && settled {
 			add(fmt.Sprintf("h%d is in touch with h%d", i, j), func(n *modelState) string {
 				a, b := &n.hosts[i], n.hosts[j]
 				a.voter = a.voter.WithTerm(b.voter.term)
@@ -202,25 +278,100 @@
 			})
 		}
 	}
+	if s.restorable {
+		s.recoveryTransitions(d, i, add)
+	}
 	if s.restarts == maxRestarts {
 		return
 	}
 	add(fmt.Sprintf("h%d starts again", i), func(n *modelState) string {
 		n.restarts++
-		fresh := modelHost{majorityAt: dfclock.Never}
-		if d != claimsNotRead {
-			fresh.voter = fresh.voter.WithClaim(n.now, n.claim)
-		}
-		n.hosts[i] = fresh
+		n.restart(d, i)
 		return ""
 	})
 }
 
+// recoveryTransitions are those of a host that learns of an era, writes its record or
+// starts without knowing its promises.
+func (s modelState) recoveryTransitions(d defect, i int, add func(string, func(*modelState) string)) {
+	h := s.hosts[i]
+	switch {
+	case !h.settled() && Recovered(s.now, h.unsettledAt):
+		add(fmt.Sprintf("h%d has waited", i), func(n *modelState) string {
+			a := &n.hosts[i]
+			a.unsettledAt = dfclock.Never
+			a.voter = a.voter.WithClaim(n.now, n.claim).WithTerm(n.term)
+			return ""
+		})
+	case h.settled() && h.era < s.era:
+		add(fmt.Sprintf("h%d learns of the era", i), func(n *modelState) string {
+			n.hosts[i].learnEra(d, n.era, n.lowestEpoch)
+			return ""
+		})
+	case h.settled() && h.era > firstEra && h.record.Era < h.era:
+		add(fmt.Sprintf("h%d writes its record", i), func(n *modelState) string {
+			n.hosts[i].record = Record{Era: h.era, Hosts: modelHosts, Terms: map[string]dfposition.Term{"u": max(h.term, h.voter.term)}}
+			return ""
+		})
+	}
+}
+
+// settled reports whether the host knows its promises.
+func (h modelHost) settled() bool {
+	return h.unsettledAt == dfclock.Never
+}
+
+func (h *modelHost) learnEra(d defect, era, lowestEpoch uint64) {
+	h.era = era
+	if d != lostEpochsAccepted {
+		h.voter = h.voter.WithLowestEpoch(lowestEpoch)
+	}
+}
+
+// restart starts a host again, which keeps only its record in the table.
+func (s *modelState) restart(d defect, i int) {
+	var records []Record
+	for _, h := range s.hosts {
+		records = append(records, h.record)
+	}
+	fresh := modelHost{majorityAt: dfclock.Never, unsettledAt: dfclock.Never, record: s.hosts[i].record}
+	fresh.learnEra(d, s.era, s.lowestEpoch)
+	hosts := modelHosts
+	if d == recordsOfFewHosts {
+		hosts = 0
+		for n := range records {
+			records[n].Hosts = 0
+		}
+	}
+	switch {
+	case d == claimsNotRead:
+	case RecordsComplete(s.era, hosts, records) || d == lostClaimsIgnored:
+		fresh.voter = fresh.voter.WithClaim(s.now, s.claim)
+		for _, record := range records {
+			fresh.voter = fresh.voter.WithTerm(record.Terms["u"])
+		}
+	default:
+		fresh.unsettledAt = s.now
+	}
+	s.hosts[i] = fresh
+}
+
+// orderDue reports whether an order has to be carried out before more time passes. The
+// time that a host waits for lost claims is sufficient only then.
+func (s modelState) orderDue() bool {
+	for _, o := range s.orders {
+		if s.restorable && s.now-o.sentAt >= modelOrderSteps*modelTimeStep {
+			return true
+		}
+	}
+	return false
+}
+
 func (s modelState) holderTransitions(d defect, i int, add func(string, func(*modelState) string)) {
 	h := s.hosts[i]
 	if h.notice.Epoch == 0 {
 		free := s.claims == 0 || s.claim.Holder == fmt.Sprint("h", i) || s.now-s.claimedAt >= PromiseSpan || d == claimsOverlap
-		if s.claims < maxClaims && s.now < h.leaseUntil && free {
+		if s.claims < maxClaims && s.now < h.leaseUntil && free && h.era == s.era {
 			for target := 1; target <= s.claims+1; target++ {
 				add(fmt.Sprintf("h%d claims for u%d", i, target), func(n *modelState) string {
 					n.claims++
@@ -239,7 +390,7 @@
 		return
 	}
 	for j := range s.hosts {
-		if h.accepted[j] {
+		if h.accepted[j] || !s.hosts[j].settled() {
 			continue
 		}
 		for _, lost := range []bool{false, true} {
@@ -276,7 +427,7 @@
 	}
 	add(fmt.Sprintf("h%d orders u%s under epoch %d", i, h.notice.Target, h.notice.Epoch), func(n *modelState) string {
 		n.ordersSent++
-		n.orders = append(n.orders, modelOrder{int(h.notice.Target[0] - '0'), h.notice.Epoch})
+		n.orders = append(n.orders, modelOrder{int(h.notice.Target[0] - '0'), h.notice.Epoch, n.now})
 		if h.notice.Epoch < n.highestEpoch {
 			return fmt.Sprintf("epoch %d is sent after %d", h.notice.Epoch, n.highestEpoch)
 		}
@@ -325,17 +476,21 @@
 	h.majorityAt, h.startedAt = dfclock.Never, 0
 }
 
-// explore visits the states of the model breadth first and returns the shortest
-// trace to a violation, or "". The order is the same in each run.
-func explore(d defect) (trace string, states int) {
+// explore visits the states of the model breadth first from a first one and returns the
+// shortest trace to a violation, or "". The order is the same in each run.
+func explore(first modelState, d defect) (trace string, states int) {
 	type visit struct {
 		state  modelState
 		before int
 		name   string
 	}
-	visits := []visit{{state: newModelState(), before: -1}}
+	visits := []visit{{state: first, before: -1}}
 	seen := map[string]bool{visits[0].state.key(): true}
-	for at := 0; at < len(visits) && len(visits) < maxStates; at++ {
+	limit := maxStates
+	if first.restorable {
+		limit = maxLostStates
+	}
+	for at := 0; at < len(visits) && len(visits) < limit; at++ {
 		for _, next := range visits[at].state.transitions(d) {
 			if next.violation != "" {
 				lines := []string{next.name, "broken: " + next.violation}
@@ -357,11 +512,46 @@
 // Guards against any sequence of messages, losses, restarts and late promotions
 // that lets a write be acknowledged at a replaced leader or an older epoch be sent.
 func TestExplore(t *testing.T) {
-	trace, states := explore(none)
+	trace, states := explore(newModelState(), none)
 	require.Empty(t, trace)
 	t.Logf("%d states", states)
 }
 
+// Guards against hosts that start again and use a leader although its successor was
+// ordered, because the store came back without the claim.
+func TestExploreLostClaims(t *testing.T) {
+	for name, events := range map[string][]string{
+		"ordered by all": orderedByAll, "ordered by two": orderedByTwo, "lost before notices": claimLostBeforeNotices,
+	} {
+		t.Run(name, func(t *testing.T) {
+			trace, states := explore(stateAfter(t, events), none)
+			require.Empty(t, trace)
+			t.Logf("%d states", states)
+		})
+	}
+}
+
+// Guards against a search of lost claims that can't find violations.
+func TestExploreLostClaimsNoticesDefects(t *testing.T) {
+	cases := []struct {
+		name   string
+		defect defect
+		events []string
+	}{
+		{"lost claims ignored", lostClaimsIgnored, orderedByTwo},
+		{"records of few hosts", recordsOfFewHosts, orderedByTwo},
+		{"contacts with hosts that forgot", forgetfulContacts, orderedByTwo},
+		{"epochs of lost claims accepted", lostEpochsAccepted, claimLostBeforeNotices},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			trace, states := explore(stateAfter(t, c.events), c.defect)
+			require.NotEmpty(t, trace, "%d states", states)
+			t.Logf("%d states\n%s", states, trace)
+		})
+	}
+}
+
 // Guards against a search that can't find violations: without any one of the
 // mechanisms it has to find one.
 func TestExploreNoticesDefects(t *testing.T) {
@@ -370,7 +560,7 @@
 		"claims overlap": claimsOverlap, "claims not read": claimsNotRead,
 	} {
 		t.Run(name, func(t *testing.T) {
-			trace, states := explore(d)
+			trace, states := explore(newModelState(), d)
 			require.NotEmpty(t, trace, "%d states", states)
 			t.Logf("%d states\n%s", states, trace)
 		})
--- a/dfrevocation/revocation.go
+++ b/dfrevocation/revocation.go
@@ -59,6 +59,8 @@
 	// epoch and term never decrease.
 	epoch uint64
 	term  dfposition.Term
+	// lowestEpoch is the lowest epoch of notices that are accepted; it never decreases.
+	lowestEpoch uint64
 	// holder and target are those of the notice accepted at acceptedAt; holder is
 	// empty if there is none.
 	holder     string
@@ -83,6 +85,12 @@
 	return v
 }
 
+// WithLowestEpoch returns the voter that refuses notices of lower epochs from now on.
+func (v Voter) WithLowestEpoch(epoch uint64) Voter {
+	v.lowestEpoch = max(v.lowestEpoch, epoch)
+	return v
+}
+
 // WithClaim returns the voter of a host that starts and finds a claim in the
 // platform's table. The host may have promised the claim's epoch before it
 // restarted. A claim without a target belongs to no promotion.
@@ -90,14 +98,14 @@
 	if claim.Epoch <= v.epoch || claim.Target == "" {
 		return v.WithTerm(claim.Term).WithEpoch(claim.Epoch)
 	}
-	return Voter{
-		epoch: claim.Epoch, term: max(v.term, claim.Term), holder: claim.Holder, target: claim.Target, acceptedAt: now,
-	}
+	v.epoch, v.term = claim.Epoch, max(v.term, claim.Term)
+	v.holder, v.target, v.acceptedAt = claim.Holder, claim.Target, now
+	return v
 }
 
 // WithNotice returns the voter after a notice, and its reply. A notice is refused
-// if one with a higher epoch was accepted, if its term already had a leader, or
-// while it conflicts with a promise to another holder.
+// if one with a higher epoch was accepted, if its epoch is below the lowest one, if its
+// term already had a leader, or while it conflicts with a promise to another holder.
 func (v Voter) WithNotice(now dfclock.Millis, notice Notice, led dfposition.Term) (Voter, Reply) {
 	if notice.Released {
 		if notice.Epoch == v.epoch && notice.Holder == v.holder {
@@ -105,7 +113,7 @@
 		}
 		return v, Reply{Accepted: true, Term: v.term}
 	}
-	if notice.Epoch < v.epoch || notice.Term <= led || notice.Term < v.term || v.conflicts(now, notice, led) {
+	if notice.Epoch < max(v.epoch, v.lowestEpoch) || notice.Term <= led || notice.Term < v.term || v.conflicts(now, notice, led) {
 		return v, Reply{Term: max(v.term, led)}
 	}
 	v.epoch, v.term = notice.Epoch, notice.Term
--- a/dfrevocation/script_test.go
+++ b/dfrevocation/script_test.go
@@ -41,6 +41,8 @@
 						Holder: fields[1], Target: dffleet.ID(strings.Trim(fields[2], "-")), Epoch: uint64(number(t, fields[3])),
 						Term: dfposition.Term(number(t, fields[4])),
 					})
+				case "lowest":
+					voter = voter.WithLowestEpoch(uint64(number(t, fields[1])))
 				case "released":
 					voter, _ = voter.WithNotice(now, Notice{
 						Holder: fields[1], Epoch: uint64(number(t, fields[2])), Released: true,
