Serve a share of the limit at hosts that are cut off

Cause: a host without contact with a majority refused all operations of organisations with limits, because only an owner with a majority grants. Ruled out: a fixed reserve without messages, which costs the owner half of the limit at all times; age of contact as proof that a host does not use its share, since a message may be lost one way; shares lent per ask, which leaves the shares of hosts without demand unused. Change: a host uses 0.58 or more of its proportional share from 2.5 s after the last majority that it knows of, and deposits it with one host of its data centre. Reports carry which majority each host has acknowledged; an owner lowers its rate for those that have acknowledged none within 2.4 s. dfquota, dfneighbour and the wiring in dfedge go together, because an owner that is told of no hosts takes all as unreached.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -164,7 +164,7 @@
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchangeTriggers: map[string]chan struct{}{},
 		carrierClients:   map[string]*dfforward.Client{},
-		quota:            newQuota(options.Self.ID),
+		quota:            newQuota(options.Self),
 	}, nil
 }
 
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -64,11 +64,13 @@
 	ready     bool
 	replacing int
 	loggedAt  dfclock.Millis
+	// usesReserve is whether the host uses its reserved share, as logged.
+	usesReserve bool
 }
 
-func newQuota(self string) *quota {
+func newQuota(self dfmember.Host) *quota {
 	return &quota{
-		host: dfquota.NewHost(), owner: dfquota.NewOwner(self),
+		host: dfquota.NewHost(self), owner: dfquota.NewOwner(self.ID),
 		counts:  map[string]*metrics.Counter{},
 		waiters: map[dfquota.Ticket]chan dfquota.Verdict{}, askers: map[string]chan dfquota.Outgoing{},
 		wake: make(chan struct{}, 1),
@@ -193,7 +195,7 @@
 }
 
 func (e *Edge) removeQuotaCounts(organisation string) {
-	for _, event := range []string{"used", "refused", "granted"} {
+	for _, event := range []string{"used", "refused", "granted", "reserved"} {
 		delete(e.quota.counts, event+"/"+organisation)
 		e.counters.set.UnregisterMetric(quotaCounter(event, organisation))
 	}
@@ -247,7 +249,11 @@
 		}
 	}
 	hosts := append(e.neighbours.OtherHosts(), e.options.Self)
-	quorumAt := e.neighbours.QuorumAt(now)
+	quorumAt, knownQuorumAt := e.neighbours.QuorumAt(now), e.neighbours.KnownQuorumAt(now)
+	known, reached, reachedAt := e.neighbours.Reached(now)
+	if e.stoppingAt != dfclock.Never {
+		knownQuorumAt = -1
+	}
 	e.mu.Unlock()
 	q := e.quota
 	q.mu.Lock()
@@ -256,7 +262,13 @@
 	q.host.SetHosts(hosts)
 	q.owner.SetHosts(now, hosts)
 	q.owner.Observe(now, quorumAt)
+	q.owner.ObserveReach(now, known, reached, reachedAt)
+	q.host.Observe(now, knownQuorumAt, known)
+	for organisation, count := range q.host.TakeReserved() {
+		e.countQuota("reserved", organisation, count)
+	}
 	e.logOwnership(now)
+	e.logReserve()
 	return catalog.HasOrganisations()
 }
 
@@ -276,6 +288,15 @@
 	q.ready, q.replacing, q.loggedAt = ready, replacing, now
 }
 
+// logReserve logs that the host has begun, or ceased, to use its reserved share.
+func (e *Edge) logReserve() {
+	q := e.quota
+	if uses := q.host.UsesReserve(); uses != q.usesReserve {
+		q.usesReserve = uses
+		e.log.Info().Bool("Reserve", uses).Msg("quota: use of the reserved share changed")
+	}
+}
+
 // driveQuota refuses the operations whose time is up and starts the asks that are due.
 // It returns the time until the next call.
 func (e *Edge) driveQuota(ctx context.Context) time.Duration {
--- a/dfneighbour/contact.go
+++ b/dfneighbour/contact.go
@@ -48,6 +48,7 @@
 	}
 	if v.quorumCountedAt == unset || now-v.quorumCountedAt >= quorumTTL {
 		v.quorumCountedAt, v.quorumAt = now, max(v.quorumAt, v.majorityContactAt(now))
+		v.knownQuorumAt = max(v.knownQuorumAt, v.quorumAt)
 	}
 	return v.quorumAt
 }
--- a/dfquota/host.go
+++ b/dfquota/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfmember"
@@ -14,7 +15,12 @@
 type Verdict interface{ verdict() }
 
 // Admitted operations may be sent to an upstream at once.
-type Admitted struct{}
+type Admitted struct {
+	// version and expiresAt are those of the token that the operation took. It may be
+	// returned until it expires.
+	version   uint64
+	expiresAt dfclock.Millis
+}
 
 // Refused operations have reached the limit. RetryAfter is when to come back.
 type Refused struct{ RetryAfter dfclock.Millis }
@@ -52,6 +58,8 @@
 type holding struct {
 	tokens    int
 	expiresAt dfclock.Millis
+	// version is that of the desired state under which the tokens were granted.
+	version uint64
 }
 
 type waiter struct {
@@ -75,6 +83,9 @@
 	// it was asked for, and short is false if it had enough.
 	shortUntil dfclock.Millis
 	short      bool
+	// singleAt is when the host last sent an operation without a token while it was cut
+	// off, or unset.
+	singleAt dfclock.Millis
 }
 
 // peer is the state of another host as an owner.
@@ -86,6 +97,11 @@
 	down      bool
 	// probeDelay is the time until the next probe of a host that is down.
 	probeDelay dfclock.Millis
+	// answered is true if the host answered the last ask, and answeredAt its time then.
+	answered   bool
+	answeredAt dfclock.Millis
+	// silentUntil is when a host that did not answer is tried again as a holder.
+	silentUntil dfclock.Millis
 }
 
 // absence is what a host knows of a data centre that may be cut off.
@@ -96,8 +112,8 @@
 	suspected bool
 }
 
-// answered records whether the host grants.
-func (p *peer) answered(now dfclock.Millis, grants bool) {
+// record records whether the host grants.
+func (p *peer) record(now dfclock.Millis, grants bool) {
 	p.busy, p.checkedAt = false, now
 	if p.down && !grants {
 		p.probeDelay = min(2*p.probeDelay, maxDownProbeInterval)
@@ -109,6 +125,7 @@
 
 // Host admits the operations that reach this host. It is not safe for concurrent use.
 type Host struct {
+	self    dfmember.Host
 	version uint64
 	limits  map[string]Limit
 	// loweredIn is the version in which the limit of an organisation was last
@@ -119,11 +136,15 @@
 	peers      map[string]*peer
 	absences   map[string]absence
 	lastTicket Ticket
+	reserve    reserve
 }
 
 // NewHost returns a host that knows no limits and no owners.
-func NewHost() *Host {
-	return &Host{loweredIn: map[string]uint64{}, accounts: map[string]*account{}, peers: map[string]*peer{}, absences: map[string]absence{}}
+func NewHost(self dfmember.Host) *Host {
+	return &Host{
+		self: self, loweredIn: map[string]uint64{}, accounts: map[string]*account{}, peers: map[string]*peer{}, absences: map[string]absence{},
+		reserve: reserve{startedAt: unset, depositedAt: unset, askedAt: unset, used: map[string]int{}},
+	}
 }
 
 // SetLimits adopts the limits of a version of the desired state. Unused grants of
@@ -154,13 +175,15 @@
 	}
 	a := h.accounts[organisation]
 	if a == nil {
-		a = &account{}
+		a = &account{singleAt: unset}
 		h.accounts[organisation] = a
 	}
 	a.demand.add(now, 1)
 	a.usedAt = now
-	if len(a.waiting) == 0 && a.use(now) {
-		return Admitted{}
+	if len(a.waiting) == 0 {
+		if token, ok := a.use(now); ok {
+			return token
+		}
 	}
 	retryAfter, reached := h.expectedWait(now, organisation, a)
 	if !reached || now.Add(retryAfter) > until {
@@ -189,16 +212,27 @@
 }
 
 // use takes a token that is held, the one that expires first.
-func (a *account) use(now dfclock.Millis) bool {
+func (a *account) use(now dfclock.Millis) (token Admitted, ok bool) {
 	for len(a.holdings) > 0 {
 		first := &a.holdings[0]
 		if first.tokens > 0 && now < first.expiresAt {
 			first.tokens--
-			return true
+			return Admitted{first.version, first.expiresAt}, true
 		}
 		a.holdings = a.holdings[1:]
 	}
-	return false
+	return Admitted{}, false
+}
+
+// Return gives back the token of an operation that was not sent to an upstream, as long
+// as it is valid, and returns the operations that it admits.
+func (h *Host) Return(now dfclock.Millis, organisation string, token Admitted) []Decision {
+	a := h.accounts[organisation]
+	if a == nil || now >= token.expiresAt || token.version < h.loweredIn[organisation] {
+		return nil
+	}
+	a.holdings = slices.Insert(a.holdings, 0, holding{1, token.expiresAt, token.version})
+	return a.admit(now, nil)
 }
 
 func (a *account) held(now dfclock.Millis) int {
@@ -225,10 +259,13 @@
 	return max(0, len(a.waiting)+ahead-held)
 }
 
-// target returns the first candidate that is not known to be down. Candidates in a
-// data centre that seems cut off come last: to find out for each of its hosts would cost
-// an operation each.
+// target returns the first candidate that is not known to be down, or the holder if the
+// host is cut off. Candidates in a data centre that seems cut off come last: to find out
+// for each of its hosts would cost an operation each.
 func (h *Host) target(organisation string) (dfmember.Host, bool) {
+	if h.reserve.active {
+		return h.holder(), true
+	}
 	var suspect dfmember.Host
 	for _, index := range h.ranking.of(organisation) {
 		host := h.ranking.hosts[index]
@@ -265,6 +302,9 @@
 			probe.Ask.Missed = missed
 		}
 	}
+	for _, host := range h.dueHolders(now) {
+		add(host)
+	}
 	for name, a := range h.accounts {
 		if len(a.waiting) == 0 && !a.asking && now-a.usedAt >= idleTimeout {
 			delete(h.accounts, name)
@@ -283,6 +323,12 @@
 		}
 	}
 	asks := make([]Outgoing, 0, len(wants))
+	if h.reserve.active {
+		holder := h.holder()
+		if ask := wants[holder.ID]; ask != nil {
+			ask.Ask.Deposit = h.deposit(now, holder)
+		}
+	}
 	for _, ask := range wants {
 		h.peer(ask.To.ID).busy = true
 		asks = append(asks, *ask)
@@ -318,7 +364,16 @@
 
 // Handle processes the answer to an ask and returns the operations that it decides.
 func (h *Host) Handle(now dfclock.Millis, sent Outgoing, grant Grant) []Decision {
-	h.peer(sent.To.ID).answered(now, grant.Ready)
+	known := h.peer(sent.To.ID)
+	known.record(now, grant.Ready)
+	known.answered, known.answeredAt = true, grant.At
+	if !grant.Ready {
+		// The host runs and tells when it is ready, or gains a majority like this one.
+		known.probeDelay = min(known.probeDelay, maxUnreadyProbeInterval)
+		if grant.ReadyIn > 0 {
+			known.probeDelay = min(known.probeDelay, grant.ReadyIn)
+		}
+	}
 	delete(h.absences, sent.To.DataCentre)
 	var decisions []Decision
 	for i, want := range sent.Ask.Wants {
@@ -327,7 +382,7 @@
 			continue
 		}
 		a.asking = false
-		if !grant.Ready || i >= len(grant.Parts) {
+		if !grant.Ready && sent.Ask.Deposit == nil || i >= len(grant.Parts) {
 			continue
 		}
 		part := grant.Parts[i]
@@ -349,8 +404,16 @@
 			continue
 		}
 		a.supply.add(now, float64(part.Tokens))
-		a.holdings = append(a.holdings, holding{part.Tokens, sent.sentAt.Add(GrantTTL)})
+		a.holdings = append(a.holdings, holding{part.Tokens, sent.sentAt.Add(GrantTTL), grant.Version})
 		decisions = a.admit(now, decisions)
+		if sent.Ask.Deposit != nil {
+			if a.short && len(a.waiting) > 0 && h.single(now, want.Organisation, a) {
+				a.holdings = append(a.holdings, holding{1, now + 1, grant.Version})
+				decisions = a.admit(now, decisions)
+				part.Tokens++
+			}
+			h.reserve.used[want.Organisation] += part.Tokens
+		}
 	}
 	return decisions
 }
@@ -371,8 +434,12 @@
 
 // admit gives the tokens that are held to the operations that wait.
 func (a *account) admit(now dfclock.Millis, decisions []Decision) []Decision {
-	for len(a.waiting) > 0 && a.use(now) {
-		decisions = append(decisions, Decision{a.waiting[0].ticket, Admitted{}})
+	for len(a.waiting) > 0 {
+		token, ok := a.use(now)
+		if !ok {
+			break
+		}
+		decisions = append(decisions, Decision{a.waiting[0].ticket, token})
 		a.waiting = a.waiting[1:]
 	}
 	return decisions
@@ -380,7 +447,9 @@
 
 // Fail records that an ask got no answer in time.
 func (h *Host) Fail(now dfclock.Millis, sent Outgoing) {
-	h.peer(sent.To.ID).answered(now, false)
+	known := h.peer(sent.To.ID)
+	known.record(now, false)
+	known.answered, known.silentUntil = false, now.Add(holderRetryDelay)
 	absent := h.absences[sent.To.DataCentre]
 	absent.suspected = absent.suspected || absent.missed != "" && absent.missed != sent.To.ID
 	absent.missed = sent.To.ID
--- a/dfquota/quota_test.go
+++ b/dfquota/quota_test.go
@@ -198,6 +198,11 @@
 		}, func(*world) {}},
 		// The owner and the second candidate grant on both sides of a cut.
 		{"majority", majority, Limit{Rate: 200, Burst: 20}, steady(1400), cut},
+		// The hosts of a data centre use their shares beside an owner at the full rate.
+		{"lowered rate", loweredRate, Limit{Rate: 300}, steady(2000), func(w *world) {
+			dataCentre := w.nodes[(slices.Index(w.nodes, w.owner("a"))+1)%3].DataCentre
+			w.at(12*second, func() { w.cutOff(dataCentre, 1) })
+		}},
 		{"interim rate", interimRate, Limit{Rate: 200, Burst: 20}, steady(1400), cut},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -218,12 +223,12 @@
 	for _, count := range []int{73, 5000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			limits, _ := organisations(count, 935)
-			h := NewHost()
+			h := NewHost(dfmember.Host{ID: "a"})
 			h.SetLimits(1, limits)
 			h.SetHosts([]dfmember.Host{{ID: "a"}})
 			names := slices.Sorted(maps.Keys(limits))
 			for _, name := range names {
-				h.accounts[name] = &account{holdings: []holding{{1 << 40, dfclock.Hour}}}
+				h.accounts[name] = &account{holdings: []holding{{tokens: 1 << 40, expiresAt: dfclock.Hour}}}
 			}
 			now := dfclock.Millis(0)
 			for b.Loop() {
--- /dev/null
+++ b/dfquota/reserve_test.go
@@ -0,0 +1,132 @@
+package dfquota
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"dragonflygrade/dfclock"
+)
+
+// partitions are the ways in which hosts lose each other.
+var partitions = map[string]func(w *world, random func(int) int){
+	"one host":         func(w *world, random func(int) int) { w.cut[w.nodes[random(len(w.nodes))].ID] = w.seq + 1 },
+	"a data centre":    func(w *world, random func(int) int) { w.cutOff(fmt.Sprintf("dc%d", random(3)), w.seq+1) },
+	"all data centres": func(w *world, _ func(int) int) { w.cutOff("dc0", w.seq+1); w.cutOff("dc1", w.seq+2) },
+	"all from all":     func(w *world, _ func(int) int) { w.split(len(w.nodes)) },
+	"random groups":    func(w *world, random func(int) int) { w.split(2 + random(5)) },
+	"most of the hosts": func(w *world, random func(int) int) {
+		for _, n := range w.nodes[:len(w.nodes)/2-random(2)] {
+			w.cut[n.ID] = w.seq + 1
+		}
+	},
+	"a link": func(w *world, random func(int) int) { w.cutLinks[fmt.Sprintf("dc%ddc%d", random(2), 2)] = true },
+}
+
+// split puts the hosts into groups that do not reach each other.
+func (w *world) split(groups int) {
+	for i, n := range w.nodes {
+		w.cut[n.ID] = w.seq + 1 + i%groups
+	}
+}
+
+// heal ends all partitions.
+func (w *world) heal() {
+	clear(w.cut)
+	clear(w.cutLinks)
+}
+
+// Guards against shares of hosts that are cut off which add up to more than the limit,
+// with those of other groups, with the owner outside or with those of another time.
+// Arrivals at upstreams are counted in windows of 5 s.
+func TestSharesStayWithinTheLimit(t *testing.T) {
+	names := slices.Sorted(maps.Keys(partitions))
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(5, 21).Draw(t, "hosts")
+		rate := rapid.SampledFrom([]float64{1, 2, 4, 6, 20, 60, 150}).Draw(t, "rate")
+		limits := map[string]Limit{
+			"a": {Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0, 0.2, 1, 3}).Draw(t, "burst")},
+			"b": {Rate: rate / 3, Burst: rate / 3},
+		}
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), hosts, limits)
+		w.badLinks = rapid.SampledFrom([]float64{0, 0, 0.02, 0.2}).Draw(t, "bad links")
+		demand := rapid.SampledFrom([]float64{0.6, 2, 7}).Draw(t, "demand")
+		pause := rapid.Bool().Draw(t, "pauses")
+		for _, name := range []string{"a", "b"} {
+			limit := limits[name]
+			w.load(name, 30*second, func(at dfclock.Millis) float64 {
+				if pause && at/(2*second)%2 == 0 {
+					return 0
+				}
+				return demand * limit.Rate
+			})
+		}
+		random := func(n int) int { return w.random.IntN(n) }
+		at := dfclock.Millis(rapid.IntRange(6500, 9000).Draw(t, "at"))
+		for range rapid.IntRange(1, 4).Draw(t, "partitions") {
+			partition := partitions[rapid.SampledFrom(names).Draw(t, "partition")]
+			w.at(at, func() { partition(w, random) })
+			at += dfclock.Millis(rapid.IntRange(500, 9000).Draw(t, "span"))
+			if rapid.Bool().Draw(t, "heal") {
+				w.at(at, w.heal)
+				at += dfclock.Millis(rapid.IntRange(0, 4000).Draw(t, "healed for"))
+			}
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "faults") {
+			n := w.nodes[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			kind := rapid.SampledFrom([]int{2, 3, 3, 4, 6}).Draw(t, "fault")
+			span := dfclock.Millis(rapid.IntRange(100, 8000).Draw(t, "for"))
+			w.at(dfclock.Millis(rapid.IntRange(7000, 25000).Draw(t, "fault at")), func() { w.fault(n, kind, span) })
+		}
+		w.run(31 * second)
+		if excess := w.excess(); excess != "" {
+			t.Fatal(excess)
+		}
+	})
+}
+
+// Guards against hosts of a data centre that is cut off which refuse what their share of
+// the limit allows, and against an owner outside that pays more than that share.
+func TestDataCentreCutOffUsesItsShare(t *testing.T) {
+	for _, hot := range []string{"org00", "org20"} {
+		w, limits := play(11, hot, 24*second, func(w *world) { w.cutOff("dc1", 1) })
+		require.Empty(t, w.excess())
+		outside := count(w.served[hot], 13*second, 24*second) / (11 * limits[hot].Rate)
+		inside := count(w.servedInside[hot], 13*second, 24*second) / (11 * limits[hot].Rate) * 61 / 20
+		t.Logf("hot %s: %.3f of its limit outside, %.3f of the proportional share inside", hot, outside, inside)
+		require.GreaterOrEqual(t, outside, 0.8)
+		require.GreaterOrEqual(t, inside, 0.5)
+		logInside(t, w, limits, hot, 24*second)
+	}
+}
+
+// Guards against a host that is cut off alone and refuses all operations, since its share
+// is below one operation.
+func TestHostCutOffUsesItsShare(t *testing.T) {
+	w, limits := play(12, "", 24*second, func(w *world) { w.cut[w.nodes[0].ID] = 1 })
+	require.Empty(t, w.excess())
+	require.Positive(t, logInside(t, w, limits, "", 24*second))
+}
+
+// logInside logs what hosts that are cut off serve of what they are asked, by the size of
+// the limit, and returns it for all.
+func logInside(t *testing.T, w *world, limits map[string]Limit, hot string, to dfclock.Millis) float64 {
+	var served, asked float64
+	for _, rates := range [][2]float64{{0, 6}, {6, 20}, {20, 80}, {80, 1000}} {
+		var servedHere, askedHere float64
+		for name, limit := range limits {
+			if limit.Rate >= rates[0] && limit.Rate < rates[1] && name != hot {
+				servedHere += count(w.servedInside[name], 13*second, to)
+				askedHere += count(w.askedInside[name], 13*second, to)
+			}
+		}
+		t.Logf("limits of %v operations a second: %.0f of %.0f run inside", rates, servedHere, askedHere)
+		served, asked = served+servedHere, asked+askedHere
+	}
+	t.Logf("all: %.3f of what is asked inside", served/asked)
+	return served / asked
+}
