Let simulated hosts learn of others from neighbours

Traced: grants of both hosts in each quarter of a second, none of a reserved share. Ruled out: the bound, the lowered rate.

--- a/dfquota/simulation_test.go
+++ b/dfquota/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -157,6 +158,7 @@
 		w.on(n, w.now+50, tick)
 	}
 	contact = func() {
+		w.learn(n)
 		if at := w.now; w.hasMajority(n) {
 			w.on(n, at+dfclock.Millis(200+w.random.IntN(900)), func() {
 				if w.hasMajority(n) {
@@ -171,6 +173,13 @@
 	w.on(n, w.now+dfclock.Millis(w.random.IntN(250)), contact)
 }
 
+// learn adds the hosts that a neighbour knows.
+func (w *world) learn(n *node) {
+	if other := w.nodes[w.random.IntN(len(w.nodes))]; w.reaches(n, other) {
+		maps.Copy(n.known, other.known)
+	}
+}
+
 // acknowledge tells others which contact with a majority a host knows of.
 func (w *world) acknowledge(n *node) {
 	knows := n.quorumAt
