Export limits, use and owners of organisations and queues of upstreams

Cause: operators saw granted, used and refused operations as counters and the limit of the pace, but neither the limit in force, the use over its window, who owns a limit, the queue of a carrier, nor until when an upstream is set aside. Ruled out: gauges that are registered and removed with each change, as for the limit of the pace; what is computed at the scrape cannot outlive an organisation or upstream. Log lines tell changed owners and refusals, bounded per organisation.

--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -95,6 +95,8 @@
 
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	e.counters.set.WritePrometheus(w)
+	e.writeLimits(w)
+	e.writeUpstreams(w)
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -64,6 +64,8 @@
 	ready     bool
 	replacing int
 	loggedAt  dfclock.Millis
+	// status is what operators see of the limits.
+	status limitStatus
 }
 
 func newQuota(self string) *quota {
@@ -71,7 +73,7 @@
 		host: dfquota.NewHost(), owner: dfquota.NewOwner(self),
 		counts:  map[string]*metrics.Counter{},
 		waiters: map[dfquota.Ticket]chan dfquota.Verdict{}, askers: map[string]chan dfquota.Outgoing{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), status: newLimitStatus(),
 	}
 }
 
@@ -133,6 +135,7 @@
 	}
 	q.mu.Lock()
 	e.countQuota(event, organisation, 1)
+	e.recordUsage(organisation, event == "used")
 	q.mu.Unlock()
 	return verdict
 }
@@ -170,6 +173,7 @@
 		}
 	}
 	q.version, q.named = catalog.Version(), named
+	q.adoptStatus(limits)
 	q.host.SetLimits(catalog.Version(), limits)
 	q.owner.SetLimits(now, catalog.Version(), limits)
 }
@@ -257,6 +261,7 @@
 	q.owner.SetHosts(now, hosts)
 	q.owner.Observe(now, quorumAt)
 	e.logOwnership(now)
+	e.logLimits(now)
 	return catalog.HasOrganisations()
 }
 
