Write status metrics from a buffer and test the log lines of limits

Cause: the status was written to the client of the metrics endpoint while the lock of the limits was held, so a slow client would have delayed operations. Ruled out: copying the limits before they are written, which needs a type of its own. Change: the status is written to a buffer first.

--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -95,8 +95,7 @@
 
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	e.counters.set.WritePrometheus(w)
-	e.writeLimits(w)
-	e.writeUpstreams(w)
+	_, _ = w.Write(e.status())
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/dfedge/status.go
+++ b/dfedge/status.go
@@ -1,6 +1,7 @@
 package dfedge
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
@@ -108,6 +109,15 @@
 	}
 }
 
+// status returns the metrics of the limits and the upstreams. They are not written to the
+// client directly, because a slow one would hold the lock that requests need.
+func (e *Edge) status() []byte {
+	var buffer bytes.Buffer
+	e.writeLimits(&buffer)
+	e.writeUpstreams(&buffer)
+	return buffer.Bytes()
+}
+
 // writeLimits writes the metrics of the limits.
 func (e *Edge) writeLimits(w io.Writer) {
 	q := e.quota
@@ -125,7 +135,10 @@
 		}
 		metrics.WriteGaugeUint64(w, "dragonflygrade_edge_quota_window_used"+label, uint64(used))
 		metrics.WriteGaugeUint64(w, "dragonflygrade_edge_quota_window_refused"+label, uint64(refused))
-		if owner, ok := q.host.OwnerOf(name); ok && q.named[name] {
+		if !q.named[name] {
+			continue
+		}
+		if owner, ok := q.host.OwnerOf(name); ok {
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("dragonflygrade_edge_quota_owner{organisation=%q,owner=%q}", name, owner), 1)
 		}
 	}
--- a/dfedge/status_test.go
+++ b/dfedge/status_test.go
@@ -4,16 +4,19 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfadmission"
 	"dragonflygrade/dfcatalog"
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfmember"
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfresult"
 )
@@ -90,3 +93,38 @@
 	e.mu.Unlock()
 	require.Regexp(t, `dragonflygrade_edge_pace_aside_seconds\{service="orders",upstream="u"\} [0-9.]+`, scrape(e))
 }
+
+// Guards against refusals and changed owners that no line tells, and against lines for
+// each refusal.
+func TestLogLinesOfLimits(t *testing.T) {
+	var output strings.Builder
+	now := 10 * dfclock.Second
+	e := &Edge{
+		options: Options{Now: func() dfclock.Millis { return now }}, quota: newQuota("h0"),
+		log: &log.Logger{Writer: &log.IOWriter{Writer: &output}},
+	}
+	// logged returns the messages of a second, with ticks of 50 ms.
+	logged := func() []string {
+		output.Reset()
+		for end := now + dfclock.Second; now < end; now += 50 {
+			e.logLimits(now)
+		}
+		return regexp.MustCompile(`"(Owner|Used|Refused|message)":"?([^,"}]*)`).FindAllString(output.String(), -1)
+	}
+	e.adoptLimits(now, dfcatalog.New(1, nil, nil, 0).WithOrganisations([]dfcatalog.Organisation{{Name: "a", Rate: 10, Burst: 1}}))
+	e.quota.host.SetHosts([]dfmember.Host{{ID: "h0"}})
+	require.Empty(t, logged())
+	e.quota.host.SetHosts([]dfmember.Host{{ID: "h1"}})
+	require.Equal(t, []string{`"Owner":"h1`, `"message":"quota: owner of a limit changed`}, logged())
+	for i := range 40 {
+		e.recordUsage("a", i%4 == 0)
+	}
+	var lines []string
+	for range 6 {
+		lines = append(lines, logged()...)
+	}
+	require.Equal(t, []string{`"Used":10`, `"Refused":30`, `"Owner":"h1`, `"message":"quota: operations refused`}, lines)
+	for range 6 {
+		require.Empty(t, logged())
+	}
+}
