Add the command check

Ruled out: a flag of publish, which needs service files and a platform; CBOR, which hosts do not read as a desired state.

--- a/dfcli/cli.go
+++ b/dfcli/cli.go
@@ -24,6 +24,10 @@
 	exitFailed = 1
 	// exitUsage means that flags or files are wrong.
 	exitUsage = 2
+	// exitWarnings and exitFaults are the codes of a check that has warnings only, and of
+	// one that has errors.
+	exitWarnings = exitFailed
+	exitFaults   = exitUsage
 	// exitUnknown means that the effect is not known.
 	exitUnknown = 3
 	// exitViolation means that a figure that must be zero is not.
@@ -44,6 +48,7 @@
 	Host    HostCommand    `cmd:"" help:"Run a host."`
 	Edge    EdgeCommand    `cmd:"" help:"Run a host on a machine of the platform; its settings file tells the rest."`
 	Demo    DemoCommand    `cmd:"" help:"Run hosts and stand-ins in one process, under load and faults."`
+	Check   CheckCommand   `cmd:"" help:"Check service files, or a desired state, before it is sent."`
 	Publish PublishCommand `cmd:"" help:"Put service files in force."`
 	Status  StatusCommand  `cmd:"" help:"Show hosts, services, upstreams, slots and versions."`
 	Audit   AuditCommand   `cmd:"" help:"Print and verify the audit trail."`
@@ -104,6 +109,13 @@
 // usageError is a fault of flags or files.
 type usageError struct{ error }
 
+// findingsError means that a check has findings.
+type findingsError struct {
+	error
+	// onlyWarnings is true if there are no errors.
+	onlyWarnings bool
+}
+
 // waitError is a version that is not in force everywhere.
 type waitError struct{ error }
 
@@ -114,8 +126,13 @@
 	var usage usageError
 	var violation violationError
 	var waiting waitError
+	var findings findingsError
 	var failure *dfresult.Error
 	switch {
+	case errors.As(err, &findings) && findings.onlyWarnings:
+		return exitWarnings
+	case errors.As(err, &findings):
+		return exitFaults
 	case errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &violation):
--- a/dfpublish/plan.go
+++ b/dfpublish/plan.go
@@ -125,8 +125,9 @@
 	return ServiceChange{}, false
 }
 
-// keyChanges returns the keys that differ between two documents, sorted by key.
-func keyChanges(from, to []byte) []KeyChange {
+// KeyChanges returns the keys that differ between two documents of a service, sorted by
+// key. An empty document has no keys.
+func KeyChanges(from, to []byte) []KeyChange {
 	before, after := flattenDocument(from), flattenDocument(to)
 	keys := make(map[string]bool)
 	for key := range before {
--- a/dfpublish/publish.go
+++ b/dfpublish/publish.go
@@ -127,7 +127,7 @@
 		if err != nil {
 			return Plan{}, unavailableError(err)
 		}
-		plan.Changes[i].Keys = keyChanges(before, plan.documents[change.To])
+		plan.Changes[i].Keys = KeyChanges(before, plan.documents[change.To])
 	}
 	sort.Slice(plan.Changes, func(i, j int) bool { return plan.Changes[i].Service < plan.Changes[j].Service })
 	return plan, nil
@@ -270,7 +270,7 @@
 	detail := "the difference could not be read"
 	if err == nil {
 		lines := make([]string, 0)
-		for _, key := range keyChanges(theirs, plan.documents[change.To]) {
+		for _, key := range KeyChanges(theirs, plan.documents[change.To]) {
 			lines = append(lines, key.String())
 		}
 		detail = strings.Join(lines, "\n")
