--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -50,6 +50,8 @@
 	version uint64
 	// named has the organisations with metrics of their own.
 	named map[string]bool
+	// status is what operators see of the limits.
+	status limitStatus
 	// counts has the counters by event and label.
 	counts map[string]*metrics.Counter
 	// waiters has the channels of waiting operations.
@@ -64,8 +66,6 @@
 	ready     bool
 	replacing int
 	loggedAt  dfclock.Millis
-	// status is what operators see of the limits.
-	status limitStatus
 }
 
 func newQuota(self string) *quota {
@@ -259,9 +259,9 @@
 	e.adoptLimits(now, catalog)
 	q.host.SetHosts(hosts)
 	q.owner.SetHosts(now, hosts)
+	e.logLimits(now)
 	q.owner.Observe(now, quorumAt)
 	e.logOwnership(now)
-	e.logLimits(now)
 	return catalog.HasOrganisations()
 }
 
--- a/dfedge/status_test.go
+++ b/dfedge/status_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http/httptest"
 	"regexp"
 	"strings"
@@ -19,6 +21,7 @@
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfresult"
+	"dragonflygrade/dfsuccession"
 )
 
 func scrape(e *Edge) string {
@@ -99,10 +102,13 @@
 func TestLogLinesOfLimits(t *testing.T) {
 	var output strings.Builder
 	now := 10 * dfclock.Second
-	e := &Edge{
-		options: Options{Now: func() dfclock.Millis { return now }}, quota: newQuota("h0"),
-		log: &log.Logger{Writer: &log.IOWriter{Writer: &output}},
-	}
+	e, err := New(Options{
+		Self: dfmember.Host{ID: "h0", DataCentre: "north", Address: "h0:3"}, CallerAddress: "h0:1", ReadyAddress: "h0:2", GracePeriod: dfclock.Second,
+		Platform: absentStore{}, Fencing: dfsuccession.PlatformFences{}, Dialect: noDialect{},
+		Dial: func(context.Context, string) (net.Conn, error) { return nil, io.EOF },
+		Now:  func() dfclock.Millis { return now },
+	}, &log.Logger{Writer: &log.IOWriter{Writer: &output}})
+	require.NoError(t, err)
 	// logged returns the messages of a second, with ticks of 50 ms.
 	logged := func() []string {
 		output.Reset()
