Print empty lists of a check as lists

Ruled out: omitting the names; a reader then has to know which ones may be missing. Change: a report keeps its lists when nothing is added to them.

--- a/dfverify/finding.go
+++ b/dfverify/finding.go
@@ -50,7 +50,7 @@
 
 // WithFindings returns the report with further findings.
 func (r Report) WithFindings(findings []Finding) Report {
-	r.Findings = slices.Concat(r.Findings, findings)
+	r.Findings = append(slices.Clone(r.Findings), findings...)
 	slices.SortStableFunc(r.Findings, func(a, b Finding) int {
 		if order := strings.Compare(a.File, b.File); order != 0 {
 			return order
@@ -69,7 +69,7 @@
 
 // WithChanges returns the report with further changes.
 func (r Report) WithChanges(changes []Change) Report {
-	r.Changes = slices.Concat(r.Changes, changes)
+	r.Changes = append(slices.Clone(r.Changes), changes...)
 	slices.SortStableFunc(r.Changes, func(a, b Change) int { return strings.Compare(a.Key, b.Key) })
 	return r
 }
