--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -50,6 +50,8 @@
 	version uint64
 	// named has the organisations with metrics of their own.
 	named map[string]bool
+	// status is what operators see of the limits.
+	status limitStatus
 	// counts has the counters by event and label.
 	counts map[string]*metrics.Counter
 	// waiters has the channels of waiting operations.
@@ -73,7 +75,7 @@
 		host: dfquota.NewHost(self), owner: dfquota.NewOwner(self.ID),
 		counts:  map[string]*metrics.Counter{},
 		waiters: map[dfquota.Ticket]chan dfquota.Verdict{}, askers: map[string]chan dfquota.Outgoing{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), status: newLimitStatus(),
 	}
 }
 
@@ -141,6 +143,7 @@
 	}
 	q.mu.Lock()
 	e.countQuota(event, organisation, 1)
+	e.recordUsage(organisation, event == "used")
 	q.mu.Unlock()
 	return verdict
 }
@@ -178,6 +181,7 @@
 		}
 	}
 	q.version, q.named = catalog.Version(), named
+	q.adoptStatus(limits)
 	q.host.SetLimits(catalog.Version(), limits)
 	q.owner.SetLimits(now, catalog.Version(), limits)
 }
@@ -267,6 +271,7 @@
 	e.adoptLimits(now, catalog)
 	q.host.SetHosts(hosts)
 	q.owner.SetHosts(now, hosts)
+	e.logLimits(now)
 	q.owner.Observe(now, quorumAt)
 	q.owner.ObserveReach(now, known, reached, reachedAt)
 	q.host.Observe(now, knownQuorumAt, known)
