Return unused tokens and grant sooner after a loss of power

Cause: a token that an operation took was lost when the operation was refused before it was sent. After all hosts lost power, hosts waited 0.6 s from when they learned of a majority, and asked an owner that was not ready again after up to 2 s. Ruled out: no settle delay at all, since a new owner is unknown to others for up to 1 s. Change: Host.Return gives a token back until its grant expires, unless the limit was lowered; routeRequest records whether an upstream may have received the operation.

--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -50,7 +50,7 @@
 	wait := min(a.replyTimeout, req.deadline-a.sentAt)
 	deadline := time.Now().Add(time.Duration(max(wait, dfclock.Millisecond)) * time.Millisecond)
 	answers, sent, err := a.conn.Exchange(sessionState, deadline, calls...)
-	a.sent = sent
+	a.sent, req.sent = sent, req.sent || sent
 	return answers, err
 }
 
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -29,6 +29,9 @@
 	// quotaIdleTimeout closes the connection of a host that sends no more asks, and
 	// ends the goroutine that asks a host. Organisations pause for seconds.
 	quotaIdleTimeout = 60 * time.Second
+	// quotaStartSpan is how long after its start a host without a majority polls others
+	// more often.
+	quotaStartSpan = 5 * dfclock.Second
 	// quotaListenDelay is the pause before the listener is opened again after a
 	// failure.
 	quotaListenDelay = dfclock.Second
@@ -101,11 +104,30 @@
 		wait = req.targetLatency * admitWaitPercent / 100
 	}
 	verdict := e.admit(req.organisation, catalog, min(e.options.Now().Add(wait), req.deadline))
-	refused, ok := verdict.(dfquota.Refused)
-	if !ok {
-		return nil
+	switch v := verdict.(type) {
+	case dfquota.Admitted:
+		req.token = v
+	case dfquota.Refused:
+		return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(v.RetryAfter)
+	}
+	return nil
+}
+
+// returnToken gives back what an operation took of the limit, if no upstream can have
+// received any of it.
+func (e *Edge) returnToken(req *routeRequest) {
+	if req.sent || req.token == (dfquota.Admitted{}) {
+		return
+	}
+	q := e.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	decisions, returned := q.host.Return(e.options.Now(), req.organisation, req.token)
+	if returned {
+		e.countQuota("returned", req.organisation, 1)
 	}
-	return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(refused.RetryAfter)
+	q.decide(decisions)
+	req.token = dfquota.Admitted{}
 }
 
 // admit decides on an operation of an organisation. It waits for a token until the
@@ -195,7 +217,7 @@
 }
 
 func (e *Edge) removeQuotaCounts(organisation string) {
-	for _, event := range []string{"used", "refused", "granted", "reserved"} {
+	for _, event := range []string{"used", "refused", "granted", "reserved", "returned"} {
 		delete(e.quota.counts, event+"/"+organisation)
 		e.counters.set.UnregisterMetric(quotaCounter(event, organisation))
 	}
@@ -240,7 +262,10 @@
 	}
 	if !e.usesLeases() {
 		periods := dfneighbour.DefaultPollPeriods()
-		if catalog.HasOrganisations() {
+		switch {
+		case catalog.HasOrganisations() && now-e.startedAt < quotaStartSpan && e.neighbours.QuorumAt(now) < 0:
+			periods = dfneighbour.StartPollPeriods()
+		case catalog.HasOrganisations():
 			periods = dfneighbour.QuorumPollPeriods()
 		}
 		e.neighbours.SetPeriods(periods)
@@ -249,6 +274,7 @@
 		}
 	}
 	hosts := append(e.neighbours.OtherHosts(), e.options.Self)
+	heardAt := e.neighbours.HeardAt()
 	quorumAt, knownQuorumAt := e.neighbours.QuorumAt(now), e.neighbours.KnownQuorumAt(now)
 	known, reached, reachedAt := e.neighbours.Reached(now)
 	if e.stoppingAt != dfclock.Never {
@@ -261,7 +287,7 @@
 	e.adoptLimits(now, catalog)
 	q.host.SetHosts(hosts)
 	q.owner.SetHosts(now, hosts)
-	q.owner.Observe(now, quorumAt)
+	q.owner.Observe(now, quorumAt, heardAt)
 	q.owner.ObserveReach(now, known, reached, reachedAt)
 	q.host.Observe(now, knownQuorumAt, known)
 	for organisation, count := range q.host.TakeReserved() {
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -9,6 +9,7 @@
 	"dragonflygrade/dffresh"
 	"dragonflygrade/dfplace"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfquota"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfrevocation"
 	"dragonflygrade/dfstatement"
@@ -33,6 +34,10 @@
 	freshness dfcatalog.Freshness
 	// organisation is the name of the caller's organisation, or empty.
 	organisation string
+	// token is what the operation took of the limit of the organisation, and sent is true
+	// once an upstream may have received a part of the operation.
+	token dfquota.Admitted
+	sent  bool
 	// arrivedAt is when the statement, or its transaction, arrived.
 	arrivedAt dfclock.Millis
 	deadline  dfclock.Millis
--- a/dfedge/session.go
+++ b/dfedge/session.go
@@ -259,6 +259,7 @@
 	if failure := sess.edge.admitOperation(req); failure != nil {
 		return sess.refused(call, failure, failure)
 	}
+	defer sess.edge.returnToken(req)
 	if writes {
 		return sess.edge.executeWrite(sess, req, call)
 	}
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -151,6 +151,7 @@
 	if failure := e.admitOperation(t.request); failure != nil {
 		return sess.refused(call, failure, failure)
 	}
+	defer e.returnToken(t.request)
 	last := dfresult.NewError(dfresult.NoPrimary, "service %s", t.request.service.name)
 	plan := e.planWrite
 	if t.readOnly {
--- a/dfneighbour/knowledge.go
+++ b/dfneighbour/knowledge.go
@@ -27,6 +27,12 @@
 	return v.knownQuorumAt
 }
 
+// HeardAt returns when a host first answered this one, or a negative value. That host
+// tells the others of this one.
+func (v *View) HeardAt() dfclock.Millis {
+	return v.heardAt
+}
+
 // Knowledge returns the contacts with a majority that the hosts of this data centre,
 // including this one, know of.
 func (v *View) Knowledge(now dfclock.Millis) []Contact {
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -36,6 +36,8 @@
 	// within the duration of a lease.
 	leaseSpeakerPeriod = 200 * dfclock.Millisecond
 	leaseMemberPeriod  = 250 * dfclock.Millisecond
+	// startPeriod is used for both by a host that has just started.
+	startPeriod = 150 * dfclock.Millisecond
 	// forgetTimeout is how long an unreachable neighbour is still polled and listed
 	// in reports.
 	forgetTimeout = 90 * dfclock.Second
--- a/dfneighbour/view.go
+++ b/dfneighbour/view.go
@@ -99,6 +99,8 @@
 	// knownQuorumAt is the same, but not earlier than what neighbours think that this
 	// host knows.
 	knownQuorumAt dfclock.Millis
+	// heardAt is when a host first answered this one, or unset.
+	heardAt dfclock.Millis
 	// knowledge has, by the key of a host, a contact with a majority that the host knows
 	// of. Where that of all hosts is not known, speakerReached is what the speaker counted
 	// in a report that was requested at speakerReachedAt, or unset.
@@ -138,6 +140,12 @@
 	return PollPeriods{member: leaseMemberPeriod, speaker: speakerPeriod}
 }
 
+// StartPollPeriods returns periods for a host that has just started, so that it learns
+// soon of contact with a majority after all hosts lost power.
+func StartPollPeriods() PollPeriods {
+	return PollPeriods{member: startPeriod, speaker: startPeriod}
+}
+
 // SetPeriods changes how often other hosts are polled.
 func (v *View) SetPeriods(periods PollPeriods) {
 	v.periods = periods
@@ -148,7 +156,7 @@
 	return &View{
 		self: self, periods: periods, neighbours: map[string]*neighbour{}, carriers: map[carrierKey]carrierChoice{}, selectedAt: unset,
 		contacts: map[uint32]dfclock.Millis{}, quorumAt: unset, quorumCountedAt: unset,
-		knowledge: map[uint32]dfclock.Millis{}, knownQuorumAt: unset, speakerReachedAt: unset,
+		knowledge: map[uint32]dfclock.Millis{}, knownQuorumAt: unset, heardAt: unset, speakerReachedAt: unset,
 	}
 }
 
@@ -184,6 +192,9 @@
 		return
 	}
 	known.answeredAt = now
+	if v.heardAt == unset {
+		v.heardAt = now
+	}
 	known.currentAt = max(known.currentAt, askedAt-report.CurrentAge)
 	known.remoteReachable, known.isolated, known.isolationKnown = report.RemoteReachable, report.Isolated, report.IsolationKnown
 	known.setLeaders(now, askedAt, report.Leaders)
--- a/dfquota/constants.go
+++ b/dfquota/constants.go
@@ -17,8 +17,9 @@
 	// error costs interim tokens only.
 	askTimeout         = 150 * dfclock.Millisecond
 	probeAnswerTimeout = 120 * dfclock.Millisecond
-	// settleDelay is how long a host that has just reached a majority grants
-	// nothing. Within that time the news of a new host reaches all others.
+	// settleDelay is how long a host grants nothing after it was first answered and after
+	// the contact with a majority that it reached. Within that time the news of a new
+	// host reaches most others.
 	settleDelay = 600 * dfclock.Millisecond
 	// probeInterval is how often a host that grants in place of others asks whether
 	// they are back. It bounds the time in which both grant.
--- a/dfquota/host.go
+++ b/dfquota/host.go
@@ -225,14 +225,15 @@
 }
 
 // Return gives back the token of an operation that was not sent to an upstream, as long
-// as it is valid, and returns the operations that it admits.
-func (h *Host) Return(now dfclock.Millis, organisation string, token Admitted) []Decision {
+// as it is valid, and returns the operations that it admits. returned is false if the
+// token is not valid any more.
+func (h *Host) Return(now dfclock.Millis, organisation string, token Admitted) (decisions []Decision, returned bool) {
 	a := h.accounts[organisation]
 	if a == nil || now >= token.expiresAt || token.version < h.loweredIn[organisation] {
-		return nil
+		return nil, false
 	}
 	a.holdings = slices.Insert(a.holdings, 0, holding{1, token.expiresAt, token.version})
-	return a.admit(now, nil)
+	return a.admit(now, nil), true
 }
 
 func (a *account) held(now dfclock.Millis) int {
--- a/dfquota/owner.go
+++ b/dfquota/owner.go
@@ -104,11 +104,18 @@
 	}
 }
 
-// Observe sets when the host was last in contact with a majority of the hosts. It is
-// called several times within QuorumTTL. A host that lost the majority, or could not
-// run meanwhile, starts again with empty buckets.
-func (o *Owner) Observe(now, quorumAt dfclock.Millis) {
+// Observe sets when the host was last in contact with a majority of the hosts, and when
+// another host first answered it, or a negative value. It is called several times within
+// QuorumTTL. A host that lost the majority, or could not run meanwhile, starts again with
+// empty buckets.
+func (o *Owner) Observe(now, quorumAt, heardAt dfclock.Millis) {
 	lapsed := o.quorumAt == unset || now-o.quorumAt >= QuorumTTL
+	// Others learn of a host from the one that first answered it, and know it for longer
+	// than reserveTimeout.
+	settlingSince := now
+	if heardAt >= 0 && (o.quorumAt == unset || now-o.quorumAt < reserveTimeout) {
+		settlingSince = min(now, max(quorumAt, heardAt))
+	}
 	o.quorumAt = max(o.quorumAt, quorumAt)
 	if lapsed {
 		o.readyAt = dfclock.Never
@@ -117,7 +124,7 @@
 		}
 	}
 	if o.readyAt == dfclock.Never && o.quorumAt != unset && now-o.quorumAt < QuorumTTL {
-		o.readyAt = now.Add(settleDelay)
+		o.readyAt = max(now, settlingSince.Add(settleDelay))
 	}
 }
 
--- a/dfquota/reserve_test.go
+++ b/dfquota/reserve_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfmember"
 )
 
 // partitions are the ways in which hosts lose each other.
@@ -54,6 +55,7 @@
 		}
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), hosts, limits)
 		w.badLinks = rapid.SampledFrom([]float64{0, 0, 0.02, 0.2}).Draw(t, "bad links")
+		w.unsent = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "unsent")
 		demand := rapid.SampledFrom([]float64{0.6, 2, 7}).Draw(t, "demand")
 		pause := rapid.Bool().Draw(t, "pauses")
 		for _, name := range []string{"a", "b"} {
@@ -130,3 +132,37 @@
 	t.Logf("all: %.3f of what is asked inside", served/asked)
 	return served / asked
 }
+
+// Guards against tokens of operations that were never sent which are lost, and against
+// those that are used after they expired or after the limit was lowered.
+func TestTokenIsReturned(t *testing.T) {
+	limits := map[string]Limit{"a": {Rate: 10, Burst: 10}}
+	lowered := map[string]Limit{"a": {Rate: 5, Burst: 5}}
+	for _, c := range []struct {
+		name       string
+		returnedAt dfclock.Millis
+		limits     map[string]Limit
+		returned   bool
+	}{
+		{"in time", 1200, limits, true},
+		{"too late", 1000 + GrantTTL, limits, false},
+		{"after the limit was lowered", 1200, lowered, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			self := dfmember.Host{ID: "a"}
+			h := NewHost(self)
+			h.SetLimits(1, limits)
+			h.SetHosts([]dfmember.Host{self})
+			require.IsType(t, Waiting{}, h.Arrive(1000, "a", 2000))
+			sent := h.Asks(1000, nil, nil)[0]
+			decisions := h.Handle(1010, sent, Grant{Version: 1, Ready: true, Parts: []Part{{Tokens: 1}}})
+			require.Len(t, decisions, 1)
+			token, _ := decisions[0].Verdict.(Admitted)
+			h.SetLimits(2, c.limits)
+			_, returned := h.Return(c.returnedAt, "a", token)
+			require.Equal(t, c.returned, returned)
+			_, admitted := h.Arrive(c.returnedAt, "a", c.returnedAt).(Admitted)
+			require.Equal(t, c.returned, admitted, "a second operation takes the token")
+		})
+	}
+}
