--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -29,6 +29,9 @@
 	// quotaIdleTimeout closes the connection of a host that sends no more asks, and
 	// ends the goroutine that asks a host. Organisations pause for seconds.
 	quotaIdleTimeout = 60 * time.Second
+	// quotaStartSpan is how long after its start a host without a majority polls others
+	// more often.
+	quotaStartSpan = 5 * dfclock.Second
 	// quotaListenDelay is the pause before the listener is opened again after a
 	// failure.
 	quotaListenDelay = dfclock.Second
@@ -104,6 +107,8 @@
 	}
 	verdict := e.admit(req.caller(), req.organisation, catalog, min(e.options.Now().Add(wait), req.deadline))
 	switch v := verdict.(type) {
+	case dfquota.Admitted:
+		req.token = v
 	case dfquota.Refused:
 		return dfresult.NewError(dfresult.OverLimit, "organisation %s", req.organisation).WithRetryAfter(e.returnUnderLimit(req, v.RetryAfter))
 	case dfquota.Withdrawn:
@@ -112,6 +117,23 @@
 	return nil
 }
 
+// returnToken gives back what an operation took of the limit, if no upstream can have
+// received any of it.
+func (e *Edge) returnToken(req *routeRequest) {
+	if req.sent || req.token == (dfquota.Admitted{}) {
+		return
+	}
+	q := e.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	decisions, returned := q.host.Return(e.options.Now(), req.organisation, req.token)
+	if returned {
+		e.countQuota("returned", req.organisation, 1)
+	}
+	q.decide(decisions)
+	req.token = dfquota.Admitted{}
+}
+
 // admit decides on an operation of an organisation. It waits for a token until the
 // given time at most, and until departure ends because the caller leaves.
 func (e *Edge) admit(departure context.Context, organisation string, catalog dfcatalog.Catalog, until dfclock.Millis) dfquota.Verdict {
@@ -205,7 +227,7 @@
 }
 
 func (e *Edge) removeQuotaCounts(organisation string) {
-	for _, event := range []string{"used", "refused", "granted", "reserved"} {
+	for _, event := range []string{"used", "refused", "granted", "reserved", "returned"} {
 		delete(e.quota.counts, event+"/"+organisation)
 		e.counters.set.UnregisterMetric(quotaCounter(event, organisation))
 	}
@@ -250,7 +272,10 @@
 	}
 	if !e.usesLeases() {
 		periods := dfneighbour.DefaultPollPeriods()
-		if catalog.HasOrganisations() {
+		switch {
+		case catalog.HasOrganisations() && now-e.startedAt < quotaStartSpan && e.neighbours.QuorumAt(now) < 0:
+			periods = dfneighbour.StartPollPeriods()
+		case catalog.HasOrganisations():
 			periods = dfneighbour.QuorumPollPeriods()
 		}
 		e.neighbours.SetPeriods(periods)
@@ -259,6 +284,7 @@
 		}
 	}
 	hosts := append(e.neighbours.OtherHosts(), e.options.Self)
+	heardAt := e.neighbours.HeardAt()
 	quorumAt, knownQuorumAt := e.neighbours.QuorumAt(now), e.neighbours.KnownQuorumAt(now)
 	known, reached, reachedAt := e.neighbours.Reached(now)
 	if e.stoppingAt != dfclock.Never {
@@ -272,7 +298,7 @@
 	q.host.SetHosts(hosts)
 	q.owner.SetHosts(now, hosts)
 	e.logLimits(now)
-	q.owner.Observe(now, quorumAt)
+	q.owner.Observe(now, quorumAt, heardAt)
 	q.owner.ObserveReach(now, known, reached, reachedAt)
 	q.host.Observe(now, knownQuorumAt, known)
 	for organisation, count := range q.host.TakeReserved() {
