Learn of all hosts before claims of a restored store count

Cause: a host that starts after the store came back reads the host table at once, when it may lack hosts that have not written their rows again. The host would then take a few hosts for a majority.

Ruled out: the number of hosts in the records, which is counted for the records only.

Change: a host that reads the records adds the hosts of the table that it reads with them.

Measured: TestRecordsCompleteTheHosts checks it; the tests of restores in platform pass.

--- a/dfedge/recovery.go
+++ b/dfedge/recovery.go
@@ -137,6 +137,8 @@
 	if err != nil {
 		return nil, false, err
 	}
+	// The host table that was read first may have lost hosts, which are back by now.
+	e.addListedHosts(hosts)
 	rows, err := e.options.Platform.List(ctx, recordsTable)
 	if err != nil {
 		return nil, false, err
--- a/dfedge/recovery_test.go
+++ b/dfedge/recovery_test.go
@@ -1,14 +1,46 @@
 package dfedge
 
 import (
+	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"dragonflygrade/dfclock"
+	"dragonflygrade/dfplatform"
 	"dragonflygrade/dfsuccession"
 )
 
+// restoredStore is a platform whose store is in its second era and has a table of two
+// hosts and one record.
+type restoredStore struct{ Platform }
+
+func (restoredStore) Era() uint64 { return 2 }
+
+func (restoredStore) List(_ context.Context, prefix string) ([]dfplatform.Row, error) {
+	if prefix == membersTable {
+		return []dfplatform.Row{
+			{Key: "Hosts/a", Value: []byte(`{"ID":"a","Address":"127.0.0.1:1"}`)},
+			{Key: "Hosts/b", Value: []byte(`{"ID":"b","Address":"127.0.0.1:2"}`)},
+		}, nil
+	}
+	return []dfplatform.Row{{Key: "Promises/a", Value: []byte(`{"Era":2,"Hosts":2,"Terms":{"orders":4}}`)}}, nil
+}
+
+// Guards against hosts that take a few hosts for a majority because the store had lost
+// the rows of the others when this host started.
+func TestRecordsCompleteTheHosts(t *testing.T) {
+	options := Options{Fencing: dfsuccession.HostsFence{}, Platform: restoredStore{}, Now: BootTime}
+	e := &Edge{options: options, neighbours: newNeighbours(options)}
+	records, complete, err := e.readRecords(t.Context(), 2)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	require.False(t, complete, "one record of two hosts")
+	require.Len(t, e.neighbours.OtherHosts(), 2)
+	_, _, err = e.readRecords(t.Context(), 3)
+	require.ErrorIs(t, err, dfplatform.ErrHistoryLost)
+}
+
 // Guards against starting hosts that take the claims from a host that was not told of
 // what they promised before their start.
 func TestClaimsCoverOwnPromises(t *testing.T) {
--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -291,14 +291,7 @@
 			delay = time.Second
 		}
 		listed = listed || err == nil
-		for _, row := range rows {
-			var host dfmember.Host
-			if err := json.Unmarshal(row.Value, &host); err != nil {
-				e.log.Warn().Str("Row", row.Key).Err(err).Msg("members: cannot decode row")
-				continue
-			}
-			e.addNeighbour(host)
-		}
+		e.addListedHosts(rows)
 		if err == nil {
 			e.mu.Lock()
 			e.membersLoaded = true
@@ -308,6 +301,18 @@
 	}
 }
 
+// addListedHosts learns of the hosts in the rows of the host table.
+func (e *Edge) addListedHosts(rows []dfplatform.Row) {
+	for _, row := range rows {
+		var host dfmember.Host
+		if err := json.Unmarshal(row.Value, &host); err != nil {
+			e.log.Warn().Str("Row", row.Key).Err(err).Msg("members: cannot decode row")
+			continue
+		}
+		e.addNeighbour(host)
+	}
+}
+
 func (e *Edge) announce(ctx context.Context) error {
 	value, err := json.Marshal(e.options.Self)
 	if err != nil {
