Decide by the reports of carriers which upstream a read runs on

Cause: a host of 61 or 101 sees about one answer per second of an upstream, too few to see a queue or a share of failures that it shares with all others.

Ruled out: two upstreams drawn at random (with two replicas, a third of the reads goes to one that is four times worse); totals since the last report to a client (a lost reply loses them, and they mix times before and after a fault); slots of a second (a shared fault set upstreams aside in most plays, because slots of different carriers begin at different moments); the strata of own answers with reported ones added (own answers count twice).

Change: dfreport has the report, the carrier's recorder and the client's ledger: totals of numbered slots of 250 ms, so that lost and repeated reports do no harm. dfplace averages reported waits, weighed by age, and draws by weights. dfpace compares reported answers with each other, without the stratum in which a fault seems to begin, and grows limits by reported queues. The plays with 61 and 101 hosts have carriers with dfadmit queues; arrivals are counted at the upstream, as before, which is now behind the carrier.

--- a/dfpace/constants.go
+++ b/dfpace/constants.go
@@ -8,6 +8,11 @@
 	// to tell a share of failures of 45 % from chance.
 	bucketSpan  = dfclock.Second
 	bucketCount = 30
+	// reportedSpan is the same for answers that carriers report, of which there are many.
+	reportedSpan = 500 * dfclock.Millisecond
+	// reportedTTL is how long after the last report of an upstream the reported answers
+	// are compared. Afterwards this host's own are.
+	reportedTTL = 5 * dfclock.Second
 	// compareSpan is the least interval between two comparisons of latencies.
 	compareSpan = 100 * dfclock.Millisecond
 	// minAnswers is the least number of answers of an upstream, and of the others
@@ -22,6 +27,9 @@
 	// that of the others. The comparison is repeated with every failure, so 3 would
 	// set an upstream aside by chance when all fail alike.
 	deviations = 4.0
+	// reportedDeviations is the same for answers that carriers report: all hosts compare
+	// the same answers, and there are enough of them.
+	reportedDeviations = 4.5
 	// distinctDeviations is the same for an upstream that fails at least minDistinctShare
 	// of its statements, and distinctFactor times the share of the others. Upstreams
 	// that fail alike do not differ so much by chance, and ten failures must suffice.
@@ -42,6 +50,9 @@
 	// minStratumAnswers is the number of answers on both sides from which on a stratum
 	// is compared for failures.
 	minStratumAnswers = 20
+	// minReportedAnswers is the same for answers that carriers report. A host with little
+	// traffic hears of a few at a time.
+	minReportedAnswers = 10
 	// An upstream is set aside for minAside, doubled up to maxAside with each time.
 	minAside = dfclock.Second
 	maxAside = 8 * dfclock.Second
@@ -77,6 +88,9 @@
 	// idleSpan is how long a limit must not have delayed a statement before it is
 	// lifted.
 	idleSpan = dfclock.Second
+	// queuedIdleSpan is how long carriers must not have reported a queue before a limit
+	// is lifted. A host with one answer per second hears of a queue by chance.
+	queuedIdleSpan = 3 * dfclock.Second
 	// minPaceSpan is the least duration of a limit. In the cold phase a slow upstream
 	// is not selected, which is no evidence that it needs no limit.
 	minPaceSpan = 3 * dfclock.Second
--- a/dfpace/growth.go
+++ b/dfpace/growth.go
@@ -35,6 +35,9 @@
 	// shrinkFactor is by how much faster a gradient lowers a limit, so that a queue
 	// does not outlast the growth that built it.
 	shrinkFactor = 3
+	// queuedPart is the part of that rate at which a limit is lowered by each report of a
+	// queue. All hosts hear of the same queue.
+	queuedPart = 0.1
 	// leastFactor bounds what one answer takes from a limit. Hosts with rare answers
 	// would all leave a queue that each of them saw once.
 	leastFactor = 0.7
@@ -73,6 +76,16 @@
 	return math.Inf(1)
 }
 
+// follow returns the limit after a good answer through a carrier. A carrier has a queue
+// when about two statements for each slot are under way, so its reports show the queue
+// of the upstream to hosts that get few answers.
+func (s sample) follow(queued bool) float64 {
+	if queued {
+		return s.grow(-queuedPart)
+	}
+	return s.grow(1)
+}
+
 // grow returns the limit grown by the given part of the full rate.
 func (s sample) grow(part float64) float64 {
 	if part < 0 {
--- a/dfpace/pace.go
+++ b/dfpace/pace.go
@@ -52,6 +52,10 @@
 	baseSecond     dfclock.Millis
 	// latency is the moving average of the latency in ms.
 	latency float64
+	// queuedAt is when a carrier last reported a queue, or zero.
+	queuedAt dfclock.Millis
+	// awaitsLoad is true from a good answer until the report of its carrier.
+	awaitsLoad bool
 	// probation is the number of good answers that are left of the probation.
 	probation int
 }
@@ -67,6 +71,8 @@
 	slots  int
 	state  state
 	window window
+	// reported has the answers to statements of all hosts, where carriers report them.
+	reported window
 	// inFlight has the start times of statements that were admitted while a trial or
 	// a limit was in force, in order.
 	inFlight []dfclock.Millis
@@ -78,6 +84,12 @@
 	losingSince dfclock.Millis
 	lostAt      dfclock.Millis
 	everLost    bool
+	// reportedLossAt is when a carrier last reported a loss, if lossReported.
+	reportedLossAt dfclock.Millis
+	lossReported   bool
+	// countsFrom is the instant before which reported answers do not count, because
+	// the upstream may have been another one or its window was emptied.
+	countsFrom dfclock.Millis
 	// comparedAt is when the latency was last compared.
 	comparedAt dfclock.Millis
 }
@@ -90,6 +102,8 @@
 	// statements than the replicas.
 	leader dffleet.ID
 	hosts  int
+	// now is when a carrier last reported.
+	now dfclock.Millis
 	// admitted counts the statements that were admitted.
 	admitted int
 	// spread returns a number in [0, 1) that differs between hosts, so that hosts do
@@ -119,7 +133,7 @@
 	}
 	u := p.upstreams[id]
 	if u == nil {
-		u = &upstream{id: id, state: open{}}
+		u = &upstream{id: id, state: open{}, window: newWindow(), reported: newReportedWindow(), countsFrom: p.now}
 		p.upstreams[id] = u
 	}
 	u.slots = max(1, slots)
@@ -181,7 +195,12 @@
 	}
 	u.state = next
 	u.inFlight = nil
-	u.window = window{}
+	u.window = newWindow()
+	if cause != TrialSucceeded {
+		// What carriers saw since the upstream was set aside counts.
+		u.countsFrom = now
+	}
+	u.reported.buckets = [bucketCount]bucket{}
 	p.emit(Paced{u.id, limit, cause})
 }
 
@@ -259,7 +278,7 @@
 
 // liftIfIdle ends a limit that delayed no statement for idleSpan.
 func (p *Pace) liftIfIdle(now dfclock.Millis, u *upstream, s *paced) bool {
-	if now < s.startedAt.Add(minPaceSpan) || now < s.delayedAt.Add(idleSpan) || now < s.decreasedAt.Add(idleSpan) || s.probation > 0 {
+	if now < s.startedAt.Add(minPaceSpan) || now < s.delayedAt.Add(idleSpan) || now < s.decreasedAt.Add(idleSpan) || s.probation > 0 || now < s.queuedAt.Add(queuedIdleSpan) {
 		return false
 	}
 	u.state = open{}
@@ -330,6 +349,10 @@
 
 // RecordGood records a good answer.
 func (p *Pace) RecordGood(now dfclock.Millis, id dffleet.ID, latency dfclock.Millis) {
+	p.recordGood(now, id, latency, ownAnswer)
+}
+
+func (p *Pace) recordGood(now dfclock.Millis, id dffleet.ID, latency dfclock.Millis, source answerSource) {
 	u := p.upstreams[id]
 	if u == nil {
 		return
@@ -343,8 +366,13 @@
 		p.endTrial(now, u, latency)
 	case *paced:
 		u.window.addGood(now, latency)
-		p.grow(now, s, latency)
-		s.probation = max(0, s.probation-1)
+		if source == carriedAnswer {
+			// RecordObservation and RecordLoad take the carrier's report into account.
+			s.awaitsLoad = true
+		} else {
+			p.grow(now, s, latency)
+			s.probation = max(0, s.probation-1)
+		}
 		p.compareLatency(now, u)
 	case open:
 		u.window.addGood(now, latency)
@@ -419,7 +447,10 @@
 		return false
 	}
 	for _, other := range p.upstreams {
-		if other != u && !other.isAside() && other.everLost && now < other.lostAt.Add(sharedLossSpan) {
+		if other == u || other.isAside() {
+			continue
+		}
+		if other.everLost && now < other.lostAt.Add(sharedLossSpan) || other.lossReportedSince(now-sharedLossSpan) {
 			return true
 		}
 	}
@@ -431,9 +462,9 @@
 func (p *Pace) expectRecovery(now dfclock.Millis, u *upstream) {
 	switch s := u.state.(type) {
 	case open:
-		window := u.window
+		before := *u
 		p.startPace(now, u, Recovered)
-		u.window = window
+		u.window, u.reported, u.countsFrom = before.window, before.reported, before.countsFrom
 		if limited, ok := u.state.(*paced); ok {
 			limited.awaitsFirst = true
 		}
@@ -498,12 +529,16 @@
 // others returns the windows of the other upstreams that are not set aside, without
 // the leader if it is not comparable.
 func (p *Pace) others(u *upstream, withoutLeader bool) []*window {
+	return p.otherWindows(u, withoutLeader, func(other *upstream) *window { return &other.window })
+}
+
+func (p *Pace) otherWindows(u *upstream, withoutLeader bool, of func(*upstream) *window) []*window {
 	var others []*window
 	for _, other := range p.upstreams {
 		if other == u || other.isAside() || withoutLeader && other.id == p.leader {
 			continue
 		}
-		others = append(others, &other.window)
+		others = append(others, of(other))
 	}
 	return others
 }
@@ -525,8 +560,12 @@
 }
 
 func (p *Pace) compareFailures(now dfclock.Millis, u *upstream) {
+	if u.isReported(now) {
+		p.compareReported(now, u)
+		return
+	}
 	others := p.others(u, false)
-	if failsMore(strata(now, &u.window, others, hasAnswers)) {
+	if failsMore(strata(now, &u.window, others, hasAnswers), deviations) {
 		p.setAside(now, u, others)
 	}
 }
@@ -563,7 +602,11 @@
 	}
 	u.state = aside{until: now.Add(u.span), admitted: p.admitted}
 	own, others := sum(now, &u.window), sum(now, othersWindows...)
-	u.window = window{}
+	if u.isReported(now) {
+		answers := sum(now, &u.reported)
+		own.good, own.failed = answers.good, answers.failed
+	}
+	u.emptyWindow(now)
 	u.inFlight = nil
 	p.emit(SetAside{
 		ID: u.id, Span: u.span, Answers: own.answers(), Failed: own.failed, OtherAnswers: others.answers(), OtherFailed: others.failed,
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -10,6 +10,7 @@
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpace"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfreport"
 )
 
 const (
@@ -75,6 +76,10 @@
 	failures   int
 	// excludedUntil is the instant before which the upstream is not selected.
 	excludedUntil dfclock.Millis
+	// carriers has the IDs of the hosts that carry the upstream, or none if every host
+	// has connections of its own. reports has what they reported.
+	carriers []string
+	reports  *dfreport.Ledger
 }
 
 // latencyScale is the number of units of a fixed-point latency in a millisecond.
@@ -87,6 +92,11 @@
 	// inUse is true once an upstream answered. Before that, upstreams are new to this
 	// host only.
 	inUse bool
+	// choice is how an upstream is chosen where carriers report, and random its source.
+	choice Choice
+	random func() float64
+	// moved counts the reads that a report moved to another upstream.
+	moved int
 }
 
 // New returns a selector without candidates.
@@ -96,14 +106,20 @@
 
 // NewWithPace returns a selector without candidates. The pace must have none either.
 func NewWithPace(pace *dfpace.Pace) *Selector {
-	return &Selector{candidates: map[dffleet.ID]*candidate{}, pace: pace}
+	return NewWithReports(pace, Weighted{}, func() float64 { return 0.5 })
+}
+
+// NewWithReports is like NewWithPace. random returns a number in [0, 1) that differs
+// between hosts. It is used where carriers report.
+func NewWithReports(pace *dfpace.Pace, choice Choice, random func() float64) *Selector {
+	return &Selector{candidates: map[dffleet.ID]*candidate{}, pace: pace, choice: choice, random: random}
 }
 
 // Put adds an upstream, or updates whether it is local and its number of slots.
 func (s *Selector) Put(id dffleet.ID, local bool, slots int) {
 	c := s.candidates[id]
 	if c == nil {
-		c = &candidate{id: id, latency: defaultLatency * latencyScale, measuredAt: -latencyTTL}
+		c = &candidate{id: id, latency: defaultLatency * latencyScale, measuredAt: -latencyTTL, reports: dfreport.NewLedger()}
 		s.candidates[id] = c
 	}
 	c.local, c.slots = local, max(1, slots)
@@ -190,6 +206,11 @@
 
 // RecordAnswer records the latency of an answer.
 func (s *Selector) RecordAnswer(now dfclock.Millis, id dffleet.ID, latency dfclock.Millis) {
+	s.recordLatency(now, id, latency)
+	s.pace.RecordGood(now, id, latency)
+}
+
+func (s *Selector) recordLatency(now dfclock.Millis, id dffleet.ID, latency dfclock.Millis) {
 	c := s.candidates[id]
 	if c == nil {
 		return
@@ -200,7 +221,6 @@
 	c.failures = 0
 	c.excludedUntil = 0
 	s.inUse = true
-	s.pace.RecordGood(now, id, latency)
 }
 
 // RecordStatementFailure records that a statement failed at the upstream, for no
@@ -258,18 +278,32 @@
 // expectedWait estimates the time until a further statement is answered. Measured
 // latencies include the queue at the upstream; this host's own queue is added.
 func (c *candidate) expectedWait(now dfclock.Millis) dfclock.Millis {
+	return c.withReports(now, c.ownEstimate(now)) + c.distance()
+}
+
+// ownEstimate is the expected wait by this host's own answers.
+func (c *candidate) ownEstimate(now dfclock.Millis) dfclock.Millis {
 	expected := c.expectedLatency(now)
-	wait := expected + expected*dfclock.Millis(c.waiting)/dfclock.Millis(max(1, c.running))
-	if !c.local {
-		wait += remotePenalty * latencyScale
+	return expected + expected*dfclock.Millis(c.waiting)/dfclock.Millis(max(1, c.running))
+}
+
+// distance is the cost of the way to the upstream.
+func (c *candidate) distance() dfclock.Millis {
+	if c.local {
+		return 0
 	}
-	return wait
+	return remotePenalty * latencyScale
 }
 
-// score is the expected wait plus the load that this host has just added, which
-// measured latencies do not show yet.
+// addedLoad is the load that this host has just added, which measured latencies do not
+// show yet.
+func (c *candidate) addedLoad(now dfclock.Millis) dfclock.Millis {
+	return c.expectedLatency(now) * dfclock.Millis(c.running) / dfclock.Millis(c.slots)
+}
+
+// score is the expected wait plus the load that this host has just added.
 func (c *candidate) score(now dfclock.Millis) dfclock.Millis {
-	return c.expectedWait(now) + c.expectedLatency(now)*dfclock.Millis(c.running)/dfclock.Millis(c.slots)
+	return c.expectedWait(now) + c.addedLoad(now)
 }
 
 // mayCover reports whether the log is likely to meet the requirement of a read.
@@ -300,10 +334,10 @@
 	return best.id, true
 }
 
-// bestForRead returns the candidate with the lowest wait, or nil.
+// bestForRead returns the candidate to choose, or nil: the one with the lowest wait, or
+// the one that is drawn where carriers report.
 func (s *Selector) bestForRead(now dfclock.Millis, required Requirement, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID, asideToo bool) *candidate {
-	var best *candidate
-	var bestWait dfclock.Millis
+	var options []option
 	for _, upstream := range usable {
 		c := s.candidates[upstream.ID]
 		if c == nil || now.Before(c.excludedUntil) || slices.Contains(avoid, c.id) {
@@ -315,16 +349,39 @@
 		if !asideToo && s.pace.IsAside(now, c.id) {
 			continue
 		}
-		wait := c.score(now)
+		percent := dfclock.Millis(100)
 		if c.id == leader {
-			wait = wait * primaryPenaltyPercent / 100
+			percent = primaryPenaltyPercent
 		}
 		if upstream.Draining {
-			wait *= 4
+			percent *= 4
 		}
+		options = append(options, option{candidate: c, leads: c.id == leader, percent: percent})
+	}
+	if !s.isCarried(options) {
+		return s.lowest(now, options, (*candidate).score)
+	}
+	return s.draw(now, options)
+}
+
+// option is a candidate that a read may run on.
+type option struct {
+	*candidate
+	leads bool
+	// percent scales its wait.
+	percent dfclock.Millis
+}
+
+// lowest returns the candidate with the lowest scaled value that its limit does not
+// delay, or nil.
+func (s *Selector) lowest(now dfclock.Millis, options []option, value func(*candidate, dfclock.Millis) dfclock.Millis) *candidate {
+	var best *candidate
+	var bestWait dfclock.Millis
+	for _, o := range options {
+		wait := value(o.candidate, now) * o.percent / 100
 		// A limit counts as used only by statements that want the upstream.
-		if (best == nil || wait < bestWait) && s.pace.AvailableIn(now, c.id) == 0 {
-			best, bestWait = c, wait
+		if (best == nil || wait < bestWait) && s.pace.AvailableIn(now, o.id) == 0 {
+			best, bestWait = o.candidate, wait
 		}
 	}
 	return best
--- a/dfplace/play_test.go
+++ b/dfplace/play_test.go
@@ -6,6 +6,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpace"
+	"dragonflygrade/dfreport"
 )
 
 // The played load follows docs/design/load.md: upstreams of 4 slots and a queue of 32,
@@ -77,6 +78,15 @@
 	// lostAt is when the host gives up on the answer.
 	lostAt dfclock.Millis
 	over   bool
+	// carrier is the one that it was sent to, or nil. id is its number there, and
+	// queued is true until it is sent to the upstream.
+	carrier *playCarrier
+	id      uint64
+	queued  bool
+	// refusedFor is the retry-after time of the last refusal for lack of capacity, or 0.
+	refusedFor dfclock.Millis
+	// admitBy is when the wait for capacity has taken its part of the target latency.
+	admitBy dfclock.Millis
 }
 
 // playHost is one host.
@@ -85,8 +95,10 @@
 	rate     float64
 	// failed counts failures of c, and reads and readsAtC the reads from 1 s after the
 	// tenth of them on.
-	failed          int
-	tenthFailedAt   dfclock.Millis
+	failed        int
+	tenthFailedAt dfclock.Millis
+	// carriers has the carriers of each upstream that the host uses, or none.
+	carriers        map[dffleet.ID][]*playCarrier
 	reads, readsAtC int
 }
 
@@ -96,6 +108,7 @@
 	now       dfclock.Millis
 	hosts     []*playHost
 	upstreams []*playUpstream
+	carriers  []*playCarrier
 	listed    []dffleet.Upstream
 	leader    dffleet.ID
 	waiting   []*playRequest
@@ -115,6 +128,10 @@
 // newPlay returns a play of three upstreams. A tenth of the hosts serve half of the
 // callers.
 func newPlay(seed uint64, hosts int, growth dfpace.Growth, readRate, writeRate float64) *play {
+	return newPlayWithChoice(seed, hosts, growth, Weighted{}, readRate, writeRate)
+}
+
+func newPlayWithChoice(seed uint64, hosts int, growth dfpace.Growth, choice Choice, readRate, writeRate float64) *play {
 	p := &play{random: rand.New(rand.NewPCG(seed, 1)), leader: "a", readRate: readRate, writeRate: writeRate}
 	for _, id := range []dffleet.ID{"a", "b", "c"} {
 		p.upstreams = append(p.upstreams, newPlayUpstream(id))
@@ -122,7 +139,7 @@
 	}
 	big := (hosts + 9) / 10
 	for i := range hosts {
-		h := &playHost{selector: NewWithPace(dfpace.New(growth, p.random.Float64)), rate: 0.5 / float64(max(1, hosts-big))}
+		h := &playHost{selector: NewWithReports(dfpace.New(growth, p.random.Float64), choice, p.random.Float64), rate: 0.5 / float64(max(1, hosts-big))}
 		if i < big {
 			h.rate = 0.5 / float64(big)
 		}
@@ -136,6 +153,7 @@
 		h.selector.SetLeader(0, p.leader, false)
 		p.hosts = append(p.hosts, h)
 	}
+	p.addCarriers()
 	return p
 }
 
@@ -154,6 +172,9 @@
 		for _, u := range p.upstreams {
 			p.tickUpstream(u)
 		}
+		for _, c := range p.carriers {
+			p.advanceCarrier(c)
+		}
 		p.dropLost()
 		p.arrive(p.readRate, false)
 		p.arrive(p.writeRate, true)
@@ -168,7 +189,7 @@
 
 func (p *play) arrive(rate float64, writes bool) {
 	for n := p.poisson(rate / 1000); n > 0; n-- {
-		r := &playRequest{host: p.pickHost(), writes: writes, arrivedAt: p.now, deadline: p.now + playTimeout}
+		r := &playRequest{host: p.pickHost(), writes: writes, arrivedAt: p.now, deadline: p.now + playTimeout, admitBy: p.now + playTarget*playWaitPercent/100}
 		p.requests++
 		if writes {
 			p.writes++
@@ -252,12 +273,16 @@
 	} else {
 		var ok bool
 		if id, ok = s.SelectForRead(p.now, Requirement{}, p.listed, p.leader, r.avoid); !ok {
+			if r.refusedFor > 0 {
+				p.refusedAtCarriers(r, r.refusedFor)
+				return
+			}
 			r.avoid = nil
 			p.wait(r, playRetryDelay)
 			return
 		}
 	}
-	if wait := s.ExpectedWait(p.now, id); wait > playTarget*playWaitPercent/100 {
+	if wait := s.ExpectedWait(p.now, id); len(p.carriers) == 0 && wait > playTarget*playWaitPercent/100 {
 		p.refuse(r, wait-playTarget*playWaitPercent/100)
 		return
 	}
@@ -286,23 +311,31 @@
 	s.Enqueue(u.id)
 	s.Start(u.id)
 	r.lostAt = p.now + max(300, 6*s.ExpectedWait(p.now, u.id))
-	u.arrived[p.now/dfclock.Second]++
+	r.refusedFor = 0
 	if h := r.host; h.failed >= 10 && p.now >= h.tenthFailedAt+dfclock.Second {
 		h.reads++
 		if u.id == "c" {
 			h.readsAtC++
 		}
 	}
+	if carriers := r.host.carriers[u.id]; len(carriers) > 0 {
+		p.carry(r, carriers[p.random.IntN(len(carriers))])
+		return
+	}
+	p.arriveAt(r, u)
+}
+
+// arriveAt sends a request to an upstream.
+func (p *play) arriveAt(r *playRequest, u *playUpstream) {
+	u.arrived[p.now/dfclock.Second]++
 	switch {
 	case u.down:
-		u.failures = append(u.failures, p.now)
-		p.end(r)
-		s.RecordConnectionLost(p.now, u.id)
-		p.again(r)
+		p.lose(r, u)
 	case len(u.queue) >= playQueue:
 		u.refused[p.now/dfclock.Second]++
 		p.end(r)
-		s.RecordQueueFull(p.now, u.id)
+		p.report(r, dfreport.Nothing)
+		r.host.selector.RecordQueueFull(p.now, u.id)
 		p.again(r)
 	default:
 		u.queue = append(u.queue, r)
@@ -310,6 +343,16 @@
 	}
 }
 
+// lose ends an attempt whose connection to the upstream is lost, or that is not answered
+// in time.
+func (p *play) lose(r *playRequest, u *playUpstream) {
+	p.end(r)
+	u.failures = append(u.failures, p.now)
+	r.host.selector.RecordConnectionLost(p.now, u.id)
+	p.report(r, dfreport.Lost)
+	p.again(r)
+}
+
 // end ends an attempt.
 func (p *play) end(r *playRequest) {
 	r.over = true
@@ -336,9 +379,9 @@
 			p.end(r)
 			r.upstream.failures = append(r.upstream.failures, p.now)
 			r.host.selector.RecordConnectionLost(p.now, r.upstream.id)
+			p.report(r, dfreport.Lost)
 			// The upstream runs it to its end for nobody.
-			r.over = true
-			next := &playRequest{host: r.host, writes: r.writes, arrivedAt: r.arrivedAt, deadline: r.deadline, retries: r.retries, attempts: r.attempts, avoid: r.avoid, upstream: r.upstream}
+			next := &playRequest{host: r.host, writes: r.writes, arrivedAt: r.arrivedAt, deadline: r.deadline, retries: r.retries, attempts: r.attempts, avoid: r.avoid, upstream: r.upstream, admitBy: r.admitBy}
 			p.again(next)
 			continue
 		}
@@ -351,10 +394,7 @@
 	if u.down {
 		for _, r := range append(u.running, u.queue...) {
 			if !r.over {
-				p.end(r)
-				u.failures = append(u.failures, p.now)
-				r.host.selector.RecordConnectionLost(p.now, u.id)
-				p.again(r)
+				p.lose(r, u)
 			}
 		}
 		u.running, u.queue = nil, nil
@@ -396,10 +436,16 @@
 			r.host.tenthFailedAt = p.now
 		}
 		r.host.selector.RecordStatementFailure(p.now, u.id)
+		p.report(r, dfreport.Failed)
 		p.again(r)
 		return
 	}
-	r.host.selector.RecordAnswer(p.now, u.id, p.now-r.sentAt)
+	if r.carrier == nil {
+		r.host.selector.RecordAnswer(p.now, u.id, p.now-r.sentAt)
+	} else {
+		r.host.selector.RecordCarriedAnswer(p.now, u.id, p.now-r.sentAt)
+	}
+	p.report(r, dfreport.Good)
 	switch latency := p.now - r.arrivedAt; {
 	case latency <= playTarget:
 		p.onTime++
@@ -414,9 +460,15 @@
 // restart makes an upstream new to every host, as a new incarnation in the list does.
 func (p *play) restart(u *playUpstream, coldFactor float64, coldSpan dfclock.Millis) {
 	u.down, u.startedAt, u.coldFactor, u.coldSpan = false, p.now, coldFactor, coldSpan
+	for _, c := range p.carriers {
+		if c.upstream == u {
+			c.recorder = dfreport.NewRecorder(p.now, p.random.Uint32())
+		}
+	}
 	for _, h := range p.hosts {
 		h.selector.Remove(u.id)
 		h.selector.Put(u.id, true, playSlots)
+		h.nameCarriers(u)
 		h.selector.StartPace(p.now, u.id)
 	}
 }
