Send reports of carriers with their replies

Cause: dfplace and dfpace can use reports, but no carrier sends any.

Ruled out: counts since the last report alone (a lost reply loses them); a field in the request that says what the client knows (a client that sends another request on a connection has read the reply before); counting at the handler (the carrier's own statements would be left out).

Change: a pool counts the outcome of every exchange of its connections, by the same rules as dfedge, and of openings that failed. The handler adds the report of the pool to each reply, with the slots since its last reply on the connection. The edge records it after the answer; a carrier uses the report of its own pool. Carriers that the plan no longer names are dropped at each tick. Hosts without carriers get no report, and select as before. Metrics count reports and reads that a report moved.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -77,6 +77,8 @@
 	// admission; it is nil once the statement has ended.
 	admission *dfadmission.Controller
 	admitted  dfadmission.Release
+	// recorder counts answers, or is nil.
+	recorder *recorder
 	// setInTransaction is true if session state was set inside the open transaction.
 	setInTransaction bool
 }
@@ -159,6 +161,7 @@
 		c.startStatement()
 		defer c.endStatement()
 	}
+	defer func() { c.recorder.record(outcomeOf(calls, answers, sent, err)) }()
 	var all []dfstatement.Call
 	translated := make([]dfstatement.Call, 0, len(calls))
 	for _, call := range calls {
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -13,6 +13,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpool"
+	"dragonflygrade/dfreport"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -110,6 +111,7 @@
 	observe  Observer
 	ctx      context.Context
 	cancel   context.CancelFunc
+	recorder *recorder
 
 	mu sync.Mutex
 	// admission orders statements before they get a connection, or is nil if they are
@@ -133,7 +135,7 @@
 		OpenDelay: openDelay,
 	}
 	return &Pool{
-		use: use, upstream: upstream, open: open, clock: clock, observe: observe, ctx: ctx, cancel: cancel,
+		use: use, upstream: upstream, open: open, clock: clock, observe: observe, ctx: ctx, cancel: cancel, recorder: newRecorder(clock),
 		policy:  dfpool.New(config, source),
 		conns:   map[dfpool.ConnID]*Conn{},
 		waiting: map[dfpool.WaiterID]chan acquireResult{},
@@ -329,12 +331,15 @@
 	conn, err := p.open(p.ctx, p.upstream, a.Organisation)
 	p.observe(p.upstream.ID, err)
 	if err != nil {
+		if !dfresult.HasCode(err, dfresult.ConnectionLimit) {
+			p.recorder.record(dfreport.Lost)
+		}
 		p.handle(dfpool.OpenFailed{Conn: a.Conn})
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn.id = a.Conn
+	conn.id, conn.recorder = a.Conn, p.recorder
 	p.conns[a.Conn] = conn
 	p.perform(p.policy.Handle(p.clock(), dfpool.Opened{Conn: a.Conn}))
 }
--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -36,6 +36,8 @@
 	upstreamTrials      *metrics.Counter
 	upstreamsReturned   *metrics.Counter
 	upstreamsPaced      *metrics.Counter
+	reportsReceived     *metrics.Counter
+	readsMoved          *metrics.Counter
 	// logSecond and logLines limit the rate of failure lines; they are guarded by
 	// Edge.mu.
 	logSecond dfclock.Millis
@@ -67,6 +69,8 @@
 		upstreamTrials:      set.NewCounter("dragonflygrade_edge_upstream_trials_total"),
 		upstreamsReturned:   set.NewCounter("dragonflygrade_edge_upstreams_returned_total"),
 		upstreamsPaced:      set.NewCounter("dragonflygrade_edge_upstreams_paced_total"),
+		reportsReceived:     set.NewCounter("dragonflygrade_edge_carrier_reports_total"),
+		readsMoved:          set.NewCounter("dragonflygrade_edge_reads_moved_by_reports_total"),
 	}
 }
 
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -262,6 +262,7 @@
 			use := e.connectionUse(now, s, id, plan)
 			pool.Tick(e.connectionLimit(now, s, id, plan), use)
 			pool.SetAdmissionLimit(e.admissionLimit(id, plan, use))
+			e.nameCarriers(now, s, id, plan)
 		}
 	}
 	e.updateReadiness(now)
@@ -354,9 +355,9 @@
 // where the settings ask for it.
 func (e *Edge) newPlacer() *dfplace.Selector {
 	if !e.options.OutlierEjection {
-		return dfplace.NewWithPace(dfpace.NewDisabled())
+		return dfplace.NewWithReports(dfpace.NewDisabled(), dfplace.Weighted{}, e.random.Float64)
 	}
-	return dfplace.NewWithPace(dfpace.New(dfpace.Gradient{}, e.random.Float64))
+	return dfplace.NewWithReports(dfpace.New(dfpace.Gradient{}, e.random.Float64), dfplace.Weighted{}, e.random.Float64)
 }
 
 func (e *Edge) updatePool(now dfclock.Millis, s *service, upstream dffleet.Upstream) {
@@ -377,6 +378,7 @@
 		limit := e.connectionLimit(now, s, upstream.ID, plan)
 		use := e.connectionUse(now, s, upstream.ID, plan)
 		s.pools[upstream.ID] = dfconnection.NewPool(upstream, limit, use, e.options.Now, e.openConnection, e.handleOpenResult, random)
+		e.nameCarriers(now, s, upstream.ID, plan)
 	}
 }
 
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -65,6 +65,7 @@
 // for one organisation, the upstream stays in use for the others.
 func (e *Edge) abandon(req *routeRequest, a *attempt, err error) {
 	e.statementEnded(req.service, a.upstream, a.led, true)
+	defer e.recordReportOfFailure(req.service, a)
 	var refused *dfresult.Error
 	var carrierLost *dfforward.CarrierError
 	_, viaCarrier := a.source.(carrierSource)
--- a/dfedge/pace.go
+++ b/dfedge/pace.go
@@ -24,6 +24,7 @@
 			logPace(line.Str("Service", s.name), event)
 		}
 	}
+	e.counters.readsMoved.Add(s.placer.MovedReads())
 	for id := range s.pools {
 		e.updateLimitGauge(s, id)
 	}
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -333,7 +333,11 @@
 	}
 	switch answer.Code {
 	case dfresult.OK:
-		s.placer.RecordAnswer(now, id, now-sentAt)
+		if _, reported := e.reportOf(s, a); reported {
+			s.placer.RecordCarriedAnswer(now, id, now-sentAt)
+		} else {
+			s.placer.RecordAnswer(now, id, now-sentAt)
+		}
 	case dfresult.StatementFailed, dfresult.StatementTimeout, dfresult.Internal:
 		s.placer.RecordStatementFailure(now, id)
 	case dfresult.NeedsPrimary:
@@ -353,6 +357,7 @@
 		// The caller's statement is the cause.
 		s.placer.RecordRefusal(id)
 	}
+	e.recordReport(now, s, a)
 }
 
 // recordFull records that an upstream's queue is full. Its probes then get more
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -15,6 +15,7 @@
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfforward"
 	"dragonflygrade/dfmember"
+	"dragonflygrade/dfreport"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -35,6 +36,8 @@
 	// ReleaseTimedOut returns the connection after its upstream did not answer in
 	// time.
 	ReleaseTimedOut()
+	// LoadReport returns the newest report of the carrier that the connection belongs to.
+	LoadReport() (carrier string, report dfreport.Report, ok bool)
 }
 
 // connSource provides connections to one upstream.
@@ -47,6 +50,7 @@
 // poolSource provides this host's own connections.
 type poolSource struct {
 	pool *dfconnection.Pool
+	self string
 }
 
 func (p poolSource) acquire(organisation string, priority int, deadline dfclock.Millis) (upstreamConn, error) {
@@ -54,13 +58,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return pooledConn{Conn: conn, pool: p.pool}, nil
+	return pooledConn{Conn: conn, pool: p.pool, self: p.self}, nil
 }
 
 // pooledConn is a connection of this host's own pool.
 type pooledConn struct {
 	*dfconnection.Conn
 	pool *dfconnection.Pool
+	self string
 }
 
 // Release returns the connection to the pool.
@@ -73,6 +78,12 @@
 	p.pool.ReleaseTimedOut(p.Conn)
 }
 
+// LoadReport returns the numbers of this host's own pool, if it is a carrier.
+func (p pooledConn) LoadReport() (carrier string, report dfreport.Report, ok bool) {
+	report, ok = p.pool.LoadReport()
+	return p.self, report, ok
+}
+
 // carrierSource provides connections held by a carrier host.
 type carrierSource struct {
 	client   *dfforward.Client
@@ -128,7 +139,7 @@
 // upstream. e.mu must be held.
 func (e *Edge) connRouteTo(now dfclock.Millis, req *routeRequest, id dffleet.ID) connRoute {
 	s := req.service
-	route := connRoute{source: poolSource{s.pools[id]}, acquireTimeout: maxAcquireWait}
+	route := connRoute{source: poolSource{s.pools[id], e.options.Self.ID}, acquireTimeout: maxAcquireWait}
 	plan := e.connectionPlan(now, s, id)
 	if !plan.Shared() {
 		return route
--- a/dfedge/source_test.go
+++ b/dfedge/source_test.go
@@ -272,6 +272,28 @@
 	}
 }
 
+// Guards against reports of carriers that do not reach the selection of upstreams, and
+// against those of a host that the plan does not name.
+func TestReportsReachTheSelection(t *testing.T) {
+	n := newCarrierNetwork(t, 6, newCatalog(1))
+	e := n.hosts["north0"]
+	e.mu.Lock()
+	s := e.services["orders"]
+	plan := e.connectionPlan(BootTime(), s, "u")
+	e.nameCarriers(BootTime(), s, "u", plan)
+	e.mu.Unlock()
+	for host, carrier := range n.hosts {
+		carrier.mu.Lock()
+		carrier.services["orders"].pools["u"].SetAdmissionLimit(2)
+		require.False(t, s.placer.TakesReports("u", host) && strings.HasPrefix(host, "north"))
+		carrier.mu.Unlock()
+	}
+	for range 3 {
+		require.True(t, n.write("north0", organisationName(0)).OK())
+	}
+	require.EqualValues(t, 3, e.counters.reportsReceived.Get())
+}
+
 // Guards against a statement that is refused or in doubt because the carrier of its
 // organisation died before the statement was sent to it, and against a write that runs
 // twice because it was sent to several.
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -15,6 +15,7 @@
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfmember"
 	"dragonflygrade/dfmessage"
+	"dragonflygrade/dfreport"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -139,6 +140,8 @@
 	netConn net.Conn
 	state   dfstatement.State
 	reports []dfstatement.Report
+	// load is the carrier's report in the newest reply, or nil.
+	load *dfreport.Report
 }
 
 // Exchange makes the carrier send calls in one write and returns their answers.
@@ -154,6 +157,7 @@
 	if session != nil {
 		req.Values = session.Values
 	}
+	c.load = nil
 	for _, statement := range calls {
 		call, err := encodeCall(statement, session)
 		if err != nil {
@@ -188,6 +192,7 @@
 func (c *Conn) handleReply(rep reply) ([]dfstatement.Answer, bool, error) {
 	c.state = rep.State
 	c.reports = rep.Reports
+	c.load = rep.Load
 	if rep.Declined {
 		err := eris.Errorf("it takes no statements for upstream %s", c.upstream)
 		return nil, false, &CarrierError{Carrier: c.client.carrier, Err: err}
@@ -220,6 +225,15 @@
 	return c.reports[0], nil
 }
 
+// LoadReport returns the carrier's report on the upstream in the newest reply. ok is
+// false if there is none.
+func (c *Conn) LoadReport() (carrier string, report dfreport.Report, ok bool) {
+	if c.load == nil {
+		return "", dfreport.Report{}, false
+	}
+	return c.client.carrier.ID, *c.load, true
+}
+
 // RolledBack does nothing, because the carrier detects the end of a transaction
 // itself.
 func (c *Conn) RolledBack() {}
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -7,6 +7,7 @@
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfmessage"
+	"dragonflygrade/dfreport"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -40,6 +41,10 @@
 	pool         *dfconnection.Pool
 	conn         *dfconnection.Conn
 	organisation string
+	// reported is the pool that ran the last request or refused it, or nil.
+	reported *dfconnection.Pool
+	// lastReport is the newest report. The client has read it if it sends another request.
+	lastReport dfreport.Report
 }
 
 // NewHandler returns the handler of one client connection.
@@ -66,13 +71,27 @@
 		if err := dfmessage.Read(client, &req); err != nil {
 			return
 		}
-		if err := dfmessage.Write(client, h.handle(req)); err != nil {
+		rep := h.handle(req)
+		h.addLoad(&rep)
+		if err := dfmessage.Write(client, rep); err != nil {
 			return
 		}
 	}
 }
 
+// addLoad adds the report on the upstream of the last request.
+func (h *Handler) addLoad(rep *reply) {
+	if h.reported == nil {
+		return
+	}
+	if report, ok := h.reported.LoadReport(); ok {
+		news := report.Since(h.lastReport)
+		rep.Load, h.lastReport = &news, report
+	}
+}
+
 func (h *Handler) handle(req request) reply {
+	h.reported = h.pool
 	deadline := time.Now().Add(time.Duration(req.Timeout) * time.Millisecond)
 	var session *dfconnection.SessionState
 	if req.HasSession {
@@ -100,6 +119,7 @@
 		if pool == nil {
 			return reply{Declined: true, State: dfstatement.Idle}
 		}
+		h.reported = pool
 		if err := h.acquire(pool, req); err != nil {
 			return refusedReply(err)
 		}
--- a/dfforward/message.go
+++ b/dfforward/message.go
@@ -7,6 +7,7 @@
 	"dragonflygrade/dfconnection"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfposition"
+	"dragonflygrade/dfreport"
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
@@ -50,6 +51,8 @@
 	Answers   []dfstatement.Answer
 	// Reports has the decoded answers to status calls.
 	Reports []dfstatement.Report
+	// Load is the carrier's report on the upstream, or nil.
+	Load *dfreport.Report
 }
 
 // callKind is the encoding of the type of a statement.
--- a/dfplace/report.go
+++ b/dfplace/report.go
@@ -68,12 +68,18 @@
 	}
 }
 
+// TakesReports reports whether the reports of a carrier on an upstream count.
+func (s *Selector) TakesReports(id dffleet.ID, carrier string) bool {
+	c := s.candidates[id]
+	return c != nil && slices.Contains(c.carriers, carrier)
+}
+
 // RecordReport records the report of a carrier on an upstream.
 func (s *Selector) RecordReport(now dfclock.Millis, id dffleet.ID, carrier string, report dfreport.Report) {
-	c := s.candidates[id]
-	if c == nil || !slices.Contains(c.carriers, carrier) {
+	if !s.TakesReports(id, carrier) {
 		return
 	}
+	c := s.candidates[id]
 	s.pace.RecordReport(now, id, c.reports.Record(now, carrier, report))
 	s.pace.RecordLoad(now, id, report.Queue.Wait, report.Queue.Latency)
 }
--- a/dfreport/report.go
+++ b/dfreport/report.go
@@ -108,6 +108,14 @@
 	Slots []Counts
 }
 
+// Since returns the report without the slots that an earlier one had in full.
+func (r Report) Since(earlier Report) Report {
+	if r.Source == earlier.Source {
+		r.Slots = r.Slots[:min(int64(len(r.Slots)), r.Slot-earlier.Slot+1)]
+	}
+	return r
+}
+
 // Recorder counts the answers that a carrier sees of one upstream.
 type Recorder struct {
 	source    uint32
