Use an upstream that is set aside when carriers refuse elsewhere

Cause: with reports, an upstream that fails 45 % of its reads is set aside by all hosts within 2 s.

Ruled out: not setting it aside under load; its reads would then fail and come back to the others.

Change: where carriers are used, a read that they refused at all other upstreams may run on one that is set aside.

--- a/dfpace/script_test.go
+++ b/dfpace/script_test.go
@@ -12,6 +12,7 @@
 
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfreport"
 )
 
 // script runs one case of testdata/pace.txt.
@@ -61,6 +62,10 @@
 		for range s.number(words, 2, 1) {
 			s.pace.RecordLoss(s.now, id)
 		}
+	case "report":
+		counts := dfreport.Counts{Good: s.number(words, 2, 0), Failed: s.number(words, 3, 0), Lost: s.number(words, 4, 0)}
+		began := s.now - dfclock.Millis(s.number(words, 5, 0))
+		s.pace.RecordReport(s.now, id, []dfreport.Observation{{BeganAt: began, Counts: counts}})
 	case "full":
 		s.pace.RecordOverload(s.now, id)
 	case "other", "cancel":
--- a/dfplace/carrier_test.go
+++ b/dfplace/carrier_test.go
@@ -224,3 +224,26 @@
 		}
 	}
 }
+
+// Guards against reads that are refused for lack of capacity while an upstream that is set
+// aside, and answers a part of them, is idle.
+func TestUpstreamSetAsideTakesWhatOthersRefuse(t *testing.T) {
+	for _, carriers := range [][]string{nil, {"x"}} {
+		s := New()
+		listed := []dffleet.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+		for _, u := range listed {
+			s.Put(u.ID, true, playSlots)
+			s.SetCarriers(u.ID, carriers)
+			for range 40 {
+				s.RecordAnswer(0, u.ID, 20)
+			}
+		}
+		for range 40 {
+			s.RecordStatementFailure(1, "c")
+		}
+		require.True(t, s.pace.IsAside(2, "c"))
+		id, ok := s.SelectForRead(2, Requirement{}, listed, "a", []dffleet.ID{"a", "b"})
+		require.Equal(t, len(carriers) > 0, ok)
+		require.Equal(t, ok, id == "c")
+	}
+}
--- a/dfplace/place.go
+++ b/dfplace/place.go
@@ -322,7 +322,7 @@
 // Upstreams that are set aside are selected for a trial, or if there are no others.
 func (s *Selector) SelectForRead(now dfclock.Millis, required Requirement, usable []dffleet.Upstream, leader dffleet.ID, avoid []dffleet.ID) (id dffleet.ID, ok bool) {
 	best := s.bestForRead(now, required, usable, leader, avoid, false)
-	if best == nil && len(avoid) == 0 {
+	if best == nil && (len(avoid) == 0 || s.usesCarriers(usable)) {
 		best = s.bestForRead(now, required, usable, leader, avoid, true)
 	}
 	if best == nil {
--- a/dfplace/report.go
+++ b/dfplace/report.go
@@ -108,6 +108,14 @@
 	return own + ((reported.Wait+reported.Latency)*latencyScale-own)*reported.Weight/dfreport.FreshFor
 }
 
+// usesCarriers reports whether one of the upstreams is used through carriers.
+func (s *Selector) usesCarriers(usable []dffleet.Upstream) bool {
+	return slices.ContainsFunc(usable, func(u dffleet.Upstream) bool {
+		c := s.candidates[u.ID]
+		return c != nil && len(c.carriers) > 0
+	})
+}
+
 // isCarried reports whether one of the options is used through carriers.
 func (s *Selector) isCarried(options []option) bool {
 	return slices.ContainsFunc(options, func(o option) bool { return len(o.carriers) > 0 })
