--- a/dfpace/report.go
+++ b/dfpace/report.go
@@ -25,10 +25,7 @@
 func (p *Pace) RecordReport(now dfclock.Millis, id dffleet.ID, observed []dfreport.Observation) {
 	p.now = now
 	u := p.upstreams[id]
-	if u == nil {
-		return
-	}
-	if u.isAside() {
+	if u == nil || u.isAside() {
 		return
 	}
 	good, failed := 0, 0
@@ -101,11 +98,11 @@
 		return
 	}
 	s.latency += (float64(wait+latency) - s.latency) / 4
-	switch p.growth.(type) {
-	case Gradient:
-		s.limit = max(s.least(), sample{limit: s.limit, elapsed: now - s.answeredAt}.follow(wait > 0))
-	default:
-		s.limit = max(s.least(), p.growth.next(sample{limit: s.limit, start: s.start, elapsed: now - s.answeredAt}))
+	next := sample{limit: s.limit, start: s.start, elapsed: now - s.answeredAt}
+	if _, follows := p.growth.(Gradient); follows {
+		s.limit = max(s.least(), next.follow(wait > 0))
+	} else {
+		s.limit = max(s.least(), p.growth.next(next))
 	}
 	s.answeredAt = now
 }
