--- a/dfforward/report_test.go
+++ b/dfforward/report_test.go
@@ -1,6 +1,7 @@
 package dfforward
 
 import (
+	"context"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,7 +21,7 @@
 	sum := dfreport.Counts{}
 	run := func(statement dfstatement.Statement) {
 		t.Helper()
-		conn := client.Conn("u", "", 0, 500)
+		conn := client.Conn(context.Background(), "u", "", 0, 500)
 		_, _, _ = conn.Exchange(nil, inOneSecond(), newCall(statement))
 		if carrier, report, ok := conn.LoadReport(); ok {
 			for _, o := range ledger.Record(now(), carrier, report) {
