--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -300,7 +300,6 @@
 	e.logLimits(now)
 	q.owner.Observe(now, quorumAt, heardAt)
 	q.owner.ObserveReach(now, known, reached, reachedAt)
-	e.counters.set.GetOrCreateGauge("dragonflygrade_edge_quota_unreached_hosts", nil).Set(float64(known - max(reached, 1)))
 	q.host.Observe(now, knownQuorumAt, known)
 	for organisation, count := range q.host.TakeReserved() {
 		e.countQuota("reserved", organisation, count)
