Remove the reserved share of hosts that are cut off

Change: the deposits, the pools of groups, the lowered rate of owners and the knowledge of contacts in reports go.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -174,7 +174,7 @@
 		exchangeTriggers: map[string]chan struct{}{},
 		carrierClients:   map[string]*dfforward.Client{},
 		limitReturns:     map[string]*dfadmit.Returns{},
-		quota:            newQuota(options.Self),
+		quota:            newQuota(options.Self.ID),
 	}, nil
 }
 
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -159,8 +159,6 @@
 	// lastReportAt is when the last report was sent; opening the connection counts
 	// as a report.
 	lastReportAt := e.options.Now()
-	// toldAt is the contact with a majority that the last report told, or negative.
-	toldAt := dfclock.Millis(-1)
 	for {
 		if err := conn.SetDeadline(time.Now().Add(neighbourIdleTimeout)); err != nil {
 			return
@@ -184,18 +182,8 @@
 			}
 			continue
 		}
-		if toldAt >= 0 && host.Address != "" {
-			e.mu.Lock()
-			e.neighbours.RecordKnowledge(host.Address, toldAt)
-			e.mu.Unlock()
-		}
-		startedAt := e.options.Now()
 		report := e.newReport(request, host, lastReportAt)
 		lastReportAt = e.options.Now()
-		toldAt = -1
-		if report.QuorumAge >= 0 {
-			toldAt = startedAt - report.QuorumAge
-		}
 		if err := dfneighbour.WriteReport(conn, report); err != nil {
 			return
 		}
@@ -229,13 +217,6 @@
 		if sender.DataCentre != e.options.Self.DataCentre && e.countsAsContactLocked() {
 			report.Contacts = e.neighbours.Contacts(now)
 		}
-		if e.catalog.HasOrganisations() {
-			if sender.DataCentre != e.options.Self.DataCentre {
-				report.Quorums = e.neighbours.Knowledge(now)
-			} else {
-				report.Reached = e.neighbours.ReachedCounts(now)
-			}
-		}
 	}
 	if request.HostsDigest != e.neighbours.Digest() {
 		report.Hosts = e.neighbours.Hosts(now)
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -69,13 +69,11 @@
 	ready     bool
 	replacing int
 	loggedAt  dfclock.Millis
-	// usesReserve is whether the host uses its reserved share, as logged.
-	usesReserve bool
 }
 
-func newQuota(self dfmember.Host) *quota {
+func newQuota(self string) *quota {
 	return &quota{
-		host: dfquota.NewHost(self), owner: dfquota.NewOwner(self.ID),
+		host: dfquota.NewHost(), owner: dfquota.NewOwner(self),
 		counts:  map[string]*metrics.Counter{},
 		waiters: map[dfquota.Ticket]chan dfquota.Verdict{}, askers: map[string]chan dfquota.Outgoing{},
 		wake: make(chan struct{}, 1), status: newLimitStatus(),
@@ -227,7 +225,7 @@
 }
 
 func (e *Edge) removeQuotaCounts(organisation string) {
-	for _, event := range []string{"used", "refused", "granted", "reserved", "returned"} {
+	for _, event := range []string{"used", "refused", "granted", "returned"} {
 		delete(e.quota.counts, event+"/"+organisation)
 		e.counters.set.UnregisterMetric(quotaCounter(event, organisation))
 	}
@@ -285,11 +283,7 @@
 	}
 	hosts := append(e.neighbours.OtherHosts(), e.options.Self)
 	heardAt := e.neighbours.HeardAt()
-	quorumAt, knownQuorumAt := e.neighbours.QuorumAt(now), e.neighbours.KnownQuorumAt(now)
-	known, reached, reachedAt := e.neighbours.Reached(now)
-	if e.stoppingAt != dfclock.Never {
-		knownQuorumAt = -1
-	}
+	quorumAt := e.neighbours.QuorumAt(now)
 	e.mu.Unlock()
 	q := e.quota
 	q.mu.Lock()
@@ -299,13 +293,7 @@
 	q.owner.SetHosts(now, hosts)
 	e.logLimits(now)
 	q.owner.Observe(now, quorumAt, heardAt)
-	q.owner.ObserveReach(now, known, reached, reachedAt)
-	q.host.Observe(now, knownQuorumAt, known)
-	for organisation, count := range q.host.TakeReserved() {
-		e.countQuota("reserved", organisation, count)
-	}
 	e.logOwnership(now)
-	e.logReserve()
 	return catalog.HasOrganisations()
 }
 
@@ -325,15 +313,6 @@
 	q.ready, q.replacing, q.loggedAt = ready, replacing, now
 }
 
-// logReserve logs that the host has begun, or ceased, to use its reserved share.
-func (e *Edge) logReserve() {
-	q := e.quota
-	if uses := q.host.UsesReserve(); uses != q.usesReserve {
-		q.usesReserve = uses
-		e.log.Info().Bool("Reserve", uses).Msg("quota: use of the reserved share changed")
-	}
-}
-
 // driveQuota refuses the operations whose time is up and starts the asks that are due.
 // It returns the time until the next call.
 func (e *Edge) driveQuota(ctx context.Context) time.Duration {
--- a/dfneighbour/contact.go
+++ b/dfneighbour/contact.go
@@ -48,7 +48,6 @@
 	}
 	if v.quorumCountedAt == unset || now-v.quorumCountedAt >= quorumTTL {
 		v.quorumCountedAt, v.quorumAt = now, max(v.quorumAt, v.majorityContactAt(now))
-		v.knownQuorumAt = max(v.knownQuorumAt, v.quorumAt)
 	}
 	return v.quorumAt
 }
@@ -91,3 +90,9 @@
 	}
 	return hosts
 }
+
+// HeardAt returns when a host first answered this one, or a negative value. That host
+// tells the others of this one.
+func (v *View) HeardAt() dfclock.Millis {
+	return v.heardAt
+}
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -152,12 +152,6 @@
 	// QuorumAge is the time since the host was in contact with a majority of the
 	// hosts, or negative if it never was.
 	QuorumAge dfclock.Millis
-	// Quorums has, for each host of the data centre, the age of a contact with a
-	// majority that the host knows of. It is sent only to other data centres.
-	Quorums []Contact
-	// Reached counts the hosts by the age of the contact with a majority that they
-	// know of, in steps of reachedStep. It is sent only within the data centre.
-	Reached []int
 	// ClaimsLoaded is true if the host knows every promotion order that may still
 	// take effect.
 	ClaimsLoaded bool
--- a/dfneighbour/view.go
+++ b/dfneighbour/view.go
@@ -96,17 +96,8 @@
 	// quorumAt is the latest time at which a majority of the hosts was in contact,
 	// as counted by this host or reported by a neighbour.
 	quorumAt dfclock.Millis
-	// knownQuorumAt is the same, but not earlier than what neighbours think that this
-	// host knows.
-	knownQuorumAt dfclock.Millis
 	// heardAt is when a host first answered this one, or unset.
 	heardAt dfclock.Millis
-	// knowledge has, by the key of a host, a contact with a majority that the host knows
-	// of. Where that of all hosts is not known, speakerReached is what the speaker counted
-	// in a report that was requested at speakerReachedAt, or unset.
-	knowledge        map[uint32]dfclock.Millis
-	speakerReached   []int
-	speakerReachedAt dfclock.Millis
 	// allHostsKnown is true once all hosts are known. Before that, a few hosts
 	// could be mistaken for a majority.
 	allHostsKnown bool
@@ -156,7 +147,7 @@
 	return &View{
 		self: self, periods: periods, neighbours: map[string]*neighbour{}, carriers: map[carrierKey]carrierChoice{}, selectedAt: unset,
 		contacts: map[uint32]dfclock.Millis{}, quorumAt: unset, quorumCountedAt: unset,
-		knowledge: map[uint32]dfclock.Millis{}, knownQuorumAt: unset, heardAt: unset, speakerReachedAt: unset,
+		heardAt: unset,
 	}
 }
 
@@ -203,14 +194,6 @@
 	}
 	if report.QuorumAge >= 0 {
 		v.quorumAt = max(v.quorumAt, askedAt-report.QuorumAge)
-		v.knownQuorumAt = max(v.knownQuorumAt, now-report.QuorumAge)
-		v.RecordKnowledge(report.Host.Address, askedAt-report.QuorumAge)
-	}
-	for _, quorum := range report.Quorums {
-		v.recordKnowledge(quorum.Host, askedAt-quorum.Age)
-	}
-	if len(report.Reached) > 0 {
-		v.speakerReached, v.speakerReachedAt = report.Reached, askedAt
 	}
 	for _, host := range report.Hosts {
 		v.Add(now, host)
--- a/dfquota/constants.go
+++ b/dfquota/constants.go
@@ -81,54 +81,9 @@
 	// to come back.
 	minRetryAfter = 50 * dfclock.Millisecond
 	maxRetryAfter = dfclock.Second
-	// minReserveShare is the part of its proportional share of a limit that a host may
-	// use at least while it is cut off. The part is larger where the owner keeps
-	// keptShare of the limit with keptCutOff of the hosts cut off.
-	minReserveShare = 0.58
-	keptShare       = 0.85
-	keptCutOff      = 1.0 / 3
-	// ReserveDelay is how long after the last contact with a majority that it knows of
-	// a host begins to use its reserved share. It covers QuorumTTL and the time in
-	// which others learn what the host knows, about 2 s.
-	ReserveDelay = 2500 * dfclock.Millisecond
-	// reachedTTL is how long after such a contact others count the host as reached. It
-	// is shorter than ReserveDelay, so that they lower their rate before.
-	reachedTTL = 2400 * dfclock.Millisecond
-	// unreachedHold is how long an owner goes on with the lowered rate after it reached
-	// a host again. It covers deposits and tokens that the host's group still has.
-	unreachedHold = dfclock.Second
-	// reserveTimeout is how long a host uses its reserved share. Neighbours forget a
-	// host after 90 s, and owners then raise their rate.
-	reserveTimeout = 60 * dfclock.Second
-	// reserveStartDelay is how long after its start a host does not use its reserved
-	// share, so that no window sees the use of two runs.
-	reserveStartDelay = 6500 * dfclock.Millisecond
-	// depositInterval is the time between two deposits, and maxDeposit the longest time
-	// that one covers.
-	depositInterval = 100 * dfclock.Millisecond
-	maxDeposit      = 200 * dfclock.Millisecond
-	// depositTTL is how long after the answer that it names a deposit counts. A host
-	// deposits with another holder only after that time.
-	depositTTL = 350 * dfclock.Millisecond
-	// lateSpan is the time by which deposits can be used later than they arose.
-	lateSpan = maxDeposit + depositTTL
-	// maxHolders bounds the hosts of a data centre that may grant for the others of it
-	// that are cut off. A host that reaches none of them grants for itself.
-	maxHolders = 3
-	// holderRetryDelay is the time after which a holder that did not answer is tried
-	// again.
-	holderRetryDelay = dfclock.Second
-	// maxGroupSlack is what groups of hosts that are cut off may use in a window besides
-	// their shares, in operations over all groups, and maxSingles the number of hosts
-	// that may send one operation in a window each, because their share is below one.
-	// Both come out of the slack. A group of a third of the hosts gets a whole token.
-	maxGroupSlack = 9
-	maxSingles    = 8
-	// reachHistorySpan and maxReachSteps bound the history of an owner's rate. What is older
-	// counts at the lowest rate; a bucket that is new looks back to when the host became
-	// ready.
-	reachHistorySpan = 5 * dfclock.Second
-	maxReachSteps    = 64
+	// forgottenSpan is how long a host that did not run is still known to all others.
+	// Neighbours forget one after 90 s.
+	forgottenSpan = 60 * dfclock.Second
 	// idleTimeout is how long a host keeps the state of an organisation that sends
 	// no operations.
 	idleTimeout = 10 * dfclock.Second
--- a/dfquota/host.go
+++ b/dfquota/host.go
@@ -83,9 +83,6 @@
 	// it was asked for, and short is false if it had enough.
 	shortUntil dfclock.Millis
 	short      bool
-	// singleAt is when the host last sent an operation without a token while it was cut
-	// off, or unset.
-	singleAt dfclock.Millis
 }
 
 // peer is the state of another host as an owner.
@@ -97,11 +94,6 @@
 	down      bool
 	// probeDelay is the time until the next probe of a host that is down.
 	probeDelay dfclock.Millis
-	// answered is true if the host answered the last ask, and answeredAt its time then.
-	answered   bool
-	answeredAt dfclock.Millis
-	// silentUntil is when a host that did not answer is tried again as a holder.
-	silentUntil dfclock.Millis
 }
 
 // absence is what a host knows of a data centre that may be cut off.
@@ -112,8 +104,8 @@
 	suspected bool
 }
 
-// record records whether the host grants.
-func (p *peer) record(now dfclock.Millis, grants bool) {
+// answered records whether the host grants.
+func (p *peer) answered(now dfclock.Millis, grants bool) {
 	p.busy, p.checkedAt = false, now
 	if p.down && !grants {
 		p.probeDelay = min(2*p.probeDelay, maxDownProbeInterval)
@@ -125,7 +117,6 @@
 
 // Host admits the operations that reach this host. It is not safe for concurrent use.
 type Host struct {
-	self    dfmember.Host
 	version uint64
 	limits  map[string]Limit
 	// loweredIn is the version in which the limit of an organisation was last
@@ -136,15 +127,11 @@
 	peers      map[string]*peer
 	absences   map[string]absence
 	lastTicket Ticket
-	reserve    reserve
 }
 
 // NewHost returns a host that knows no limits and no owners.
-func NewHost(self dfmember.Host) *Host {
-	return &Host{
-		self: self, loweredIn: map[string]uint64{}, accounts: map[string]*account{}, peers: map[string]*peer{}, absences: map[string]absence{},
-		reserve: reserve{startedAt: unset, depositedAt: unset, askedAt: unset, used: map[string]int{}},
-	}
+func NewHost() *Host {
+	return &Host{loweredIn: map[string]uint64{}, accounts: map[string]*account{}, peers: map[string]*peer{}, absences: map[string]absence{}}
 }
 
 // SetLimits adopts the limits of a version of the desired state. Unused grants of
@@ -175,7 +162,7 @@
 	}
 	a := h.accounts[organisation]
 	if a == nil {
-		a = &account{singleAt: unset}
+		a = &account{}
 		h.accounts[organisation] = a
 	}
 	a.demand.add(now, 1)
@@ -260,13 +247,10 @@
 	return max(0, len(a.waiting)+ahead-held)
 }
 
-// target returns the first candidate that is not known to be down, or the holder if the
-// host is cut off. Candidates in a data centre that seems cut off come last: to find out
-// for each of its hosts would cost an operation each.
+// target returns the first candidate that is not known to be down. Candidates in a
+// data centre that seems cut off come last: to find out for each of its hosts would cost
+// an operation each.
 func (h *Host) target(organisation string) (dfmember.Host, bool) {
-	if h.reserve.active {
-		return h.holder(), true
-	}
 	var suspect dfmember.Host
 	for _, index := range h.ranking.of(organisation) {
 		host := h.ranking.hosts[index]
@@ -303,9 +287,6 @@
 			probe.Ask.Missed = missed
 		}
 	}
-	for _, host := range h.dueHolders(now) {
-		add(host)
-	}
 	for name, a := range h.accounts {
 		if len(a.waiting) == 0 && !a.asking && now-a.usedAt >= idleTimeout {
 			delete(h.accounts, name)
@@ -324,12 +305,6 @@
 		}
 	}
 	asks := make([]Outgoing, 0, len(wants))
-	if h.reserve.active {
-		holder := h.holder()
-		if ask := wants[holder.ID]; ask != nil {
-			ask.Ask.Deposit = h.deposit(now, holder)
-		}
-	}
 	for _, ask := range wants {
 		h.peer(ask.To.ID).busy = true
 		asks = append(asks, *ask)
@@ -366,8 +341,7 @@
 // Handle processes the answer to an ask and returns the operations that it decides.
 func (h *Host) Handle(now dfclock.Millis, sent Outgoing, grant Grant) []Decision {
 	known := h.peer(sent.To.ID)
-	known.record(now, grant.Ready)
-	known.answered, known.answeredAt = true, grant.At
+	known.answered(now, grant.Ready)
 	if !grant.Ready {
 		// The host runs and tells when it is ready, or gains a majority like this one.
 		known.probeDelay = min(known.probeDelay, maxUnreadyProbeInterval)
@@ -383,7 +357,7 @@
 			continue
 		}
 		a.asking = false
-		if !grant.Ready && sent.Ask.Deposit == nil || i >= len(grant.Parts) {
+		if !grant.Ready || i >= len(grant.Parts) {
 			continue
 		}
 		part := grant.Parts[i]
@@ -407,14 +381,6 @@
 		a.supply.add(now, float64(part.Tokens))
 		a.holdings = append(a.holdings, holding{part.Tokens, sent.sentAt.Add(GrantTTL), grant.Version})
 		decisions = a.admit(now, decisions)
-		if sent.Ask.Deposit != nil {
-			if a.short && len(a.waiting) > 0 && h.single(now, want.Organisation, a) {
-				a.holdings = append(a.holdings, holding{1, now + 1, grant.Version})
-				decisions = a.admit(now, decisions)
-				part.Tokens++
-			}
-			h.reserve.used[want.Organisation] += part.Tokens
-		}
 	}
 	return decisions
 }
@@ -448,9 +414,7 @@
 
 // Fail records that an ask got no answer in time.
 func (h *Host) Fail(now dfclock.Millis, sent Outgoing) {
-	known := h.peer(sent.To.ID)
-	known.record(now, false)
-	known.answered, known.silentUntil = false, now.Add(holderRetryDelay)
+	h.peer(sent.To.ID).answered(now, false)
 	absent := h.absences[sent.To.DataCentre]
 	absent.suspected = absent.suspected || absent.missed != "" && absent.missed != sent.To.ID
 	absent.missed = sent.To.ID
--- a/dfquota/limit.go
+++ b/dfquota/limit.go
@@ -62,54 +62,17 @@
 	return l.WindowBound() - l.RefillRate()*l.refillSpan()
 }
 
-// minDepth is what a bucket needs so that no tokens are lost between two asks.
-func (l Limit) minDepth() float64 {
-	return math.Min(1+minDepthSpan*l.RefillRate(), l.reserve())
-}
-
-// spare is what the bound leaves for bursts and for hosts that are cut off.
-func (l Limit) spare() float64 {
-	return math.Max(0, l.reserve()-l.minDepth()-interimSpan*l.RefillRate())
-}
-
-// groupSlack is what the buckets of groups that are cut off may have besides their
-// shares, over all groups.
-func (l Limit) groupSlack() float64 {
-	return math.Min(maxGroupSlack, l.spare()/2)
-}
-
-// singles is the number of hosts that may each send one operation in a window while
-// they are cut off.
-func (l Limit) singles() int {
-	return int(math.Min(maxSingles, l.spare()/4))
-}
-
 // Depth returns the capacity of the bucket. It comes before the interim tokens as far as
 // no tokens are lost between two asks.
 func (l Limit) Depth() float64 {
-	return l.minDepth() + l.spare() - l.groupSlack() - float64(l.singles())
+	rate := l.RefillRate()
+	return math.Max(math.Min(1+minDepthSpan*rate, l.reserve()), l.reserve()-interimSpan*rate)
 }
 
 // interimTokens returns how many tokens a host may grant before QuorumTTL has passed
 // since it missed the owner.
 func (l Limit) interimTokens() float64 {
-	return math.Min(l.RefillRate()*interimSpan, l.reserve()-l.minDepth())
-}
-
-// reserveShare returns the part of its proportional share that a host may use while it
-// is cut off.
-func (l Limit) reserveShare() float64 {
-	return math.Min(1, math.Max(minReserveShare, (1-keptShare*l.Rate/l.RefillRate())/keptCutOff))
-}
-
-// group returns the bucket of hosts that are cut off together and have a share of all
-// hosts: its capacity, and the tokens per second. The owner of the limit leaves them
-// their part of its rate, which also pays for the bucket and for late deposits.
-func (l Limit) group(share float64) (depth, rate float64) {
-	reserved := share * l.reserveShare() * l.RefillRate()
-	left := reserved*l.refillSpan() + share*l.groupSlack()
-	depth = math.Min(1+minDepthSpan*reserved+share*l.groupSlack()/2, left)
-	return depth, math.Min(reserved, (left-depth)/(l.refillSpan()+seconds(lateSpan)))
+	return math.Min(l.RefillRate()*interimSpan, l.reserve()-l.Depth())
 }
 
 // interimPause is the time after the last interim grant before the allowance of interim
--- a/dfquota/message.go
+++ b/dfquota/message.go
@@ -12,24 +12,6 @@
 	// Missed has the IDs of hosts that the sender misses, to learn whether the
 	// receiver reaches them.
 	Missed []string
-	// Deposit is set while the sender is cut off.
-	Deposit *Deposit
-}
-
-// Deposit gives the reserved share of a host that is cut off to a host that grants
-// for it. It counts once.
-type Deposit struct {
-	_    struct{} `cbor:",toarray"`
-	Host string
-	// Hosts is the number of hosts that share the limits, or zero if the sender is cut
-	// off and gives nothing yet. Span is the time whose share is given.
-	Hosts int
-	Span  dfclock.Millis
-	// AnsweredAt is the time in the last answer of the receiver, so that the receiver
-	// can tell how old the deposit is at most.
-	AnsweredAt dfclock.Millis
-	// SentAt is the sender's time. A deposit that is sent twice has the same.
-	SentAt dfclock.Millis
 }
 
 // Want is the part of an ask for one organisation.
@@ -51,8 +33,6 @@
 	Parts []Part
 	// Reached has those of the missed hosts that the sender reaches and that grant.
 	Reached []string
-	// At is the sender's time, which a deposit repeats.
-	At dfclock.Millis
 	// ReadyIn is the time until the sender grants, or zero if it does not know.
 	ReadyIn dfclock.Millis
 }
--- a/dfquota/owner.go
+++ b/dfquota/owner.go
@@ -56,16 +56,13 @@
 	quorumAt, readyAt dfclock.Millis
 	buckets           map[string]*bucket
 	predecessors      map[string]*predecessor
-	// reach is what the rate depends on, and pool serves hosts that are cut off.
-	reach reach
-	pool  pool
 }
 
 // NewOwner returns the owner part of a host. It grants nothing before Observe.
 func NewOwner(self string) *Owner {
 	return &Owner{
 		self: self, quorumAt: unset, readyAt: dfclock.Never,
-		buckets: map[string]*bucket{}, predecessors: map[string]*predecessor{}, pool: newPool(),
+		buckets: map[string]*bucket{}, predecessors: map[string]*predecessor{},
 	}
 }
 
@@ -77,7 +74,7 @@
 			delete(o.buckets, name)
 			continue
 		}
-		b.fill(now, o.limits[name], &o.reach)
+		b.fill(now, o.limits[name])
 		b.level = math.Min(b.level, limit.Depth())
 	}
 	for name := range limits {
@@ -111,9 +108,9 @@
 func (o *Owner) Observe(now, quorumAt, heardAt dfclock.Millis) {
 	lapsed := o.quorumAt == unset || now-o.quorumAt >= QuorumTTL
 	// Others learn of a host from the one that first answered it, and know it for longer
-	// than reserveTimeout.
+	// than forgottenSpan.
 	settlingSince := now
-	if heardAt >= 0 && (o.quorumAt == unset || now-o.quorumAt < reserveTimeout) {
+	if heardAt >= 0 && (o.quorumAt == unset || now-o.quorumAt < forgottenSpan) {
 		settlingSince = min(now, max(quorumAt, heardAt))
 	}
 	o.quorumAt = max(o.quorumAt, quorumAt)
@@ -128,12 +125,6 @@
 	}
 }
 
-// ObserveReach sets how many of the known hosts, including this one, are reached, and a
-// time since which each of these knew of contact with a majority.
-func (o *Owner) ObserveReach(now dfclock.Millis, known, reached int, at dfclock.Millis) {
-	o.reach.set(now, known, reached, at)
-}
-
 // Ready reports whether the host may grant.
 func (o *Owner) Ready(now dfclock.Millis) bool {
 	return now.Reached(o.readyAt) && now-o.quorumAt < QuorumTTL
@@ -141,13 +132,10 @@
 
 // Handle answers an ask.
 func (o *Owner) Handle(now dfclock.Millis, ask Ask) Grant {
-	grant := Grant{Version: o.version, Ready: o.Ready(now), At: now}
+	grant := Grant{Version: o.version, Ready: o.Ready(now)}
 	if !grant.Ready && o.readyAt != dfclock.Never && now-o.quorumAt < QuorumTTL {
 		grant.ReadyIn = o.readyAt - now
 	}
-	if ask.Deposit != nil {
-		o.pool.deposit(now, *ask.Deposit)
-	}
 	for _, id := range ask.Missed[:min(len(ask.Missed), maxMissed)] {
 		known := o.predecessor(id)
 		if known == nil {
@@ -159,11 +147,7 @@
 		}
 	}
 	for _, want := range ask.Wants {
-		part := o.grant(now, want, grant.Ready)
-		if limit, limited := o.limits[want.Organisation]; part.Declined && ask.Deposit != nil && limited {
-			part = o.pool.grant(now, want, limit)
-		}
-		grant.Parts = append(grant.Parts, part)
+		grant.Parts = append(grant.Parts, o.grant(now, want, grant.Ready))
 	}
 	return grant
 }
@@ -181,7 +165,7 @@
 		return Part{Declined: true, RetryAfter: probeInterval}
 	}
 	b := o.bucket(want.Organisation, missedAt)
-	b.fill(now, limit, &o.reach)
+	b.fill(now, limit)
 	available, rate := b.level, limit.RefillRate()
 	interim := missedAt != unset && now-missedAt < QuorumTTL
 	if interim {
@@ -221,18 +205,14 @@
 
 // fill adds the tokens since the last call. Before QuorumTTL has passed since the host
 // before was missed, they come at the interim rate.
-func (b *bucket) fill(now dfclock.Millis, limit Limit, reach *reach) {
-	if now <= b.at {
-		return
-	}
-	full := b.at
+func (b *bucket) fill(now dfclock.Millis, limit Limit) {
+	span := max(0, now-b.at)
+	interim := dfclock.Millis(0)
 	if b.missedAt != unset {
-		full = min(max(b.at, b.missedAt.Add(QuorumTTL)), now)
+		interim = min(span, max(0, b.missedAt.Add(QuorumTTL)-b.at))
 	}
-	// Interim tokens have a part of the bound of their own, so that they are not lowered.
-	span := interimShare*seconds(full-b.at) + seconds(now-full) - limit.reserveShare()*reach.unreachedBetween(full, now)
-	b.level = math.Min(limit.Depth(), b.level+limit.RefillRate()*span)
-	b.at = now
+	b.level = math.Min(limit.Depth(), b.level+limit.RefillRate()*(seconds(span-interim)+interimShare*seconds(interim)))
+	b.at = max(b.at, now)
 }
 
 // entitled reports whether this host grants the tokens of an organisation: it is the
--- a/dfquota/ranking.go
+++ b/dfquota/ranking.go
@@ -13,10 +13,6 @@
 	hosts []dfmember.Host
 	// candidates caches the indexes of the first hosts by rank.
 	candidates map[string][]uint16
-	// positions caches the rank of this host for an organisation, and holderHosts the
-	// hosts that may grant for it.
-	positions   map[string]int
-	holderHosts []dfmember.Host
 }
 
 // set replaces the hosts and reports whether they changed.
@@ -26,7 +22,7 @@
 	if slices.Equal(next, r.hosts) {
 		return false
 	}
-	*r = ranking{hosts: next, candidates: map[string][]uint16{}, positions: map[string]int{}}
+	r.hosts, r.candidates = next, map[string][]uint16{}
 	return true
 }
 
@@ -72,35 +68,3 @@
 		return host.ID == a || host.ID == b
 	})
 }
-
-// position returns the rank of a host among all hosts for an organisation.
-func (r *ranking) position(organisation string, self dfmember.Host) int {
-	if position, ok := r.positions[organisation]; ok {
-		return position
-	}
-	position := slices.IndexFunc(dfmember.Rank("reserve/"+organisation, r.hosts), func(host dfmember.Host) bool { return host.ID == self.ID })
-	if position < 0 {
-		position = len(r.hosts)
-	}
-	if r.positions != nil {
-		r.positions[organisation] = position
-	}
-	return position
-}
-
-// holders returns the hosts that may grant for a host while it is cut off, the first ones
-// of its data centre by rank as far as itself.
-func (r *ranking) holders(self dfmember.Host) []dfmember.Host {
-	if r.holderHosts == nil {
-		r.holderHosts = []dfmember.Host{}
-		for _, host := range dfmember.Rank("reserve", r.hosts) {
-			if host.ID == self.ID || len(r.holderHosts) == maxHolders {
-				break
-			}
-			if host.DataCentre == self.DataCentre {
-				r.holderHosts = append(r.holderHosts, host)
-			}
-		}
-	}
-	return r.holderHosts
-}
