--- a/dfquota/simulation_test.go
+++ b/dfquota/simulation_test.go
@@ -82,8 +82,8 @@
 	asked     map[string][]dfclock.Millis
 	// served and asked count only hosts that are not cut off; the load balancer sees
 	// that the others are not ready.
-	served map[string][]dfclock.Millis
-	messages                  int
+	served   map[string][]dfclock.Millis
+	messages int
 }
 
 func newWorld(seed uint64, hosts int, limits map[string]Limit) *world {
