Try statements at an upstream whose statements take long

Cause: the queue of a carrier refused a statement if the mean running time of statements exceeded the time that it may wait, also if nothing ran. And the time in which a statement may wait was taken for the time in which it must end, so an upstream that is five times slower served no urgent statement. Ruled out: the connections and the limits, which were free. Change: Next refuses by the estimate only while something runs, and carriers say that the deadline bounds the start. The simulation of carriers says the same.

--- a/dfadmit/queue.go
+++ b/dfadmit/queue.go
@@ -22,8 +22,11 @@
 	Write bool
 	// Cost is what the request takes from its caller's round-robin share. It
 	// counts as 1 if it is not positive.
-	Cost     int
-	Deadline dfclock.Millis
+	Cost int
+	// Deadline is when the request must have ended, or with BoundsStart when it must have
+	// started.
+	Deadline    dfclock.Millis
+	BoundsStart bool
 }
 
 // Action is what the host has to do for a queued request.
@@ -144,7 +147,9 @@
 	}
 	e := b.pop()
 	q.untrack(e)
-	if q.missesDeadline(e.request, 0) {
+	// If nothing runs, the request is tried whatever the estimate: an upstream that stalled
+	// has raised it, and only completions lower it.
+	if len(q.running) > 0 && q.missesDeadline(e.request, 0) {
 		return q.refuseLate(e.request), true
 	}
 	return q.start(e.request), true
@@ -329,8 +334,10 @@
 }
 
 func (q *Queue) missesDeadline(request Request, wait dfclock.Millis) bool {
-	needed := wait + dfclock.Millis(q.limiter.meanServiceTime())
-	return q.now+needed >= request.Deadline
+	if !request.BoundsStart {
+		wait += dfclock.Millis(q.limiter.meanServiceTime())
+	}
+	return q.now+wait >= request.Deadline
 }
 
 // evictFor makes room for a new request. It removes the newest request of the
--- a/dfadmit/stall_test.go
+++ b/dfadmit/stall_test.go
@@ -29,3 +29,21 @@
 	require.True(t, ok)
 	require.IsType(t, Start{}, action, "nothing runs, so the request can be tried")
 }
+
+// Guards against callers who are refused because statements take longer than they may
+// wait, although they could start at once and be answered, only late.
+func TestSlowUpstreamIsUsed(t *testing.T) {
+	const waitLimit = 300 * dfclock.Millisecond
+	q := newFixedQueue(2, 100)
+	now := dfclock.Second
+	for id := uint64(1); id <= 8; id++ {
+		require.NoError(t, q.Enqueue(now, Request{ID: id, Caller: "a", Deadline: now + waitLimit, BoundsStart: true}))
+		action, ok := q.Next(now)
+		require.True(t, ok)
+		require.IsType(t, Start{}, action)
+		if id > 1 {
+			now += 400
+			q.Finish(now, id-1, false)
+		}
+	}
+}
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -192,7 +192,7 @@
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)()
-	release, err := admission.Admit(ctx, dfadmit.Request{Caller: organisation, Priority: priority, Deadline: deadline})
+	release, err := admission.Admit(ctx, dfadmit.Request{Caller: organisation, Priority: priority, Deadline: deadline, BoundsStart: true})
 	if err != nil && caller.Err() != nil {
 		return nil, nil, p.errCallerLeft()
 	}
--- a/dfplace/carrier_test.go
+++ b/dfplace/carrier_test.go
@@ -80,7 +80,7 @@
 func (p *play) carry(r *playRequest, c *playCarrier) {
 	c.lastID++
 	r.carrier, r.id, r.queued = c, c.lastID, true
-	request := dfadmit.Request{ID: r.id, Deadline: p.now + playTarget*playWaitPercent/100}
+	request := dfadmit.Request{ID: r.id, Deadline: p.now + playTarget*playWaitPercent/100, BoundsStart: true}
 	if err := c.queue.Enqueue(p.now, request); err != nil {
 		p.refusedByCarrier(r)
 		return
