Count every error of a connection as a close

Cause: the probe of idle connections between hosts uses the same function as the watch for callers, and since the watch was restricted to three errors, a connection with another error, such as an unreachable peer, was taken as usable and a statement was lost on it. Ruled out: a second function for the watch; an error other than EAGAIN comes only from a lost connection. Change: the condition of the probe serves both again. Measured: TestErrorsCountAsClosed fails before and passes now; dfconnection, dfforward and dfedge pass.

--- a/dfconnection/departure.go
+++ b/dfconnection/departure.go
@@ -58,9 +58,10 @@
 }
 
 // readable reports whether the peer has closed the connection or sent data that has not
-// been read. An error other than a lost connection says nothing about the peer.
+// been read. Every other error counts as a close: the kernel reports one only for a
+// connection that is lost.
 func readable(fd int) bool {
 	var buf [1]byte
 	_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == nil || err == unix.ECONNRESET || err == unix.EPIPE || err == unix.ETIMEDOUT
+	return err != unix.EAGAIN
 }
--- a/dfconnection/departure_test.go
+++ b/dfconnection/departure_test.go
@@ -59,3 +59,9 @@
 		})
 	}
 }
+
+// Guards against a pooled connection that is used again although the kernel reports an
+// error for it, such as an unreachable peer.
+func TestErrorsCountAsClosed(t *testing.T) {
+	require.True(t, readable(-1))
+}
