Share the change of a value, the bound of reads and a test's scene

Cause: dfverify had a copy of dfpublish's change of a value with the same text, and its check of a route repeated the switch over freshness of the router; two tests played the same promotion. Ruled out: a third copy in dfcli, which copied the changes field by field. Change: dfconfig.KeyChange serves publish and check, dfcatalog.MaxAge the router and the check, requireOrderedPromotion both tests. Names and texts in output stay.

--- a/dfcatalog/catalog.go
+++ b/dfcatalog/catalog.go
@@ -27,6 +27,18 @@
 func (Bounded) freshness()        {}
 func (ReadYourWrites) freshness() {}
 
+// MaxAge returns the maximum staleness of reads that may run at replicas. ok is false for
+// reads that only the leader can serve.
+func MaxAge(freshness Freshness) (maxAge dfclock.Millis, ok bool) {
+	switch f := freshness.(type) {
+	case Bounded:
+		return f.MaxAge, true
+	case ReadYourWrites:
+		return f.MaxAge, true
+	}
+	return 0, false
+}
+
 // Route is the configuration of one database name. It is immutable.
 type Route struct {
 	// Database is the name that callers connect to. It is unique in a catalog.
--- a/dfcli/check.go
+++ b/dfcli/check.go
@@ -149,11 +149,10 @@
 	return index, documents, nil
 }
 
-func serviceChanges(name string, from, to []byte) []dfverify.Change {
-	keys := dfpublish.KeyChanges(from, to)
-	changes := make([]dfverify.Change, len(keys))
-	for i, key := range keys {
-		changes[i] = dfverify.Change{Key: fmt.Sprintf("Services[%s].%s", name, key.Key), From: key.From, To: key.To}
+func serviceChanges(name string, from, to []byte) []dfconfig.KeyChange {
+	changes := dfpublish.KeyChanges(from, to)
+	for i := range changes {
+		changes[i].Key = fmt.Sprintf("Services[%s].%s", name, changes[i].Key)
 	}
 	return changes
 }
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -209,13 +209,8 @@
 	now := e.options.Now()
 	s := req.service
 	s.lastReadAt = now
-	var maxAge dfclock.Millis
-	switch f := req.freshness.(type) {
-	case dfcatalog.Bounded:
-		maxAge = f.MaxAge
-	case dfcatalog.ReadYourWrites:
-		maxAge = f.MaxAge
-	default:
+	maxAge, bounded := dfcatalog.MaxAge(req.freshness)
+	if !bounded {
 		return e.planLeader(now, req)
 	}
 	if now >= req.deadline {
--- a/dfpublish/plan.go
+++ b/dfpublish/plan.go
@@ -34,16 +34,7 @@
 	// From and To are content addresses. An absent service has an empty one.
 	From string
 	To   string
-	Keys []KeyChange
-}
-
-// KeyChange is the change of one value within a service.
-type KeyChange struct {
-	Key string
-	// From and To are JSON values, or empty if the key is absent. Durations are
-	// written as in service files.
-	From string
-	To   string
+	Keys []dfconfig.KeyChange
 }
 
 // Version returns the configuration version that the plan is based on.
@@ -80,17 +71,6 @@
 	return text
 }
 
-// String formats the change of a key as one line.
-func (c KeyChange) String() string {
-	switch {
-	case c.From == "":
-		return fmt.Sprintf("+ %s = %s", c.Key, c.To)
-	case c.To == "":
-		return fmt.Sprintf("- %s = %s", c.Key, c.From)
-	}
-	return fmt.Sprintf("~ %s = %s -> %s", c.Key, c.From, c.To)
-}
-
 // apply returns the index of the next version, with the changes of the plan.
 func (p Plan) apply(index dfconfig.Index, author, attempt string) dfconfig.Index {
 	for _, change := range p.Changes {
@@ -127,7 +107,7 @@
 
 // KeyChanges returns the keys that differ between two documents of a service, sorted by
 // key. An empty document has no keys.
-func KeyChanges(from, to []byte) []KeyChange {
+func KeyChanges(from, to []byte) []dfconfig.KeyChange {
 	before, after := flattenDocument(from), flattenDocument(to)
 	keys := make(map[string]bool)
 	for key := range before {
@@ -136,10 +116,10 @@
 	for key := range after {
 		keys[key] = true
 	}
-	var changes []KeyChange
+	var changes []dfconfig.KeyChange
 	for key := range keys {
 		if before[key] != after[key] {
-			changes = append(changes, KeyChange{key, before[key], after[key]})
+			changes = append(changes, dfconfig.KeyChange{Key: key, From: before[key], To: after[key]})
 		}
 	}
 	sort.Slice(changes, func(i, j int) bool { return changes[i].Key < changes[j].Key })
--- a/dfverify/change.go
+++ b/dfverify/change.go
@@ -5,52 +5,33 @@
 	"strconv"
 
 	"dragonflygrade/dfcatalog"
+	"dragonflygrade/dfconfig"
 )
 
-// Change is a value that differs from the version in force.
-type Change struct {
-	// Key names the value, such as "Organisations[a].Rate".
-	Key string
-	// From is empty if the version in force lacks the value, and To if the checked one
-	// does.
-	From, To string
-}
-
-// String formats the change as one line.
-func (c Change) String() string {
-	switch {
-	case c.From == "":
-		return fmt.Sprintf("+ %s = %s", c.Key, c.To)
-	case c.To == "":
-		return fmt.Sprintf("- %s = %s", c.Key, c.From)
-	}
-	return fmt.Sprintf("~ %s = %s -> %s", c.Key, c.From, c.To)
-}
-
 // Difference returns what differs between two drafts. A key that an organisation gained
 // or lost is named by its index in the draft that has it.
-func Difference(from, to Draft) []Change {
+func Difference(from, to Draft) []dfconfig.KeyChange {
 	before, after := from.values(), to.values()
-	var changes []Change
+	var changes []dfconfig.KeyChange
 	for key, value := range after {
 		if before[key] != value {
-			changes = append(changes, Change{key, before[key], value})
+			changes = append(changes, dfconfig.KeyChange{Key: key, From: before[key], To: value})
 		}
 	}
 	for key, value := range before {
 		if _, ok := after[key]; !ok {
-			changes = append(changes, Change{key, value, ""})
+			changes = append(changes, dfconfig.KeyChange{Key: key, From: value})
 		}
 	}
 	keysBefore, keysAfter := from.keys(), to.keys()
 	for held, key := range keysAfter {
 		if _, ok := keysBefore[held]; !ok {
-			changes = append(changes, Change{key, "", "added"})
+			changes = append(changes, dfconfig.KeyChange{Key: key, To: "added"})
 		}
 	}
 	for held, key := range keysBefore {
 		if _, ok := keysAfter[held]; !ok {
-			changes = append(changes, Change{key, "held", ""})
+			changes = append(changes, dfconfig.KeyChange{Key: key, From: "held"})
 		}
 	}
 	return NewReport(0).WithChanges(changes).Changes
--- a/dfverify/draft.go
+++ b/dfverify/draft.go
@@ -167,13 +167,8 @@
 
 // checkAge reports a bound that reads at replicas cannot keep.
 func (c *draftCheck) checkAge(i int, route Route) {
-	var maxAge dfclock.Millis
-	switch f := route.Freshness.(type) {
-	case dfcatalog.Bounded:
-		maxAge = f.MaxAge
-	case dfcatalog.ReadYourWrites:
-		maxAge = f.MaxAge
-	default:
+	maxAge, bounded := dfcatalog.MaxAge(route.Freshness)
+	if !bounded {
 		return
 	}
 	lag := c.bounds.ReplicationLag
--- a/dfverify/finding.go
+++ b/dfverify/finding.go
@@ -40,12 +40,12 @@
 	// Findings are sorted by file and line.
 	Findings []Finding
 	// Changes are sorted by key.
-	Changes []Change
+	Changes []dfconfig.KeyChange
 }
 
 // NewReport returns a report without findings.
 func NewReport(files int) Report {
-	return Report{Files: files, Findings: []Finding{}, Changes: []Change{}}
+	return Report{Files: files, Findings: []Finding{}, Changes: []dfconfig.KeyChange{}}
 }
 
 // WithFindings returns the report with further findings.
@@ -68,9 +68,9 @@
 }
 
 // WithChanges returns the report with further changes.
-func (r Report) WithChanges(changes []Change) Report {
+func (r Report) WithChanges(changes []dfconfig.KeyChange) Report {
 	r.Changes = append(slices.Clone(r.Changes), changes...)
-	slices.SortStableFunc(r.Changes, func(a, b Change) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortStableFunc(r.Changes, func(a, b dfconfig.KeyChange) int { return strings.Compare(a.Key, b.Key) })
 	return r
 }
 
