--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -96,7 +96,7 @@
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	e.counters.set.WritePrometheus(w)
 	_, _ = w.Write(e.status())
-	metrics.WriteProcessMetrics(w)
+	metrics.WritePrometheus(w, true)
 }
 
 // updateReadiness makes the host not ready while it is stopping, cut off, without a
