Forward prepared statements of any encoding between hosts

What callers saw: a statement prepared through the extended protocol whose text is not UTF-8 (client_encoding LATIN1, or bytes that PostgreSQL would refuse) ran at hosts with a slot of the group. At other hosts it failed with 08007, outcome unknown, though nothing had been sent.

Cause: StatementInfo.SQL was a protobuf string. Encoding one that is not UTF-8 fails, which ends the stream to the other host, and the end of the stream counts as a lost connection.

Evidence: TestAlteredRelayedText failed at the first such text, "SELECT '\xe9\xff'": "DF1102 the connection to the upstream was lost during the request: the stream to host 127.0.0.1:40265 ended". Texts with carriage returns, line feeds, blanks and empty ones arrived unchanged.

Change: SQL is bytes.

--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -197,7 +197,7 @@
 			index, found := indexes[statement]
 			if !found {
 				request.Statements = append(request.Statements, &dfproto.StatementInfo{
-					SQL: statement.SQL, ParameterOIDs: statement.ParameterOIDs,
+					SQL: []byte(statement.SQL), ParameterOIDs: statement.ParameterOIDs,
 				})
 				index = uint32(len(request.Statements))
 				indexes[statement] = index
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -222,7 +222,7 @@
 func decodeBatch(request *dfproto.RelayRequest) dfunit.Batch {
 	statements := make([]*dfunit.Statement, len(request.Statements))
 	for i, info := range request.Statements {
-		statements[i] = &dfunit.Statement{SQL: info.SQL, ParameterOIDs: info.ParameterOIDs}
+		statements[i] = &dfunit.Statement{SQL: string(info.SQL), ParameterOIDs: info.ParameterOIDs}
 	}
 	batch := dfunit.Batch{Messages: make([]dfunit.Message, len(request.Messages))}
 	for i, message := range request.Messages {
