Tell the error of a relayed unit whose detail is not UTF-8

What callers saw: "outcome unknown" (DF1102) in place of the error itself, for example of an upstream that refuses connections with a message in another encoding (dfupstream/conn.go quotes it), if another host carried the statement.

Cause: RelayError.Detail is a protobuf string. Encoding one that is not UTF-8 fails, which ends the stream, and the end of the stream counts as a lost connection.

Change: bytes that are not UTF-8 are replaced in the detail, which is for people.

Measured: TestRelayedErrorOfAnyText and the other tests of dfpeer pass.

--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -250,9 +251,11 @@
 	}
 }
 
+// encodeError replaces what is not UTF-8 in the detail, which may quote a caller or an
+// upstream. An error that cannot be encoded would end the stream.
 func encodeError(err error) *dfproto.RelayError {
 	failure := dfresult.FromError(err, dfresult.Internal)
 	return &dfproto.RelayError{
-		Code: int32(failure.Code), Detail: failure.Detail, RetryAfterMillis: int64(failure.RetryAfter),
+		Code: int32(failure.Code), Detail: strings.ToValidUTF8(failure.Detail, "?"), RetryAfterMillis: int64(failure.RetryAfter),
 	}
 }
--- a/dfpeer/text_test.go
+++ b/dfpeer/text_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dragonflygrade/dfresult"
 	"dragonflygrade/dfunit"
 )
 
@@ -23,8 +24,11 @@
 	return h.unit, nil
 }
 
-// echoUnit answers each message with its body.
-type echoUnit struct{ batch dfunit.Batch }
+// echoUnit answers each message with its body, and with the failure if there is one.
+type echoUnit struct {
+	batch   dfunit.Batch
+	failure error
+}
 
 func (u *echoUnit) Exchange(_ context.Context, batch dfunit.Batch, sink dfunit.Sink) (dfunit.Result, error) {
 	u.batch = batch
@@ -33,7 +37,7 @@
 			return dfunit.Result{}, err
 		}
 	}
-	return dfunit.Result{Status: 'I'}, nil
+	return dfunit.Result{Status: 'I'}, u.failure
 }
 
 func (u *echoUnit) Cancel() {}
@@ -82,3 +86,15 @@
 		require.Equal(t, []string{"s\x00" + text + "\x00", text + "\x00"}, answers.bodies)
 	}
 }
+
+// TestRelayedErrorOfAnyText guards against "outcome unknown" in place of an error whose
+// detail is not UTF-8.
+func TestRelayedErrorOfAnyText(t *testing.T) {
+	for _, text := range alteredTexts {
+		unit := &echoUnit{failure: dfresult.NewError(dfresult.NoConnection, "%s", text)}
+		_, err := relayText(t, unit, "SELECT 1")
+		var failure *dfresult.Error
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, dfresult.NoConnection, failure.Code, "%q: %v", text, failure)
+	}
+}
