Recognise DISCARD ALL by its parse tree

What callers saw: after "DISCARD ALL;\t", "DISCARD ALL\r\n", "DISCARD ALL" or one beside a comment, a session kept its settings. The upstream had reset them; the host set them again before the next statement, which then ran under values that its caller had discarded.

Cause: the host compared the text with "discard all" after it had trimmed blanks, semicolons and line feeds at its end, but no other white space and none inside.

Evidence: TestDiscardAllResetsSettings failed, among others for "DISCARD ALL;\t": expected reset-all, actual no change of settings.

Change: the classifier gives DISCARD ALL the verb reset-all from its parse tree, as it does for RESET ALL.

--- a/dfclassify/parse.go
+++ b/dfclassify/parse.go
@@ -92,6 +92,9 @@
 		part.Effects |= EffectListen
 	case *pgquery.Node_DiscardStmt:
 		part.Effects |= EffectDiscard
+		if kind.DiscardStmt.GetTarget() == pgquery.DiscardMode_DISCARD_ALL {
+			part.Setting.Verb = VerbResetAll
+		}
 	case *pgquery.Node_DoStmt, *pgquery.Node_CallStmt, *pgquery.Node_LoadStmt:
 		part.Effects |= EffectUnknown
 	}
--- a/dfclassify/statement.go
+++ b/dfclassify/statement.go
@@ -111,6 +111,7 @@
 	// VerbSetLocal sets the value until the end of the transaction.
 	VerbSetLocal
 	VerbReset
+	// VerbResetAll is RESET ALL or DISCARD ALL.
 	VerbResetAll
 	VerbShow
 )
@@ -125,10 +126,10 @@
 	return verbNames[v]
 }
 
-// Setting is one SET, RESET or SHOW.
+// Setting is one SET, RESET or SHOW, or what DISCARD ALL does to settings.
 type Setting struct {
 	Verb Verb
-	// Name is in lower case. It is empty for RESET ALL and "all" for SHOW ALL.
+	// Name is in lower case. It is empty for VerbResetAll and "all" for SHOW ALL.
 	Name string
 	// Value is the new value; several values are joined by ", ".
 	Value string
@@ -168,7 +169,8 @@
 	ParseError string
 }
 
-// Setting returns the setting of a text that is a single SET, RESET or SHOW.
+// Setting returns the setting of a text that is a single SET, RESET, SHOW or
+// DISCARD ALL.
 func (s *Statement) Setting() (Setting, bool) {
 	if len(s.Parts) != 1 || s.Parts[0].Setting.Verb == VerbNone {
 		return Setting{}, false
--- a/dfhost/plan.go
+++ b/dfhost/plan.go
@@ -90,11 +90,8 @@
 	if statement.Class == dfunit.ClassWrite {
 		p.class = dfunit.ClassWrite
 	}
-	if statement.Effects&dfclassify.EffectDiscard != 0 && strings.EqualFold(strings.TrimRight(text, "; \n"), "discard all") {
-		p.settings = append(p.settings, dfclassify.Setting{Verb: dfclassify.VerbResetAll})
-	}
-	if statement.Effects&dfclassify.EffectSetting != 0 {
-		for _, part := range statement.Parts {
+	for _, part := range statement.Parts {
+		if statement.Effects&dfclassify.EffectSetting != 0 || part.Setting.Verb == dfclassify.VerbResetAll {
 			p.settings = append(p.settings, part.Setting)
 		}
 	}
