Compare texts with line breaks and of other encodings on all paths

Why: the scripts of dfcompat trim each line and send ASCII without line breaks, so they cannot see a host that alters the end of a text.

Change: TestLineBreaksOnAllPaths sends 14 texts as literals, parameters, prepared statements and session values, directly and through a host with and without a slot, and compares each value byte by byte. TestOtherEncodingsOnAllPaths compares the answers to statements that are not UTF-8 and to parameters with NUL.

--- /dev/null
+++ b/dfcompat/text_test.go
@@ -0,0 +1,74 @@
+package dfcompat
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+)
+
+// lineTexts are texts that every path carries unchanged.
+var lineTexts = []string{
+	"", "a\r", "a\r\r", "a\n", "a\r\n", "\r\na", "a\nb", "a\n\rb", " a ", "a;", "a; \t\r\n", "\t", "\u0085\u00a0\u2028", `\r\n`,
+}
+
+// Guards against statements, parameters, session values and rows whose white space at
+// the end or line breaks get lost on the way.
+func TestLineBreaksOnAllPaths(t *testing.T) {
+	s := newSite(t)
+	for _, p := range s.paths() {
+		conn := p.connect(t)
+		name := table("texts", p)
+		exec(t, conn, "CREATE TABLE "+name+"(id bigint primary key, name text)")
+		for i, text := range lineTexts {
+			note := func(step string) []any { return []any{"%s, %s of %q", p.name, step, text} }
+			number := []byte{byte('0' + i/10), byte('0' + i%10)}
+			exec(t, conn, "INSERT INTO "+name+" VALUES ("+string(number)+", '"+text+"')\r\n")
+			exec(t, conn, "UPDATE "+name+" SET name = '"+text+"' WHERE id = "+string(number)+";\n\r")
+			require.Equal(t, text, only(t, conn.ExecParams(t.Context(), "SELECT name FROM "+name+" WHERE id = $1\r", [][]byte{number}, nil, nil, nil)), note("literal")...)
+			require.Equal(t, text, only(t, conn.ExecParams(t.Context(), "SELECT $1::text\n", [][]byte{[]byte(text)}, nil, nil, nil)), note("parameter")...)
+			_, err := conn.Prepare(t.Context(), "s"+string(number), "SELECT '"+text+"'\r\n", nil)
+			require.NoError(t, err, note("Parse")...)
+			require.Equal(t, text, only(t, conn.ExecPrepared(t.Context(), "s"+string(number), nil, nil, nil)), note("prepared")...)
+			exec(t, conn, "SET application_name = 'x'; SET search_path = '"+text+"'\r\n")
+			require.Equal(t, text, settingOf(t, conn, "search_path"), note("session value")...)
+			exec(t, conn, "RESET search_path\r\n")
+		}
+	}
+}
+
+// Guards against another answer to statements that are not UTF-8 or contain NUL where a
+// second host is on the way.
+func TestOtherEncodingsOnAllPaths(t *testing.T) {
+	s := newSite(t)
+	equalOnAllPaths(t, s, func(p path, note func(string, ...any)) {
+		conn := p.connect(t)
+		for _, text := range []string{"\xe9", "\xff\xfe", "caf\xe9\r", "a\x80\n"} {
+			results, err := conn.Exec(t.Context(), "SELECT '"+text+"'").ReadAll()
+			note("simple %q %s", rowsOf(results...), state(err))
+			result := conn.ExecParams(t.Context(), "SELECT '"+text+"'", nil, nil, nil, nil).Read()
+			note("extended %q %s", rowsOf(result), state(result.Err))
+			result = conn.ExecParams(t.Context(), "SELECT $1::text", [][]byte{[]byte(text + "\x00")}, nil, nil, nil).Read()
+			note("parameter %q %s", rowsOf(result), state(result.Err))
+			_, err = conn.Prepare(t.Context(), "s", "SELECT missing.\""+text+"\"", nil)
+			note("refused %s", state(err))
+		}
+	})
+}
+
+// rowsOf returns the rows of all results.
+func rowsOf(results ...*pgconn.Result) (rows [][][]byte) {
+	for _, result := range results {
+		rows = append(rows, result.Rows...)
+	}
+	return rows
+}
+
+// only returns the value of a result with one row of one column.
+func only(t *testing.T, reader *pgconn.ResultReader) string {
+	t.Helper()
+	result := reader.Read()
+	require.NoError(t, result.Err)
+	require.Len(t, result.Rows, 1)
+	return string(result.Rows[0][0])
+}
