Let the stand-in upstream remove only the line end of a COPY line

Why: the stand-in removed every carriage return and line feed at the end of a line of COPY data and kept others, where PostgreSQL refuses them. A host that adds or removes one there would have gone unseen.

Evidence: TestCopyKeepsText failed for "rod\t1\t2\r\r\n": expected 22P04, actual the row "rod".

Change: LF or CR LF ends a line. A carriage return elsewhere is refused with 22P04, as PostgreSQL does.

--- a/dfstandinsql/describe.go
+++ b/dfstandinsql/describe.go
@@ -133,7 +133,13 @@
 func (s *Session) CopyIn(ctx context.Context, statement *Statement, data []byte) (Result, error) {
 	x := &execution{evaluator: evaluator{session: s, ctx: ctx}, statement: statement}
 	for line := range bytes.Lines(data) {
-		text := strings.TrimRight(string(line), "\r\n")
+		text, ended := strings.CutSuffix(string(line), "\n")
+		if ended {
+			text = strings.TrimSuffix(text, "\r")
+		}
+		if strings.Contains(text, "\r") {
+			return Result{}, dfstandinstore.Errorf(dfstandinstore.CodeCopyFormat, "literal carriage return found in data")
+		}
 		if text == `\.` {
 			break
 		}
--- a/dfstandinstore/value.go
+++ b/dfstandinstore/value.go
@@ -27,6 +27,7 @@
 	CodeInTransaction = "25P02"
 	CodeInvalidText   = "22P02"
 	CodeInvalidBinary = "22P03"
+	CodeCopyFormat    = "22P04"
 	CodeNotNull       = "23502"
 	CodeUnique        = "23505"
 	CodeSerialization = "40001"
