Pass over a line that is too long for explain

What operators saw: one line of more than 1 MiB in the input, not written by a host, ended explain with "bufio.Scanner: token too long"; the lines behind it were not read.

Cause: a scanner stops for good at a line that exceeds its buffer.

Evidence: TestLongLine failed with "explain: read: bufio.Scanner: token too long".

Change: such a line is skipped and counted with those that are not a host's.

Measured: TestLongLine and the other tests of dfexplain pass.

--- a/dfexplain/explain_test.go
+++ b/dfexplain/explain_test.go
@@ -73,3 +73,15 @@
 	require.NoError(t, err)
 	require.Equal(t, "h7", explanation.Lines[len(explanation.Lines)-1].Host)
 }
+
+// Guards against lines that are lost behind one that is longer than hosts write.
+func TestLongLine(t *testing.T) {
+	var logs Log
+	text := strings.Repeat("x", 2*maxLine) + "\r\n" +
+		`{"time":"2026-01-10T14:43:50Z","level":"warn","Request":"a","Code":1001,"message":"request: refused"}` + "\r\n"
+	require.NoError(t, logs.Read(strings.NewReader(text), "h", "a"))
+	require.Equal(t, 1, logs.Unreadable)
+	explanation, err := logs.Explain("a")
+	require.NoError(t, err)
+	require.Len(t, explanation.Lines, 1)
+}
--- a/dfexplain/line.go
+++ b/dfexplain/line.go
@@ -81,10 +81,19 @@
 
 // Read adds the lines of one source. Lines of other requests are left out.
 func (l *Log) Read(source io.Reader, host, request string) error {
-	scanner := bufio.NewScanner(source)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		text := scanner.Text()
+	reader := bufio.NewReader(source)
+	for {
+		text, tooLong, err := nextLine(reader)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "explain: read")
+		}
+		if tooLong {
+			l.Unreadable++
+			continue
+		}
 		// Decoding costs much more than this look.
 		if strings.Contains(text, `"Request":`) && !strings.Contains(text, request) {
 			continue
@@ -102,5 +111,22 @@
 			l.lines = append(l.lines, line)
 		}
 	}
-	return eris.Wrap(scanner.Err(), "explain: read")
+}
+
+// nextLine returns the next line without its end. The text of a line that exceeds
+// maxLine is skipped. After the last line the error is io.EOF.
+func nextLine(reader *bufio.Reader) (text string, tooLong bool, err error) {
+	var line []byte
+	for {
+		part, more, err := reader.ReadLine()
+		if err != nil {
+			return "", false, err
+		}
+		if tooLong = tooLong || len(line)+len(part) > maxLine; !tooLong {
+			line = append(line, part...)
+		}
+		if !more {
+			return string(line), tooLong, nil
+		}
+	}
 }
