Find requests whose names the log escapes

What operators saw: explain said "no line names the request" for one whose ID has quotes, a backslash, CR, LF or other control characters, or is not UTF-8.

Cause: lines were selected by the ID's bytes before they were decoded, and the log escapes some of them. Bytes that are not UTF-8 are replaced when a line is decoded.

Evidence: TestEscapedRequest failed for "a\r", and with the selection mended for "a\x00".

Change: lines are selected by bytes only if the ID is written as it is. A line that cannot be decoded is tried again with its control characters escaped. The ID is compared in the form that decoding gives it.

Measured: TestEscapedRequest and the other tests of dfexplain and dfcli pass.

--- a/dfexplain/explain_test.go
+++ b/dfexplain/explain_test.go
@@ -1,6 +1,7 @@
 package dfexplain
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"strconv"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 )
 
@@ -74,6 +76,21 @@
 	require.Equal(t, "h7", explanation.Lines[len(explanation.Lines)-1].Host)
 }
 
+// Guards against lines that are lost because the log escapes bytes of the request's name.
+func TestEscapedRequest(t *testing.T) {
+	for _, request := range []string{"a\r", "a\nb", `a"b`, `a\b`, "a<b>&", "é", "a\x00", "\x01\x1b", "\u2028", "a\x7f", "\xff\xfe"} {
+		var text bytes.Buffer
+		logger := log.Logger{Writer: &log.IOWriter{Writer: &text}, TimeFormat: time.RFC3339Nano}
+		logger.Warn().Str("Request", request).Int("Code", 1001).Msg("request: refused")
+		logger.Warn().Str("Request", "other").Int("Code", 1001).Msg("request: refused")
+		var logs Log
+		require.NoError(t, logs.Read(&text, "h", request))
+		explanation, err := logs.Explain(request)
+		require.NoError(t, err, "%q", request)
+		require.Len(t, explanation.Lines, 1, "%q", request)
+	}
+}
+
 // Guards against lines that are lost behind one that is longer than hosts write.
 func TestLongLine(t *testing.T) {
 	var logs Log
--- a/dfexplain/line.go
+++ b/dfexplain/line.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -41,19 +42,36 @@
 		return Line{}, false
 	}
 	line := Line{Host: host, Text: text[start:], Fields: map[string]any{}}
-	if err := json.Unmarshal([]byte(line.Text), &line.Fields); err != nil {
+	err := json.Unmarshal([]byte(line.Text), &line.Fields)
+	if err != nil {
+		err = json.Unmarshal([]byte(escapeControl(line.Text)), &line.Fields)
+	}
+	if err != nil {
 		return Line{}, false
 	}
 	if words := strings.Fields(text[:start]); len(words) > 0 {
 		line.Host = words[len(words)-1]
 	}
-	var err error
 	line.At, err = time.Parse(time.RFC3339Nano, line.text("time"))
 	line.Level, line.Message = line.text("level"), line.text("message")
 	line.Request, line.Service = line.text("Request"), line.text("Service")
 	return line, err == nil && line.Message != ""
 }
 
+// escapeControl escapes control characters, which hosts write as they are and JSON does
+// not allow.
+func escapeControl(text string) string {
+	var escaped strings.Builder
+	for i := range len(text) {
+		if text[i] < ' ' {
+			fmt.Fprintf(&escaped, `\u%04x`, text[i])
+		} else {
+			escaped.WriteByte(text[i])
+		}
+	}
+	return escaped.String()
+}
+
 // Clock returns the time of day of the line, in UTC.
 func (l Line) Clock() string {
 	return l.At.UTC().Format("15:04:05.000")
@@ -82,6 +100,9 @@
 // Read adds the lines of one source. Lines of other requests are left out.
 func (l *Log) Read(source io.Reader, host, request string) error {
 	reader := bufio.NewReader(source)
+	plain := isPlain(request)
+	// Decoding replaces bytes that are not UTF-8.
+	decoded := string([]rune(request))
 	for {
 		text, tooLong, err := nextLine(reader)
 		if err == io.EOF {
@@ -95,7 +116,7 @@
 			continue
 		}
 		// Decoding costs much more than this look.
-		if strings.Contains(text, `"Request":`) && !strings.Contains(text, request) {
+		if plain && strings.Contains(text, `"Request":`) && !strings.Contains(text, request) {
 			continue
 		}
 		line, ok := newLine(text, host)
@@ -107,12 +128,25 @@
 			host = line.text("Host")
 			line.Host = host
 		}
+		if line.Request == decoded {
+			line.Request = request
+		}
 		if line.Request == "" || line.Request == request {
 			l.lines = append(l.lines, line)
 		}
 	}
 }
 
+// isPlain reports whether a log has the name of a request as it is, without escapes.
+func isPlain(request string) bool {
+	for _, b := range []byte(request) {
+		if b < ' ' || b > '~' || strings.IndexByte(`"\<>&'`, b) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // nextLine returns the next line without its end. The text of a line that exceeds
 // maxLine is skipped. After the last line the error is io.EOF.
 func nextLine(reader *bufio.Reader) (text string, tooLong bool, err error) {
