Forward sessions whose caller's name is not UTF-8

What callers saw: a session that names its caller with bytes that are not UTF-8 (dragonflygrade.caller) was served at hosts with a slot. Others held each statement for seconds and refused it with 57P03, "no host with a slot for the database is reachable".

Cause: RelayOpen.Caller was a protobuf string. Encoding one that is not UTF-8 fails, and the failure counts as one of the other host.

Evidence: TestCallerOfOtherEncoding failed at the forwarding host with 57P03 after about 4 s. TestAlteredRelayedText, which sends each text as the caller's name too, failed with DF1102 for "SELECT '\xe9\xff'".

Change: Caller is bytes.

--- a/dfcompat/text_test.go
+++ b/dfcompat/text_test.go
@@ -56,6 +56,20 @@
 	})
 }
 
+// Guards against a session that another host refuses because of its caller's name.
+func TestCallerOfOtherEncoding(t *testing.T) {
+	s := newSite(t)
+	for _, p := range s.paths()[1:] {
+		config, err := pgconn.ParseConfig(p.clerk())
+		require.NoError(t, err)
+		config.RuntimeParams["dragonflygrade.caller"] = "caf\xe9"
+		conn, err := pgconn.ConnectConfig(t.Context(), config)
+		require.NoError(t, err, p.name)
+		exec(t, conn, "SELECT 1")
+		require.NoError(t, conn.Close(t.Context()))
+	}
+}
+
 // rowsOf returns the rows of all results.
 func rowsOf(results ...*pgconn.Result) (rows [][][]byte) {
 	for _, result := range results {
--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -55,7 +55,7 @@
 		ID:              request.ID,
 		Service:         request.Service,
 		Group:           string(request.Group),
-		Caller:          request.Caller,
+		Caller:          []byte(request.Caller),
 		Write:           request.Class == dfunit.ClassWrite,
 		Need:            dfproto.EncodePosition(request.Need),
 		TokenPresented:  request.TokenPresented,
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -177,7 +177,7 @@
 		ID:             open.ID,
 		Service:        open.Service,
 		Group:          dfgroup.ID(open.Group),
-		Caller:         open.Caller,
+		Caller:         string(open.Caller),
 		Class:          class,
 		Need:           dfproto.DecodePosition(open.Need),
 		TokenPresented: open.TokenPresented,
--- a/dfpeer/text_test.go
+++ b/dfpeer/text_test.go
@@ -20,13 +20,15 @@
 	unit *echoUnit
 }
 
-func (h echoHandler) OpenRelayed(context.Context, dfunit.Request, uint64) (dfunit.Unit, error) {
+func (h echoHandler) OpenRelayed(_ context.Context, request dfunit.Request, _ uint64) (dfunit.Unit, error) {
+	h.unit.caller = request.Caller
 	return h.unit, nil
 }
 
 // echoUnit answers each message with its body, and with the failure if there is one.
 type echoUnit struct {
 	batch   dfunit.Batch
+	caller  string
 	failure error
 }
 
@@ -63,7 +65,7 @@
 	t.Cleanup(directory.Close)
 	peer, err := directory.Peer(listener.Addr().String())
 	require.NoError(t, err)
-	opened, err := NewForwarder(peer, 1, clock).Open(t.Context(), dfunit.Request{})
+	opened, err := NewForwarder(peer, 1, clock).Open(t.Context(), dfunit.Request{Caller: text})
 	require.NoError(t, err)
 	defer opened.Close()
 	answers := &recorder{}
@@ -74,13 +76,14 @@
 	return answers, err
 }
 
-// TestAlteredRelayedText guards against a statement or a row that another host cannot
-// pass on, or passes on with another text.
+// TestAlteredRelayedText guards against a caller, a statement or a row that another host
+// cannot pass on, or passes on with another text.
 func TestAlteredRelayedText(t *testing.T) {
 	for _, text := range alteredTexts {
 		unit := &echoUnit{}
 		answers, err := relayText(t, unit, text)
 		require.NoError(t, err, "%q", text)
+		require.Equal(t, text, unit.caller)
 		require.Equal(t, text, unit.batch.Messages[0].Statement.SQL)
 		require.Equal(t, text+"\x00", string(unit.batch.Messages[1].Body))
 		require.Equal(t, []string{"s\x00" + text + "\x00", text + "\x00"}, answers.bodies)
