Recognise DEALLOCATE with white space in front and quoted names

What callers saw: "\r\nDEALLOCATE s1" went to the upstream, which knows the statement by another name. The caller's statement stayed prepared, and PostgreSQL would answer 26000. The same held for quoted names with blanks or quotes. A statement named "É" could not be deallocated, and DEALLOCATE all dropped only one named "all".

Cause: the host looked at the first byte, split the text at what Unicode takes for white space and folded the name as Unicode does. PostgreSQL has six characters of white space, folds ASCII only, and doubles quotes inside quoted names.

Evidence: TestDeallocateOnAllPaths failed at hosts with and without a slot: direct "\r\nDEALLOCATE s1" then 26000, holding and forwarding "then ok".

Change: deallocatedName reads the text as PostgreSQL's scanner does. Texts with comments still go to the upstream.

--- a/dfcompat/text_test.go
+++ b/dfcompat/text_test.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// Guards against DEALLOCATE that a host does not recognise because of white space or
+// quotes. The upstream knows the statement by another name.
+func TestDeallocateOnAllPaths(t *testing.T) {
+	s := newSite(t)
+	equalOnAllPaths(t, s, func(p path, note func(string, ...any)) {
+		conn := p.connect(t)
+		for _, each := range [][2]string{
+			{"s1", "DEALLOCATE s1"}, {"s1", "\r\nDEALLOCATE s1"}, {"s1", "\f deallocate\tS1\v;\r\n"}, {"s1", "DEALLOCATE\nPREPARE\ns1 ; ;"},
+			{"S 1", `DEALLOCATE "S 1"`}, {"S\n1", "DEALLOCATE\"S\n1\"\r"}, {`S"1`, `DEALLOCATE "S""1"`}, {"S;", `DEALLOCATE PREPARE "S;"`},
+			{"s1", `DEALLOCATE "s1" "s1"`}, {"s1", "DEALLOCATE s1 s1"}, {"s1", "DEALLOCATE S2"}, {"prepare", "DEALLOCATE prepare"},
+			{"all", `DEALLOCATE "all"`}, {"all", "DEALLOCATE all"}, {"É", "DEALLOCATE É"},
+		} {
+			_, err := conn.Prepare(t.Context(), each[0], "SELECT 1", nil)
+			require.NoError(t, err)
+			_, err = conn.Exec(t.Context(), each[1]).ReadAll()
+			note("%q %s", each[1], state(err))
+			result := conn.ExecPrepared(t.Context(), each[0], nil, nil, nil).Read()
+			note("%q then %s", each[1], state(result.Err))
+			exec(t, conn, "DEALLOCATE ALL")
+		}
+	})
+}
+
 // rowsOf returns the rows of all results.
 func rowsOf(results ...*pgconn.Result) (rows [][][]byte) {
 	for _, result := range results {
--- a/dfwire/run.go
+++ b/dfwire/run.go
@@ -39,19 +39,15 @@
 // The upstream knows it by another name and keeps it for other callers.
 func (c *caller) takeDeallocate() bool {
 	first := c.collected.messages[0]
-	if c.status == 'E' || len(c.collected.messages) != 1 || first.Type != 'Q' || len(first.Body) == 0 || first.Body[0]|0x20 != 'd' {
+	if c.status == 'E' || len(c.collected.messages) != 1 || first.Type != 'Q' {
 		return false
 	}
-	words := strings.Fields(strings.TrimRight(textOf(first), "; \t\r\n"))
-	if len(words) == 3 && strings.EqualFold(words[1], "prepare") {
-		words = append(words[:1], words[2])
-	}
-	if len(words) != 2 || !strings.EqualFold(words[0], "deallocate") {
+	if body := bytes.TrimLeft(first.Body, whiteSpace); len(body) == 0 || body[0]|0x20 != 'd' {
 		return false
 	}
-	name := strings.ToLower(words[1])
-	if quoted := strings.Trim(words[1], `"`); quoted != words[1] {
-		name = quoted
+	name, ok := deallocatedName(textOf(first))
+	if !ok {
+		return false
 	}
 	if c.statements.named[name] == nil {
 		return false
@@ -60,6 +56,52 @@
 	return true
 }
 
+// whiteSpace has what PostgreSQL takes for white space. Others belong to names.
+const whiteSpace = " \t\n\r\f\v"
+
+// deallocatedName returns the name in a text that is nothing but a DEALLOCATE of one
+// statement.
+func deallocatedName(sql string) (string, bool) {
+	text := strings.TrimLeft(sql, whiteSpace)
+	keyword, name, ok := cutKeyword(text)
+	if !ok || !strings.EqualFold(keyword, "deallocate") {
+		return "", false
+	}
+	name = strings.TrimRight(name, whiteSpace+";")
+	if second, rest, ok := cutKeyword(name); ok && strings.EqualFold(second, "prepare") {
+		name = rest
+	}
+	if quoted, ok := strings.CutPrefix(name, `"`); ok {
+		quoted, ok = strings.CutSuffix(quoted, `"`)
+		name = strings.ReplaceAll(quoted, `""`, `"`)
+		return name, ok && strings.Count(quoted, `"`) == 2*strings.Count(quoted, `""`)
+	}
+	if name == "" || strings.ContainsAny(name, whiteSpace+`"';,.()/*-`) || strings.EqualFold(name, "all") {
+		return "", false
+	}
+	return lowerASCII(name), true
+}
+
+// cutKeyword cuts a text after its first word. What follows has no white space in front.
+func cutKeyword(text string) (keyword, rest string, ok bool) {
+	end := strings.IndexAny(text, whiteSpace+`"`)
+	if end < 0 {
+		return "", "", false
+	}
+	return text[:end], strings.TrimLeft(text[end:], whiteSpace), true
+}
+
+// lowerASCII folds a name as PostgreSQL does in UTF-8, where other letters stay.
+func lowerASCII(name string) string {
+	folded := []byte(name)
+	for i, b := range folded {
+		if b >= 'A' && b <= 'Z' {
+			folded[i] = b | 0x20
+		}
+	}
+	return string(folded)
+}
+
 func (c *caller) endDeallocate() error {
 	if err := c.write(&pgproto3.CommandComplete{CommandTag: []byte("DEALLOCATE")}); err != nil {
 		return err
