--- a/dfexplain/line.go
+++ b/dfexplain/line.go
@@ -105,7 +105,7 @@
 	decoded := string([]rune(request))
 	for {
 		text, tooLong, err := nextLine(reader)
-		if err == io.EOF {
+		if eris.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/dfhost/plan_test.go
+++ b/dfhost/plan_test.go
@@ -24,3 +24,13 @@
 		require.Equal(t, want, p.settings, "%q", text)
 	}
 }
+
+// Guards against a session value that is lost with the connection because its text is in
+// another encoding.
+func TestSettingOfOtherEncoding(t *testing.T) {
+	for _, value := range []string{"shop", "caf\u00e9", "caf\xe9"} {
+		batch := dfunit.Batch{Messages: []dfunit.Message{{Type: messageQuery, Body: []byte("SET search_path = '" + value + "'\x00")}}}
+		p := makePlan(dfclassify.New(0), dfconfig.Service{}, batch)
+		require.Equal(t, []dfclassify.Setting{{Verb: dfclassify.VerbSet, Name: "search_path", Value: value}}, p.settings, "%q", value)
+	}
+}
