Keep quoted startup values that differ from the default

What callers saw: a session opened with search_path '"$ user", public' or '"$USER", public' ran under the default search path, which names another schema (PINNED).

Cause: values of the startup message that equal a default are dropped, and both were compared in lower case and without any white space, also inside quotes.

Evidence: TestQuotedStartupSettings failed: expected the setting to be kept, actual none.

Change: a value with quotes is compared as it is, apart from the blank behind a comma.

Measured: the startup tests of dfhost pass.

--- a/dfhost/startup.go
+++ b/dfhost/startup.go
@@ -11,7 +11,7 @@
 // ownParameters are startup parameters that the host deals with itself.
 var ownParameters = []string{parameterApplication, "client_encoding", "replication"}
 
-// defaultValues has, in lower case and without white space, values of settings
+// defaultValues has, in the form of plain, values of settings
 // that drivers send at each startup although they change nothing. A setting
 // costs a reset when its connection is returned.
 var defaultValues = map[string][]string{
@@ -45,7 +45,12 @@
 	return slices.Contains(ownParameters, name) || strings.HasPrefix(name, "_pq_.") || strings.HasPrefix(name, parameterPrefix)
 }
 
+// plain returns a value in lower case and without white space. A value with quotes, in
+// which both count, keeps them except for the blank behind a comma.
 func plain(value string) string {
+	if strings.Contains(value, `"`) {
+		return strings.ReplaceAll(value, `", `, `",`)
+	}
 	return strings.ToLower(strings.Join(strings.Fields(value), ""))
 }
 
--- a/dfhost/startup_test.go
+++ b/dfhost/startup_test.go
@@ -29,3 +29,13 @@
 		require.Equal(t, first, list.values)
 	}
 }
+
+// Guards against a value of the startup message that is dropped because it looks like
+// the default once white space and case inside its quotes are ignored.
+func TestQuotedStartupSettings(t *testing.T) {
+	for value, kept := range map[string]bool{
+		`"$user", public`: false, `"$user",public`: false, `"$ user", public`: true, `"$USER", public`: true, "\"$user\r\", public": true, `"$user,public"`: true,
+	} {
+		require.Equal(t, kept, len(startupSettings(map[string]string{"search_path": value})) == 1, "%q", value)
+	}
+}
