--- a/dfcompat/text_test.go
+++ b/dfcompat/text_test.go
@@ -82,12 +82,16 @@
 			{"s1", `DEALLOCATE "s1" "s1"`}, {"s1", "DEALLOCATE s1 s1"}, {"s1", "DEALLOCATE S2"}, {"prepare", "DEALLOCATE prepare"},
 			{"all", `DEALLOCATE "all"`}, {"all", "DEALLOCATE all"}, {"É", "DEALLOCATE É"},
 		} {
-			_, err := conn.Prepare(t.Context(), each[0], "SELECT 1", nil)
-			require.NoError(t, err)
-			_, err = conn.Exec(t.Context(), each[1]).ReadAll()
+			for _, name := range []string{each[0], "other"} {
+				_, err := conn.Prepare(t.Context(), name, "SELECT 1", nil)
+				require.NoError(t, err)
+			}
+			_, err := conn.Exec(t.Context(), each[1]).ReadAll()
 			note("%q %s", each[1], state(err))
-			result := conn.ExecPrepared(t.Context(), each[0], nil, nil, nil).Read()
-			note("%q then %s", each[1], state(result.Err))
+			for _, name := range []string{each[0], "other"} {
+				result := conn.ExecPrepared(t.Context(), name, nil, nil, nil).Read()
+				note("%q then %q %s", each[1], name, state(result.Err))
+			}
 			exec(t, conn, "DEALLOCATE ALL")
 		}
 	})
