--- a/dfexplain/explain_test.go
+++ b/dfexplain/explain_test.go
@@ -1,6 +1,7 @@
 package dfexplain
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"strconv"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 )
 
@@ -73,3 +75,30 @@
 	require.NoError(t, err)
 	require.Equal(t, "h7", explanation.Lines[len(explanation.Lines)-1].Host)
 }
+
+// Guards against lines that are lost because the log escapes bytes of the request's name.
+func TestEscapedRequest(t *testing.T) {
+	for _, request := range []string{"a\r", "a\nb", `a"b`, `a\b`, "a<b>&", "é", "a\x00", "\x01\x1b", "\u2028", "a\x7f", "\xff\xfe"} {
+		var text bytes.Buffer
+		logger := log.Logger{Writer: &log.IOWriter{Writer: &text}, TimeFormat: time.RFC3339Nano}
+		logger.Warn().Str("Request", request).Int("Code", 1001).Msg("request: refused")
+		logger.Warn().Str("Request", "other").Int("Code", 1001).Msg("request: refused")
+		var logs Log
+		require.NoError(t, logs.Read(&text, "h", request))
+		explanation, err := logs.Explain(request)
+		require.NoError(t, err, "%q", request)
+		require.Len(t, explanation.Lines, 1, "%q", request)
+	}
+}
+
+// Guards against lines that are lost behind one that is longer than hosts write.
+func TestLongLine(t *testing.T) {
+	var logs Log
+	text := strings.Repeat("x", 2*maxLine) + "\r\n" +
+		`{"time":"2026-01-10T14:43:50Z","level":"warn","Request":"a","Code":1001,"message":"request: refused"}` + "\r\n"
+	require.NoError(t, logs.Read(strings.NewReader(text), "h", "a"))
+	require.Equal(t, 1, logs.Unreadable)
+	explanation, err := logs.Explain("a")
+	require.NoError(t, err)
+	require.Len(t, explanation.Lines, 1)
+}
--- a/dfexplain/line.go
+++ b/dfexplain/line.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -41,19 +42,36 @@
 		return Line{}, false
 	}
 	line := Line{Host: host, Text: text[start:], Fields: map[string]any{}}
-	if err := json.Unmarshal([]byte(line.Text), &line.Fields); err != nil {
+	err := json.Unmarshal([]byte(line.Text), &line.Fields)
+	if err != nil {
+		err = json.Unmarshal([]byte(escapeControl(line.Text)), &line.Fields)
+	}
+	if err != nil {
 		return Line{}, false
 	}
 	if words := strings.Fields(text[:start]); len(words) > 0 {
 		line.Host = words[len(words)-1]
 	}
-	var err error
 	line.At, err = time.Parse(time.RFC3339Nano, line.text("time"))
 	line.Level, line.Message = line.text("level"), line.text("message")
 	line.Request, line.Service = line.text("Request"), line.text("Service")
 	return line, err == nil && line.Message != ""
 }
 
+// escapeControl escapes control characters, which hosts write as they are and JSON does
+// not allow.
+func escapeControl(text string) string {
+	var escaped strings.Builder
+	for i := range len(text) {
+		if text[i] < ' ' {
+			fmt.Fprintf(&escaped, `\u%04x`, text[i])
+		} else {
+			escaped.WriteByte(text[i])
+		}
+	}
+	return escaped.String()
+}
+
 // Clock returns the time of day of the line, in UTC.
 func (l Line) Clock() string {
 	return l.At.UTC().Format("15:04:05.000")
@@ -81,12 +99,24 @@
 
 // Read adds the lines of one source. Lines of other requests are left out.
 func (l *Log) Read(source io.Reader, host, request string) error {
-	scanner := bufio.NewScanner(source)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		text := scanner.Text()
+	reader := bufio.NewReader(source)
+	plain := isPlain(request)
+	// Decoding replaces bytes that are not UTF-8.
+	decoded := string([]rune(request))
+	for {
+		text, tooLong, err := nextLine(reader)
+		if eris.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "explain: read")
+		}
+		if tooLong {
+			l.Unreadable++
+			continue
+		}
 		// Decoding costs much more than this look.
-		if strings.Contains(text, `"Request":`) && !strings.Contains(text, request) {
+		if plain && strings.Contains(text, `"Request":`) && !strings.Contains(text, request) {
 			continue
 		}
 		line, ok := newLine(text, host)
@@ -98,9 +128,39 @@
 			host = line.text("Host")
 			line.Host = host
 		}
+		if line.Request == decoded {
+			line.Request = request
+		}
 		if line.Request == "" || line.Request == request {
 			l.lines = append(l.lines, line)
 		}
 	}
-	return eris.Wrap(scanner.Err(), "explain: read")
+}
+
+// isPlain reports whether a log has the name of a request as it is, without escapes.
+func isPlain(request string) bool {
+	for _, b := range []byte(request) {
+		if b < ' ' || b > '~' || strings.IndexByte(`"\<>&'`, b) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// nextLine returns the next line without its end. The text of a line that exceeds
+// maxLine is skipped. After the last line the error is io.EOF.
+func nextLine(reader *bufio.Reader) (text string, tooLong bool, err error) {
+	var line []byte
+	for {
+		part, more, err := reader.ReadLine()
+		if err != nil {
+			return "", false, err
+		}
+		if tooLong = tooLong || len(line)+len(part) > maxLine; !tooLong {
+			line = append(line, part...)
+		}
+		if !more {
+			return string(line), tooLong, nil
+		}
+	}
 }
--- a/dfpeer/forward.go
+++ b/dfpeer/forward.go
@@ -55,7 +55,7 @@
 		ID:              request.ID,
 		Service:         request.Service,
 		Group:           string(request.Group),
-		Caller:          request.Caller,
+		Caller:          []byte(request.Caller),
 		Write:           request.Class == dfunit.ClassWrite,
 		Need:            dfproto.EncodePosition(request.Need),
 		TokenPresented:  request.TokenPresented,
@@ -197,7 +197,7 @@
 			index, found := indexes[statement]
 			if !found {
 				request.Statements = append(request.Statements, &dfproto.StatementInfo{
-					SQL: statement.SQL, ParameterOIDs: statement.ParameterOIDs,
+					SQL: []byte(statement.SQL), ParameterOIDs: statement.ParameterOIDs,
 				})
 				index = uint32(len(request.Statements))
 				indexes[statement] = index
--- a/dfpeer/relay.go
+++ b/dfpeer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -176,7 +177,7 @@
 		ID:             open.ID,
 		Service:        open.Service,
 		Group:          dfgroup.ID(open.Group),
-		Caller:         open.Caller,
+		Caller:         string(open.Caller),
 		Class:          class,
 		Need:           dfproto.DecodePosition(open.Need),
 		TokenPresented: open.TokenPresented,
@@ -222,7 +223,7 @@
 func decodeBatch(request *dfproto.RelayRequest) dfunit.Batch {
 	statements := make([]*dfunit.Statement, len(request.Statements))
 	for i, info := range request.Statements {
-		statements[i] = &dfunit.Statement{SQL: info.SQL, ParameterOIDs: info.ParameterOIDs}
+		statements[i] = &dfunit.Statement{SQL: string(info.SQL), ParameterOIDs: info.ParameterOIDs}
 	}
 	batch := dfunit.Batch{Messages: make([]dfunit.Message, len(request.Messages))}
 	for i, message := range request.Messages {
@@ -250,9 +251,11 @@
 	}
 }
 
+// encodeError replaces what is not UTF-8 in the detail, which may quote a caller or an
+// upstream. An error that cannot be encoded would end the stream.
 func encodeError(err error) *dfproto.RelayError {
 	failure := dfresult.FromError(err, dfresult.Internal)
 	return &dfproto.RelayError{
-		Code: int32(failure.Code), Detail: failure.Detail, RetryAfterMillis: int64(failure.RetryAfter),
+		Code: int32(failure.Code), Detail: strings.ToValidUTF8(failure.Detail, "?"), RetryAfterMillis: int64(failure.RetryAfter),
 	}
 }
