Carry texts between hosts byte for byte

What callers saw: at a host that uses the connections of another host, a statement, a session value or arguments that are not valid UTF-8, for example "WRITE x \xff\xfe", were answered with INDOUBT, though nothing had run.

Cause: texts are sent between hosts as CBOR text strings. The encoder writes any bytes, but the decoder refused those that are not valid UTF-8. The carrier then closed the connection, which counts as a lost answer. All exchanges of hosts share the decoder: requests and replies of carriers, reports of neighbours, limits of organisations. Names in the latter come from JSON, whose decoder replaces such bytes, so only statements were affected.

Change: the decoder accepts such texts. The encoding is the same, so builds can be mixed; an earlier build as the carrier refuses these texts as before.

--- a/dfmessage/message.go
+++ b/dfmessage/message.go
@@ -14,6 +14,18 @@
 // state is the largest content.
 const maxMessageSize = 4 << 20
 
+// decoder accepts texts that are not valid UTF-8: texts of callers and upstreams are
+// bytes. The encoder writes them as they are.
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // Write encodes a message and sends it with its length.
 func Write(w io.Writer, message any) error {
 	data, err := cbor.Marshal(message)
@@ -40,5 +52,5 @@
 	if _, err := io.ReadFull(r, data); err != nil {
 		return err
 	}
-	return eris.Wrap(cbor.Unmarshal(data, message), "message: decode")
+	return eris.Wrap(decoder.Unmarshal(data, message), "message: decode")
 }
--- a/dfneighbour/view_test.go
+++ b/dfneighbour/view_test.go
@@ -288,3 +288,24 @@
 		view.Carriers(10, "u", 3)
 	}
 }
+
+// Guards against one odd name that makes every exchange of its hosts fail: of a host, of a
+// service, or of an upstream in the list.
+func TestOddNamesInMessages(t *testing.T) {
+	for _, odd := range []string{"\xff\xfe", "\x00", "line\r\nbreak", "blank ", ""} {
+		request := Request{Host: dfmember.Host{ID: odd, DataCentre: odd, Address: odd}, Leaders: []LeaderState{{Service: odd, Leader: dffleet.ID(odd)}}}
+		report := Report{
+			Host: request.Host, Hosts: []dfmember.Host{request.Host}, Leaders: request.Leaders,
+			Upstreams: []dffleet.Upstream{{ID: dffleet.ID(odd), Service: odd, Address: odd, DataCentre: odd}},
+		}
+		var messages bytes.Buffer
+		require.NoError(t, WriteRequest(&messages, request))
+		require.NoError(t, WriteReport(&messages, report))
+		receivedRequest, err := ReadRequest(&messages)
+		require.NoError(t, err, "%q", odd)
+		require.Equal(t, request, receivedRequest)
+		receivedReport, err := ReadReport(&messages)
+		require.NoError(t, err, "%q", odd)
+		require.Equal(t, report, receivedReport)
+	}
+}
