--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -146,7 +146,6 @@
 		c.plans[plan] = name
 		setup = append(setup, dfstatement.Call{Statement: dfstatement.Prepare{Name: name, Plan: plan}})
 	}
-	call.Text = ""
 	call.Statement = dfstatement.Execute{Name: name, Arguments: execute.Arguments}
 	return setup, call
 }
--- a/dfstatement/statement.go
+++ b/dfstatement/statement.go
@@ -34,7 +34,8 @@
 	Plan Plan
 }
 
-// Execute runs a prepared statement. Arguments is the text that follows its name.
+// Execute runs a prepared statement. Arguments is the text that follows its name. Hosts
+// of earlier builds format the statement from it.
 type Execute struct{ Name, Arguments string }
 
 // Deallocate removes a prepared statement.
@@ -80,8 +81,9 @@
 	// ID is the caller's request ID. It is empty for statements that the host
 	// issues itself.
 	ID string
-	// Text is the caller's text, which is forwarded unchanged. It is empty for
-	// statements that the host issues itself.
+	// Text is the caller's text, which is forwarded unchanged, except that the prepared
+	// name in it is replaced by that of an Execute statement. It is empty for statements
+	// that the host issues itself.
 	Text      string
 	Statement Statement
 	// MinPosition is the log position that the upstream must have reached before it
