Reset a connection after any transaction that did not commit

What callers may see: a statement runs under session values, or as a prepared statement, of another session, at an upstream that rolls back session state with its transaction, as PostgreSQL does.

Cause: the users of a connection told it when a transaction was rolled back. The read at the leader, which is a transaction of its own, and a COMMIT that the upstream refused did not.

Change: the connection sees each answer and the state after it, and decides itself. RolledBack and Committed are gone from it and from its users.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -185,7 +185,7 @@
 		if err != nil {
 			return answers, true, eris.Wrap(err, "connection: receive")
 		}
-		c.state = answer.State
+		c.recordState(all[i], answer)
 		if i >= setupCount {
 			answers = append(answers, answer)
 			continue
@@ -227,15 +227,15 @@
 	return c.state
 }
 
-// RolledBack records that the open transaction was rolled back. The upstream may
-// have rolled back session variables that were set inside it.
-func (c *Conn) RolledBack() {
-	c.stateUnknown = c.stateUnknown || c.setInTransaction
-	c.setInTransaction = false
-}
-
-// Committed records that the open transaction was committed.
-func (c *Conn) Committed() {
+// recordState records the transaction state after a call. Unless a commit ended the
+// transaction, the upstream may have rolled back session state that was set inside it.
+func (c *Conn) recordState(call dfstatement.Call, answer dfstatement.Answer) {
+	c.state = answer.State
+	if c.state != dfstatement.Idle || !c.setInTransaction {
+		return
+	}
+	_, commits := call.Statement.(dfstatement.Commit)
+	c.stateUnknown = c.stateUnknown || !commits || !answer.OK()
 	c.setInTransaction = false
 }
 
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -180,7 +180,6 @@
 			e.abandon(req, a, err)
 			return
 		}
-		a.conn.RolledBack()
 	}
 	e.release(req, a)
 }
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -28,8 +28,6 @@
 	Exchange(sessionState *dfconnection.SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error)
 	// State returns the transaction state of the newest answer.
 	State() dfstatement.State
-	RolledBack()
-	Committed()
 	Report(answer dfstatement.Answer) (dfstatement.Report, error)
 	// Release returns the connection. reusable is false if its state is uncertain.
 	Release(reusable bool)
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -235,7 +235,6 @@
 		return answer.WithState(dfstatement.Idle)
 	}
 	if answer.OK() && answer.State == dfstatement.Idle {
-		t.attempt.conn.Committed()
 		if t.wrote {
 			sess.recordCommit(answer.Position, sess.edge.options.Now())
 		}
@@ -274,7 +273,6 @@
 		e.abandon(t.request, a, err)
 		return dfstatement.Answer{State: dfstatement.Idle}
 	}
-	a.conn.RolledBack()
 	e.release(t.request, a)
 	return dfstatement.Answer{State: dfstatement.Idle}
 }
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -261,13 +261,6 @@
 	return c.client.carrier.ID, *c.load, true
 }
 
-// RolledBack does nothing, because the carrier detects the end of a transaction
-// itself.
-func (c *Conn) RolledBack() {}
-
-// Committed does nothing, like RolledBack.
-func (c *Conn) Committed() {}
-
 // Release returns the connection to the carrier. If a transaction is open, the
 // network connection is closed, which makes the carrier roll back.
 func (c *Conn) Release(reusable bool) {
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -181,14 +181,21 @@
 
 func newFakeHost(t *testing.T) (*fakeHost, *Client) {
 	t.Helper()
-	h := &fakeHost{}
-	open := func(_ context.Context, _ dffleet.Upstream, organisation string) (*dfconnection.Conn, error) {
+	var h *fakeHost
+	h, client := newFakeHostOver(t, func(_ context.Context, _ dffleet.Upstream, organisation string) (*dfconnection.Conn, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		next := &fakeTransport{organisation: organisation, state: dfstatement.Idle}
 		h.transports = append(h.transports, next)
 		return dfconnection.New("u", next, nil), nil
-	}
+	})
+	return h, client
+}
+
+// newFakeHostOver returns a carrier whose connections are opened by a function.
+func newFakeHostOver(t *testing.T, open dfconnection.Opener) (*fakeHost, *Client) {
+	t.Helper()
+	h := &fakeHost{}
 	upstream := dffleet.Upstream{ID: "u", Slots: 1}
 	h.pool = dfconnection.NewPool(upstream, 1, dfconnection.UseCarrier, now, open, func(dffleet.ID, error) {}, rand.New(rand.NewPCG(1, 2)))
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -144,13 +144,6 @@
 	}
 	result := reply{State: h.conn.State(), Answers: answers, Reports: h.statusReports(calls, answers)}
 	if h.conn.State() == dfstatement.Idle {
-		last := len(calls) - 1
-		_, commits := calls[last].Statement.(dfstatement.Commit)
-		if commits && answers[last].OK() {
-			h.conn.Committed()
-		} else {
-			h.conn.RolledBack()
-		}
 		h.release(true)
 	}
 	return result
