Run no statement before the upstream accepted the values of its session

What callers may see: if an upstream refuses a session value or a prepared statement, the statement behind it in the same write runs without it, and the caller gets INDOUBT. Each try sets an upstream aside.

Cause: the host sent SET, PREPARE and the statement in one write, and gave up the connection at the first refusal, without reading the other answers.

TestSessionStateOfOwnConnections with 2 % refused setups failed in 40 of 40 runs: "told as unknown though nothing ran".

Change: outside a transaction a host waits for the answers to the setup before it sends the statement; that is one round trip more if the values differ. The values of a transaction, and of a read at the leader, are sent in front of its BEGIN, which is awaited already; a rollback then undoes none of them. A refusal is answered with BUSY, the connection is reset and used again, and the upstream is not set aside.

Measured: both tests pass.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -17,6 +17,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpool"
+	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
 
@@ -170,16 +171,23 @@
 		}
 		translated = append(translated, call)
 	}
-	setupCount := len(all)
-	c.setInTransaction = c.setInTransaction || setupCount > 0 && c.state == dfstatement.InTransaction
-	all = append(all, translated...)
+	c.setInTransaction = c.setInTransaction || len(all) > 0 && c.state == dfstatement.InTransaction
 	if err := c.transport.Deadline(deadline); err != nil {
 		return nil, false, eris.Wrap(err, "connection: set deadline")
 	}
+	if c.runsAfterRefusedSetup(calls) && len(all) > 0 {
+		if err := c.setUp(all); err != nil {
+			return nil, false, err
+		}
+		all = nil
+	}
+	setupCount := len(all)
+	all = append(all, translated...)
 	if err := c.transport.Send(all); err != nil {
 		return nil, true, eris.Wrap(err, "connection: send")
 	}
 	answers = make([]dfstatement.Answer, 0, len(calls))
+	var refused error
 	for i := range all {
 		answer, err := c.transport.Receive()
 		if err != nil {
@@ -190,11 +198,44 @@
 			answers = append(answers, answer)
 			continue
 		}
-		if !answer.OK() {
-			return answers, true, eris.Errorf("connection: upstream refused session state: %s", answer.Detail)
+		if !answer.OK() && refused == nil {
+			refused = c.refuseSetup(answer)
+		}
+	}
+	return answers, true, refused
+}
+
+// runsAfterRefusedSetup reports whether the upstream may run calls that follow a refused
+// setup in one write. In a transaction it refuses them, and a BEGIN has no effect.
+func (c *Conn) runsAfterRefusedSetup(calls []dfstatement.Call) bool {
+	_, begins := calls[0].Statement.(dfstatement.Begin)
+	return c.state != dfstatement.InTransaction && !begins
+}
+
+// setUp sends the statements that apply session state and waits for their answers.
+func (c *Conn) setUp(setup []dfstatement.Call) error {
+	if err := c.transport.Send(setup); err != nil {
+		return eris.Wrap(err, "connection: send session state")
+	}
+	var refused error
+	for _, call := range setup {
+		answer, err := c.transport.Receive()
+		if err != nil {
+			return eris.Wrap(err, "connection: receive answer to session state")
+		}
+		c.recordState(call, answer)
+		if !answer.OK() && refused == nil {
+			refused = c.refuseSetup(answer)
 		}
 	}
-	return answers, true, nil
+	return refused
+}
+
+// refuseSetup records that the upstream refused session state and returns the error. All
+// answers are read nevertheless, so that the connection can be used again.
+func (c *Conn) refuseSetup(answer dfstatement.Answer) error {
+	c.stateUnknown = true
+	return dfresult.NewError(dfresult.UpstreamRefused, "session state: %s", answer.Detail)
 }
 
 // startStatement admits the further statements of a transaction without queueing: the
@@ -239,11 +280,11 @@
 	c.setInTransaction = false
 }
 
-// usesSessionState reports whether the effect of a statement depends on session
-// state.
+// usesSessionState reports whether session state is applied before a statement. Before a
+// BEGIN it needs no wait of its own, and no rollback undoes it.
 func usesSessionState(statement dfstatement.Statement) bool {
 	switch statement.(type) {
-	case dfstatement.Read, dfstatement.Write, dfstatement.Execute, dfstatement.Commit:
+	case dfstatement.Begin, dfstatement.Read, dfstatement.Write, dfstatement.Execute, dfstatement.Commit:
 		return true
 	}
 	return false
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -72,7 +72,7 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft)
+		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft, dfresult.UpstreamRefused)
 		if !req.recordRefusal(a.target, err) && !ownCause {
 			e.carrierRefused(req.service, a.upstream)
 		}
@@ -82,6 +82,9 @@
 		if !a.sent && req.recordLostCarrier(a.target) {
 			e.carrierRefused(req.service, a.upstream)
 		}
+	case errors.As(err, &refused):
+		// The upstream answers, but refuses the state of the session.
+		a.conn.Release(a.conn.State() == dfstatement.Idle)
 	case dfconnection.IsTimeout(err):
 		a.conn.ReleaseTimedOut()
 		e.recordFailure(req.service, a.upstream)
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return dfstatement.Answer{}, err
 	}
-	if err := e.openTransaction(t.request, a, nil, t.beginCall(to)); err != nil {
+	if err := e.openTransaction(t.request, a, sess.sessionState, t.beginCall(to)); err != nil {
 		return dfstatement.Answer{}, err
 	}
 	if t.request.caller().Err() != nil {
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -1,6 +1,7 @@
 package dfforward
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -133,6 +134,11 @@
 	}
 	answers, sent, err := h.conn.Exchange(session, deadline, calls...)
 	if err != nil {
+		var refused *dfresult.Error
+		if errors.As(err, &refused) {
+			h.release(h.conn.State() == dfstatement.Idle)
+			return refusedReply(refused)
+		}
 		timedOut := dfconnection.IsTimeout(err)
 		if timedOut {
 			h.pool.ReleaseTimedOut(h.conn)
--- a/dfforward/session_test.go
+++ b/dfforward/session_test.go
@@ -277,6 +277,7 @@
 	t.Helper()
 	for _, v := range []variant{
 		{}, {rollsBackState: true}, {failPercent: 5}, {rollsBackState: true, failPercent: 5},
+		{refusePercent: 2, failPercent: 2}, {rollsBackState: true, refusePercent: 2, failPercent: 2},
 	} {
 		for seed := range seeds {
 			t.Run(fmt.Sprintf("%+v seed %d", v, seed), func(t *testing.T) {
