Refuse a statement that the host makes too long for a message

What callers saw: a statement near the limit of 1 MiB that the host makes longer, by a prepared name of its own or by "AFTER TERM.NUMBER " in front of a read, was sent beyond the limit. An upstream that ends there answers nothing: the write was INDOUBT though it had not run, and the read took the upstreams out of use one after the other.

Cause: the codec checked the size of messages that it reads, not of those that it sends. A message that it refused to send counted as sent.

Evidence: with a stand-in upstream that keeps the limit, TestStatementThatGrowsTooLong got "ERROR INDOUBT | READY I", and TestReadThatGrowsTooLong "ERROR OVERLOADED | READY I", over one host and over three.

The connection stays in use and is reset if session state was to be sent with it; the upstream is not set aside.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -32,7 +32,8 @@
 
 // Transport encodes and decodes the messages of one connection to an upstream.
 type Transport interface {
-	// Send writes calls without waiting for their answers.
+	// Send writes calls without waiting for their answers. If the error is a
+	// *dfresult.Error, nothing was sent and the connection can be used further.
 	Send(calls []dfstatement.Call) error
 	// Receive reads the answer to one call.
 	Receive() (dfstatement.Answer, error)
@@ -89,7 +90,7 @@
 func New(upstream dffleet.ID, transport Transport, raw net.Conn) *Conn {
 	conn := &Conn{
 		upstream: upstream, transport: transport,
-		values: map[string]string{}, plans: map[dfstatement.Plan]string{},
+		values: map[string]string{}, plans: map[dfstatement.Plan]string{}, state: dfstatement.Idle,
 	}
 	conn.raw, _ = raw.(syscall.Conn)
 	return conn
@@ -184,7 +185,10 @@
 	setupCount := len(all)
 	all = append(all, translated...)
 	if err := c.transport.Send(all); err != nil {
-		return nil, true, eris.Wrap(err, "connection: send")
+		var unsendable *dfresult.Error
+		notSent := errors.As(err, &unsendable)
+		c.stateUnknown = c.stateUnknown || notSent && setupCount > 0
+		return nil, !notSent, eris.Wrap(err, "connection: send")
 	}
 	answers = make([]dfstatement.Answer, 0, len(calls))
 	var refused error
@@ -215,6 +219,7 @@
 // setUp sends the statements that apply session state and waits for their answers.
 func (c *Conn) setUp(setup []dfstatement.Call) error {
 	if err := c.transport.Send(setup); err != nil {
+		c.stateUnknown = true
 		return eris.Wrap(err, "connection: send session state")
 	}
 	var refused error
