Refuse requests and replies that are too large for a message between hosts

What callers saw: at a host that uses the connections of another host, a session whose values exceed 4 MiB together got INDOUBT for a statement that had not run, and the carrier was set aside. A read with rows of more than 4 MiB, or with more than 131,072 rows, ran at one carrier after the other.

Cause: a message between hosts was sent whatever its size. The receiver refused it and closed the connection, which counts as a lost carrier.

Change: a request beyond the limit is not sent (DF3004, BUSY for callers). The carrier replies to one whose rows exceed it with DF1106 (INDOUBT for callers) and the state of the transaction; such a read is not tried elsewhere. The number of texts in a message is no longer limited apart from its size. Limit and encoding are as before, so builds can be mixed.

--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -72,7 +72,7 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft, dfresult.UpstreamRefused)
+		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft, dfresult.UpstreamRefused, dfresult.MessageTooLarge)
 		if !req.recordRefusal(a.target, err) && !ownCause {
 			e.carrierRefused(req.service, a.upstream)
 		}
@@ -214,7 +214,7 @@
 // retryableError returns an error if a read with this answer is worth retrying.
 func retryableError(answer dfstatement.Answer) error {
 	switch answer.Code {
-	case dfresult.OK, dfresult.ProtocolViolation:
+	case dfresult.OK, dfresult.ProtocolViolation, dfresult.AnswerTooLarge:
 		return nil
 	}
 	return dfresult.NewError(answer.Code, "%s", answer.Detail)
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -149,7 +150,7 @@
 
 // Exchange makes the carrier send calls in one write and returns their answers.
 // sent is false if the upstream cannot have received any of them. The error is
-// a *dfresult.Error if the carrier refused, and a *CarrierError if the carrier
+// a *dfresult.Error if the carrier refused or the request is too large for it, and a *CarrierError if the carrier
 // did not answer or accepts no statements for the upstream.
 func (c *Conn) Exchange(session *dfconnection.SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
 	req := request{
@@ -179,6 +180,9 @@
 		}
 	}
 	rep, sent, err := c.roundTrip(req, deadline, first)
+	if errors.Is(err, dfmessage.ErrTooLarge) {
+		return nil, false, dfresult.NewError(dfresult.MessageTooLarge, "request to carrier %s: %v", c.client.carrier.ID, err)
+	}
 	if err != nil {
 		c.closeNetConn()
 		return nil, sent, &CarrierError{Carrier: c.client.carrier, Err: err}
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -81,7 +81,11 @@
 		}
 		rep := h.handle(req)
 		h.addLoad(&rep)
-		if err := dfmessage.Write(client, rep); err != nil {
+		err := dfmessage.Write(client, rep)
+		if errors.Is(err, dfmessage.ErrTooLarge) {
+			err = dfmessage.Write(client, rep.withoutRows())
+		}
+		if err != nil {
 			return
 		}
 	}
--- a/dfforward/message.go
+++ b/dfforward/message.go
@@ -62,6 +62,22 @@
 	Load *dfreport.Report
 }
 
+// withoutRows returns a copy in which a failure takes the place of each answer with rows,
+// for a reply that exceeds the limit of a message. The statements have run.
+func (r reply) withoutRows() reply {
+	answers := make([]dfstatement.Answer, 0, len(r.Answers))
+	for _, answer := range r.Answers {
+		if len(answer.Rows) > 0 {
+			failure := dfstatement.Failure(dfresult.AnswerTooLarge, "the rows exceed a message between hosts", answer.State)
+			failure.Position = answer.Position
+			answer = failure
+		}
+		answers = append(answers, answer)
+	}
+	r.Answers = answers
+	return r
+}
+
 // callKind is the encoding of the type of a statement.
 type callKind int
 
--- a/dfmessage/message.go
+++ b/dfmessage/message.go
@@ -14,24 +14,31 @@
 // state is the largest content.
 const maxMessageSize = 4 << 20
 
+// ErrTooLarge means that a message was not sent because it exceeds the limit.
+var ErrTooLarge = eris.New("message: exceeds 4 MiB")
+
 // decoder accepts texts that are not valid UTF-8: texts of callers and upstreams are
-// bytes. The encoder writes them as they are.
+// bytes. The encoder writes them as they are. The size of a message bounds its arrays.
 var decoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxMessageSize}.DecMode()
 	if err != nil {
 		panic(err)
 	}
 	return mode
 }
 
-// Write encodes a message and sends it with its length.
+// Write encodes a message and sends it with its length. It sends nothing and returns
+// ErrTooLarge if the message exceeds the limit.
 func Write(w io.Writer, message any) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "message: encode")
 	}
+	if len(data) > maxMessageSize {
+		return eris.Wrapf(ErrTooLarge, "message of %d bytes", len(data))
+	}
 	frame := make([]byte, 4, 4+len(data))
 	binary.BigEndian.PutUint32(frame, uint32(len(data)))
 	_, err = w.Write(append(frame, data...))
--- a/dfmessage/message_test.go
+++ b/dfmessage/message_test.go
@@ -38,3 +38,16 @@
 		require.Equal(t, sent, received)
 	}
 }
+
+// Guards against a message that is sent although its receiver refuses it, which ends the
+// connection between the hosts, and against a limit on the number of texts below that.
+func TestLimitOfAMessage(t *testing.T) {
+	var frame bytes.Buffer
+	require.ErrorIs(t, Write(&frame, make([]byte, maxMessageSize)), ErrTooLarge)
+	require.Zero(t, frame.Len())
+	sent := make([]string, maxMessageSize-16)
+	require.NoError(t, Write(&frame, sent))
+	var received []string
+	require.NoError(t, Read(&frame, &received))
+	require.Len(t, received, len(sent))
+}
