--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -17,6 +17,7 @@
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfpool"
+	"dragonflygrade/dfresult"
 	"dragonflygrade/dfstatement"
 )
 
@@ -31,7 +32,8 @@
 
 // Transport encodes and decodes the messages of one connection to an upstream.
 type Transport interface {
-	// Send writes calls without waiting for their answers.
+	// Send writes calls without waiting for their answers. If the error is a
+	// *dfresult.Error, nothing was sent and the connection can be used further.
 	Send(calls []dfstatement.Call) error
 	// Receive reads the answer to one call.
 	Receive() (dfstatement.Answer, error)
@@ -88,7 +90,7 @@
 func New(upstream dffleet.ID, transport Transport, raw net.Conn) *Conn {
 	conn := &Conn{
 		upstream: upstream, transport: transport,
-		values: map[string]string{}, plans: map[dfstatement.Plan]string{},
+		values: map[string]string{}, plans: map[dfstatement.Plan]string{}, state: dfstatement.Idle,
 	}
 	conn.raw, _ = raw.(syscall.Conn)
 	return conn
@@ -146,7 +148,6 @@
 		c.plans[plan] = name
 		setup = append(setup, dfstatement.Call{Statement: dfstatement.Prepare{Name: name, Plan: plan}})
 	}
-	call.Text = ""
 	call.Statement = dfstatement.Execute{Name: name, Arguments: execute.Arguments}
 	return setup, call
 }
@@ -171,31 +172,75 @@
 		}
 		translated = append(translated, call)
 	}
-	setupCount := len(all)
-	c.setInTransaction = c.setInTransaction || setupCount > 0 && c.state == dfstatement.InTransaction
-	all = append(all, translated...)
+	c.setInTransaction = c.setInTransaction || len(all) > 0 && c.state == dfstatement.InTransaction
 	if err := c.transport.Deadline(deadline); err != nil {
 		return nil, false, eris.Wrap(err, "connection: set deadline")
 	}
+	if c.runsAfterRefusedSetup(calls) && len(all) > 0 {
+		if err := c.setUp(all); err != nil {
+			return nil, false, err
+		}
+		all = nil
+	}
+	setupCount := len(all)
+	all = append(all, translated...)
 	if err := c.transport.Send(all); err != nil {
-		return nil, true, eris.Wrap(err, "connection: send")
+		var unsendable *dfresult.Error
+		notSent := errors.As(err, &unsendable)
+		c.stateUnknown = c.stateUnknown || notSent && setupCount > 0
+		return nil, !notSent, eris.Wrap(err, "connection: send")
 	}
 	answers = make([]dfstatement.Answer, 0, len(calls))
+	var refused error
 	for i := range all {
 		answer, err := c.transport.Receive()
 		if err != nil {
 			return answers, true, eris.Wrap(err, "connection: receive")
 		}
-		c.state = answer.State
+		c.recordState(all[i], answer)
 		if i >= setupCount {
 			answers = append(answers, answer)
 			continue
 		}
-		if !answer.OK() {
-			return answers, true, eris.Errorf("connection: upstream refused session state: %s", answer.Detail)
+		if !answer.OK() && refused == nil {
+			refused = c.refuseSetup(answer)
+		}
+	}
+	return answers, true, refused
+}
+
+// runsAfterRefusedSetup reports whether the upstream may run calls that follow a refused
+// setup in one write. In a transaction it refuses them, and a BEGIN has no effect.
+func (c *Conn) runsAfterRefusedSetup(calls []dfstatement.Call) bool {
+	_, begins := calls[0].Statement.(dfstatement.Begin)
+	return c.state != dfstatement.InTransaction && !begins
+}
+
+// setUp sends the statements that apply session state and waits for their answers.
+func (c *Conn) setUp(setup []dfstatement.Call) error {
+	if err := c.transport.Send(setup); err != nil {
+		c.stateUnknown = true
+		return eris.Wrap(err, "connection: send session state")
+	}
+	var refused error
+	for _, call := range setup {
+		answer, err := c.transport.Receive()
+		if err != nil {
+			return eris.Wrap(err, "connection: receive answer to session state")
+		}
+		c.recordState(call, answer)
+		if !answer.OK() && refused == nil {
+			refused = c.refuseSetup(answer)
 		}
 	}
-	return answers, true, nil
+	return refused
+}
+
+// refuseSetup records that the upstream refused session state and returns the error. All
+// answers are read nevertheless, so that the connection can be used again.
+func (c *Conn) refuseSetup(answer dfstatement.Answer) error {
+	c.stateUnknown = true
+	return dfresult.NewError(dfresult.UpstreamRefused, "session state: %s", answer.Detail)
 }
 
 // startStatement admits the further statements of a transaction without queueing: the
@@ -228,23 +273,23 @@
 	return c.state
 }
 
-// RolledBack records that the open transaction was rolled back. The upstream may
-// have rolled back session variables that were set inside it.
-func (c *Conn) RolledBack() {
-	c.stateUnknown = c.stateUnknown || c.setInTransaction
-	c.setInTransaction = false
-}
-
-// Committed records that the open transaction was committed.
-func (c *Conn) Committed() {
+// recordState records the transaction state after a call. Unless a commit ended the
+// transaction, the upstream may have rolled back session state that was set inside it.
+func (c *Conn) recordState(call dfstatement.Call, answer dfstatement.Answer) {
+	c.state = answer.State
+	if c.state != dfstatement.Idle || !c.setInTransaction {
+		return
+	}
+	_, commits := call.Statement.(dfstatement.Commit)
+	c.stateUnknown = c.stateUnknown || !commits || !answer.OK()
 	c.setInTransaction = false
 }
 
-// usesSessionState reports whether the effect of a statement depends on session
-// state.
+// usesSessionState reports whether session state is applied before a statement. Before a
+// BEGIN it needs no wait of its own, and no rollback undoes it.
 func usesSessionState(statement dfstatement.Statement) bool {
 	switch statement.(type) {
-	case dfstatement.Read, dfstatement.Write, dfstatement.Execute, dfstatement.Commit:
+	case dfstatement.Begin, dfstatement.Read, dfstatement.Write, dfstatement.Execute, dfstatement.Commit:
 		return true
 	}
 	return false
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -72,7 +72,7 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft)
+		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft, dfresult.UpstreamRefused, dfresult.MessageTooLarge)
 		if !req.recordRefusal(a.target, err) && !ownCause {
 			e.carrierRefused(req.service, a.upstream)
 		}
@@ -82,6 +82,9 @@
 		if !a.sent && req.recordLostCarrier(a.target) {
 			e.carrierRefused(req.service, a.upstream)
 		}
+	case errors.As(err, &refused):
+		// The upstream answers, but refuses the state of the session.
+		a.conn.Release(a.conn.State() == dfstatement.Idle)
 	case dfconnection.IsTimeout(err):
 		a.conn.ReleaseTimedOut()
 		e.recordFailure(req.service, a.upstream)
@@ -180,7 +183,6 @@
 			e.abandon(req, a, err)
 			return
 		}
-		a.conn.RolledBack()
 	}
 	e.release(req, a)
 }
@@ -212,7 +214,7 @@
 // retryableError returns an error if a read with this answer is worth retrying.
 func retryableError(answer dfstatement.Answer) error {
 	switch answer.Code {
-	case dfresult.OK, dfresult.ProtocolViolation:
+	case dfresult.OK, dfresult.ProtocolViolation, dfresult.AnswerTooLarge:
 		return nil
 	}
 	return dfresult.NewError(answer.Code, "%s", answer.Detail)
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -149,7 +150,7 @@
 
 // Exchange makes the carrier send calls in one write and returns their answers.
 // sent is false if the upstream cannot have received any of them. The error is
-// a *dfresult.Error if the carrier refused, and a *CarrierError if the carrier
+// a *dfresult.Error if the carrier refused or the request is too large for it, and a *CarrierError if the carrier
 // did not answer or accepts no statements for the upstream.
 func (c *Conn) Exchange(session *dfconnection.SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
 	req := request{
@@ -179,6 +180,9 @@
 		}
 	}
 	rep, sent, err := c.roundTrip(req, deadline, first)
+	if errors.Is(err, dfmessage.ErrTooLarge) {
+		return nil, false, dfresult.NewError(dfresult.MessageTooLarge, "request to carrier %s: %v", c.client.carrier.ID, err)
+	}
 	if err != nil {
 		c.closeNetConn()
 		return nil, sent, &CarrierError{Carrier: c.client.carrier, Err: err}
@@ -261,13 +265,6 @@
 	return c.client.carrier.ID, *c.load, true
 }
 
-// RolledBack does nothing, because the carrier detects the end of a transaction
-// itself.
-func (c *Conn) RolledBack() {}
-
-// Committed does nothing, like RolledBack.
-func (c *Conn) Committed() {}
-
 // Release returns the connection to the carrier. If a transaction is open, the
 // network connection is closed, which makes the carrier roll back.
 func (c *Conn) Release(reusable bool) {
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -1,6 +1,7 @@
 package dfforward
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -80,7 +81,11 @@
 		}
 		rep := h.handle(req)
 		h.addLoad(&rep)
-		if err := dfmessage.Write(client, rep); err != nil {
+		err := dfmessage.Write(client, rep)
+		if errors.Is(err, dfmessage.ErrTooLarge) {
+			err = dfmessage.Write(client, rep.withoutRows())
+		}
+		if err != nil {
 			return
 		}
 	}
@@ -133,6 +138,11 @@
 	}
 	answers, sent, err := h.conn.Exchange(session, deadline, calls...)
 	if err != nil {
+		var refused *dfresult.Error
+		if errors.As(err, &refused) {
+			h.release(h.conn.State() == dfstatement.Idle)
+			return refusedReply(refused)
+		}
 		timedOut := dfconnection.IsTimeout(err)
 		if timedOut {
 			h.pool.ReleaseTimedOut(h.conn)
@@ -144,13 +154,6 @@
 	}
 	result := reply{State: h.conn.State(), Answers: answers, Reports: h.statusReports(calls, answers)}
 	if h.conn.State() == dfstatement.Idle {
-		last := len(calls) - 1
-		_, commits := calls[last].Statement.(dfstatement.Commit)
-		if commits && answers[last].OK() {
-			h.conn.Committed()
-		} else {
-			h.conn.RolledBack()
-		}
 		h.release(true)
 	}
 	return result
