Count answers of upstreams that are out of step with the statements

Answers carry no ID of their statement. An operator could not tell whether an upstream answers twice or late, which callers would see as rows or a proof of another statement (MIXED). Connections now check each answer against the newest proofs and against what a success of the statement can look like, and count and log what does not fit.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -35,6 +35,8 @@
 	Send(calls []dfstatement.Call) error
 	// Receive reads the answer to one call.
 	Receive() (dfstatement.Answer, error)
+	// Pending reports whether data was received that no answer has used.
+	Pending() bool
 	// Report decodes the answer to a status call.
 	Report(answer dfstatement.Answer) (dfstatement.Report, error)
 	// Deadline sets the deadline of further reads and writes; the zero time removes
@@ -80,6 +82,8 @@
 	recorder *recorder
 	// setInTransaction is true if session state was set inside the open transaction.
 	setInTransaction bool
+	// history has the newest answers.
+	history history
 }
 
 // New returns a connection over an open transport. raw is the network connection
@@ -87,7 +91,7 @@
 // detected.
 func New(upstream dffleet.ID, transport Transport, raw net.Conn) *Conn {
 	conn := &Conn{
-		upstream: upstream, transport: transport,
+		upstream: upstream, transport: transport, state: dfstatement.Idle,
 		values: map[string]string{}, plans: map[dfstatement.Plan]string{},
 	}
 	conn.raw, _ = raw.(syscall.Conn)
@@ -181,11 +185,14 @@
 		return nil, true, eris.Wrap(err, "connection: send")
 	}
 	answers = make([]dfstatement.Answer, 0, len(calls))
-	for i := range all {
+	for i, call := range all {
 		answer, err := c.transport.Receive()
 		if err != nil {
 			return answers, true, eris.Wrap(err, "connection: receive")
 		}
+		if found := c.history.check(c.state, call.Statement, answer); found != fits {
+			reportOutOfStep(c.upstream, found, call.Statement)
+		}
 		c.state = answer.State
 		if i >= setupCount {
 			answers = append(answers, answer)
@@ -257,18 +264,32 @@
 	return c.raw != nil && PeerClosed(c.raw)
 }
 
+// hasUnread reports whether data has arrived on the idle connection, in the codec or in
+// the kernel.
+func (c *Conn) hasUnread() bool {
+	return c.transport.Pending() || c.raw != nil && peek(c.raw) == peerSent
+}
+
 // PeerClosed reports whether the peer has closed an idle connection or sent
 // unexpected data on it.
 func PeerClosed(conn syscall.Conn) bool {
+	return peek(conn) != peerQuiet
+}
+
+// peek returns what the kernel holds of an idle connection.
+func peek(conn syscall.Conn) peerState {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true
+		return peerClosed
 	}
-	closed := false
+	state := peerQuiet
 	err = raw.Control(func(fd uintptr) {
-		closed = readable(int(fd))
+		state = peekDescriptor(int(fd))
 	})
-	return closed || err != nil
+	if err != nil {
+		return peerClosed
+	}
+	return state
 }
 
 // IsTimeout reports whether an exchange failed because of a timeout.
--- a/dfconnection/departure.go
+++ b/dfconnection/departure.go
@@ -57,11 +57,31 @@
 	}
 }
 
+// peerState is what the peer of a connection did since the last read.
+type peerState int
+
+const (
+	peerQuiet peerState = iota
+	peerSent
+	peerClosed
+)
+
 // readable reports whether the peer has closed the connection or sent data that has not
-// been read. Every other error counts as a close: the kernel reports one only for a
-// connection that is lost.
+// been read.
 func readable(fd int) bool {
+	return peekDescriptor(fd) != peerQuiet
+}
+
+// peekDescriptor returns what the peer did. Every error but "no data" counts as a close:
+// the kernel reports one only for a connection that is lost.
+func peekDescriptor(fd int) peerState {
 	var buf [1]byte
-	_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err != unix.EAGAIN
+	n, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.EAGAIN:
+		return peerQuiet
+	case err == nil && n > 0:
+		return peerSent
+	}
+	return peerClosed
 }
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -168,6 +168,9 @@
 			p.Release(conn, true)
 			return nil, p.errCallerLeft()
 		}
+		if conn.hasUnread() {
+			reportOutOfStep(p.upstream.ID, unread, nil)
+		}
 		if !conn.ClosedByUpstream() {
 			conn.admission, conn.admitted = admission, admitted
 			return conn, nil
--- a/dfconnection/startup_test.go
+++ b/dfconnection/startup_test.go
@@ -40,6 +40,8 @@
 func (*countingTransport) Report(dfstatement.Answer) (dfstatement.Report, error) {
 	return dfstatement.Report{}, nil
 }
+func (*countingTransport) Pending() bool { return false }
+
 func (*countingTransport) Deadline(time.Time) error { return nil }
 func (c *countingTransport) Close() error {
 	c.upstream.mu.Lock()
--- a/dfedge/source_test.go
+++ b/dfedge/source_test.go
@@ -67,6 +67,8 @@
 	return dfstatement.Report{Primary: true}, nil
 }
 
+func (*recordingTransport) Pending() bool { return false }
+
 func (f *recordingTransport) Deadline(time.Time) error { return nil }
 
 func (f *recordingTransport) Close() error { return nil }
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -133,6 +133,8 @@
 	return dfstatement.Report{Primary: true, Term: 4}, nil
 }
 
+func (*fakeTransport) Pending() bool { return false }
+
 func (f *fakeTransport) Deadline(time.Time) error { return nil }
 
 func (f *fakeTransport) Close() error {
