Keep repeated and late answers of an upstream from other callers

What callers saw (MIXED): where an upstream answers a statement twice, the next statement on the connection, often another caller's, was answered with the proof and the rows of the earlier one, or with a success without a proof. A write that was answered with a repeated refusal counted as not run, was sent again and took effect twice (TWICE).

Cause: answers on the wire carry no ID, and the connection gave each answer to the call that was next in order. The pool looked for unread data in the kernel only, not in the codec's buffer, and not between statements of a transaction.

Change, all in dfconnection: a connection with unread data in the kernel or the codec gets no further caller. An answer whose proof and rows came before is dropped, and the next one is read; the connection is not used again. An answer that cannot belong to its call (no proof where one is due, a proof or rows where none are, another transaction state) ends the connection: reads are tried elsewhere, writes and commits that were sent are in doubt. A failure like an earlier one on the connection is confirmed by a RESET, whose answer would follow that of the call. After a read with a minimal position, which is nearly every such failure, the RESET is sent with the next statement. Stand-ins of upstreams in tests answer with proofs and states as the protocol has them; before, they used one proof for all answers, also for BEGIN.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -82,8 +82,12 @@
 	recorder *recorder
 	// setInTransaction is true if session state was set inside the open transaction.
 	setInTransaction bool
-	// history has the newest answers.
-	history history
+	// history has the newest answers. outOfStep is true once an answer came that was not
+	// due. The connection is then used by its holder at most.
+	history   history
+	outOfStep bool
+	// failedAlike is true if the newest answer is a failure like an earlier one.
+	failedAlike bool
 }
 
 // New returns a connection over an open transport. raw is the network connection
@@ -158,7 +162,7 @@
 // Exchange sends calls in one write and returns their answers. session is the
 // state of the caller's session, or nil for statements of the host; statements
 // that apply it are sent before all calls. sent is false if no byte can have
-// reached the upstream.
+// reached the upstream. After an error, the answers may belong to other calls.
 func (c *Conn) Exchange(session *SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
 	if slices.ContainsFunc(calls, takesSlot) {
 		c.startStatement()
@@ -181,19 +185,18 @@
 	if err := c.transport.Deadline(deadline); err != nil {
 		return nil, false, eris.Wrap(err, "connection: set deadline")
 	}
+	if err := c.dropUnread(); err != nil {
+		return nil, false, err
+	}
 	if err := c.transport.Send(all); err != nil {
 		return nil, true, eris.Wrap(err, "connection: send")
 	}
 	answers = make([]dfstatement.Answer, 0, len(calls))
 	for i, call := range all {
-		answer, err := c.transport.Receive()
+		answer, err := c.receive(call.Statement)
 		if err != nil {
-			return answers, true, eris.Wrap(err, "connection: receive")
-		}
-		if found := c.history.check(c.state, call.Statement, answer); found != fits {
-			reportOutOfStep(c.upstream, found, call.Statement)
+			return answers, true, err
 		}
-		c.state = answer.State
 		if i >= setupCount {
 			answers = append(answers, answer)
 			continue
@@ -202,7 +205,7 @@
 			return answers, true, eris.Errorf("connection: upstream refused session state: %s", answer.Detail)
 		}
 	}
-	return answers, true, nil
+	return answers, true, c.confirmFailure(all[len(all)-1])
 }
 
 // startStatement admits the further statements of a transaction without queueing: the
@@ -257,11 +260,19 @@
 	return false
 }
 
-// ClosedByUpstream reports whether the upstream has closed the idle connection.
-// The outcome of a statement that is sent on a closed connection would be
-// unknown.
-func (c *Conn) ClosedByUpstream() bool {
-	return c.raw != nil && PeerClosed(c.raw)
+// usable reports whether the upstream has neither closed the idle connection nor sent
+// anything on it. The outcome of a statement that is sent on a closed connection would
+// be unknown, and unread data would be taken for its answer.
+func (c *Conn) usable() bool {
+	state := peerQuiet
+	if c.raw != nil {
+		state = peek(c.raw)
+	}
+	if state == peerSent || c.transport.Pending() {
+		reportOutOfStep(c.upstream, unread, nil)
+		return false
+	}
+	return state == peerQuiet
 }
 
 // hasUnread reports whether data has arrived on the idle connection, in the codec or in
--- a/dfconnection/pool.go
+++ b/dfconnection/pool.go
@@ -168,10 +168,7 @@
 			p.Release(conn, true)
 			return nil, p.errCallerLeft()
 		}
-		if conn.hasUnread() {
-			reportOutOfStep(p.upstream.ID, unread, nil)
-		}
-		if !conn.ClosedByUpstream() {
+		if conn.usable() {
 			conn.admission, conn.admitted = admission, admitted
 			return conn, nil
 		}
@@ -269,10 +266,10 @@
 }
 
 // Release returns a connection to the pool. reusable is false if its state is
-// uncertain.
+// uncertain. A connection on which answers were out of step is closed.
 func (p *Pool) Release(conn *Conn, reusable bool) {
 	conn.endStatement()
-	p.handle(dfpool.Returned{Conn: conn.id, Reusable: reusable})
+	p.handle(dfpool.Returned{Conn: conn.id, Reusable: reusable && conn.inStep()})
 }
 
 // ReleaseTimedOut closes a connection that did not answer in time. Idle
@@ -389,7 +386,7 @@
 		return
 	}
 	_, _, err := conn.Exchange(nil, deadlineIn(probeTimeout), dfstatement.Call{Statement: dfstatement.Status{}})
-	p.handle(dfpool.ProbeFinished{Conn: conn.id, OK: err == nil})
+	p.handle(dfpool.ProbeFinished{Conn: conn.id, OK: err == nil && conn.inStep()})
 }
 
 func (p *Pool) discard(conn *Conn) {
--- a/dfconnection/startup_test.go
+++ b/dfconnection/startup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -31,12 +32,19 @@
 	return New(upstream.ID, &countingTransport{upstream: u}, nil), nil
 }
 
-// countingTransport releases its connection when it is closed. It does nothing
-// else.
-type countingTransport struct{ upstream *limitedUpstream }
+// countingTransport releases its connection when it is closed. It answers each call like
+// a read.
+type countingTransport struct {
+	upstream *limitedUpstream
+	proofs   int
+}
+
+func (*countingTransport) Send([]dfstatement.Call) error { return nil }
+func (c *countingTransport) Receive() (dfstatement.Answer, error) {
+	c.proofs++
+	return proven(strconv.Itoa(c.proofs)), nil
+}
 
-func (*countingTransport) Send([]dfstatement.Call) error        { return nil }
-func (*countingTransport) Receive() (dfstatement.Answer, error) { return dfstatement.Answer{}, nil }
 func (*countingTransport) Report(dfstatement.Answer) (dfstatement.Report, error) {
 	return dfstatement.Report{}, nil
 }
--- a/dfconnection/step.go
+++ b/dfconnection/step.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 
 	"dragonflygrade/dffleet"
 	"dragonflygrade/dfstatement"
@@ -32,12 +34,34 @@
 	unread fit = "unread"
 )
 
-// history has digests of the newest answers with a proof on a connection. An upstream
-// uses no proof twice.
+// failureHistorySize is the same for failures. They are rarer, and one that was forgotten
+// is repeated seldom.
+const failureHistorySize = 16
+
+// errOutOfStep means that an answer belongs to another call than the one that waits.
+var errOutOfStep = eris.New("connection: answer out of step")
+
+// history has digests of the newest answers on a connection. An upstream uses no proof
+// twice.
 type history struct {
 	// proofs are the digests of the proofs, contents those of the whole answers.
 	proofs, contents [historySize]uint64
 	next             int
+	// failures are the digests of answers that report a failure.
+	failures    [failureHistorySize]uint64
+	nextFailure int
+}
+
+// addFailure remembers a failure and reports whether the same one was received before.
+// It may then be a repeated answer, which has the same log position as well.
+func (h *history) addFailure(answer dfstatement.Answer) (seen bool) {
+	digest := xxhash.Sum64String(fmt.Sprintf("%s %c %v", answer.Detail, answer.State, answer.Position))
+	if slices.Contains(h.failures[:], digest) {
+		return true
+	}
+	h.failures[h.nextFailure] = digest
+	h.nextFailure = (h.nextFailure + 1) % failureHistorySize
+	return false
 }
 
 // check returns how an answer fits a call that was sent in a transaction state, and
@@ -57,7 +81,7 @@
 		h.proofs[h.next], h.contents[h.next] = proof, content
 		h.next = (h.next + 1) % historySize
 	}
-	if answer.OK() && !canAnswer(state, statement, answer) {
+	if answer.OK() && !canAnswer(state, statement, answer) || !answer.OK() && !canFail(state, statement, answer) {
 		return mismatched
 	}
 	return fits
@@ -96,6 +120,97 @@
 	return true
 }
 
+// canFail reports whether a failure can be the answer to a statement that was sent in a
+// transaction state. Only the opening of a transaction can leave a failed one behind.
+func canFail(state dfstatement.State, statement dfstatement.Statement, answer dfstatement.Answer) bool {
+	_, begins := statement.(dfstatement.Begin)
+	return begins || state != dfstatement.Idle || answer.State == dfstatement.Idle
+}
+
+// receive reads the answer to a call. A repeated answer is dropped: the stream is then in
+// step again.
+func (c *Conn) receive(statement dfstatement.Statement) (dfstatement.Answer, error) {
+	for {
+		answer, err := c.transport.Receive()
+		if err != nil {
+			return answer, eris.Wrap(err, "connection: receive")
+		}
+		found := c.history.check(c.state, statement, answer)
+		if found == fits {
+			c.state = answer.State
+			c.failedAlike = !answer.OK() && c.history.addFailure(answer)
+			return answer, nil
+		}
+		c.outOfStep = true
+		reportOutOfStep(c.upstream, found, statement)
+		if found == mismatched {
+			return answer, errOutOfStep
+		}
+	}
+}
+
+// dropUnread reads the data that arrived since the newest answer. Only answers that are
+// repeated may be dropped. Outside a transaction, the pool has found that nothing had
+// arrived.
+func (c *Conn) dropUnread() error {
+	for c.transport.Pending() || c.state != dfstatement.Idle && c.hasUnread() {
+		answer, err := c.transport.Receive()
+		if err != nil {
+			return eris.Wrap(err, "connection: receive")
+		}
+		c.outOfStep = true
+		found := c.history.check(c.state, nil, answer)
+		reportOutOfStep(c.upstream, found, nil)
+		if found != repeated {
+			return errOutOfStep
+		}
+	}
+	return nil
+}
+
+// confirmFailure checks that the newest answer, a failure, is not a repeated one: the call
+// may then have run. If it is, the upstream's answer to the call comes before that to the
+// reset, and has another form.
+func (c *Conn) confirmFailure(call dfstatement.Call) error {
+	if !c.failedAlike {
+		return nil
+	}
+	if c.state != dfstatement.Idle {
+		if _, commits := call.Statement.(dfstatement.Commit); commits {
+			return errOutOfStep
+		}
+		// The transaction is rolled back, with the same check of its answer.
+		return nil
+	}
+	if !call.MinPosition.IsZero() {
+		// A read or an opening is tried elsewhere, whether it ran or not. Nearly all repeated
+		// failures are LAGGING; the reset is sent with the next statement, without a round
+		// trip of its own.
+		c.stateUnknown = true
+		return nil
+	}
+	reset := dfstatement.Reset{}
+	if err := c.transport.Send([]dfstatement.Call{{Statement: reset}}); err != nil {
+		return eris.Wrap(err, "connection: send")
+	}
+	c.values, c.plans, c.stateUnknown = map[string]string{}, map[dfstatement.Plan]string{}, false
+	confirmation, err := c.receive(reset)
+	if err != nil {
+		return err
+	}
+	if !confirmation.OK() {
+		c.outOfStep = true
+		reportOutOfStep(c.upstream, mismatched, reset)
+		return errOutOfStep
+	}
+	return nil
+}
+
+// inStep reports whether the connection may run statements of another caller.
+func (c *Conn) inStep() bool {
+	return !c.outOfStep && !c.transport.Pending()
+}
+
 // reportInterval bounds the log lines about answers out of step.
 const reportInterval = time.Second
 
--- a/dfedge/source_test.go
+++ b/dfedge/source_test.go
@@ -44,6 +44,7 @@
 	identity string
 	pending  []dfstatement.Call
 	offset   dfposition.Offset
+	state    dfstatement.State
 }
 
 func (f *recordingTransport) Send(calls []dfstatement.Call) error {
@@ -56,11 +57,23 @@
 	defer f.network.mu.Unlock()
 	next := f.pending[0]
 	f.pending = f.pending[1:]
-	if write, ok := next.Statement.(dfstatement.Write); ok {
-		f.network.ran = append(f.network.ran, f.identity+" "+write.Item)
-	}
 	f.offset++
-	return dfstatement.Answer{Proof: "proof", State: dfstatement.Idle, Position: dfposition.Position{Term: 1, Offset: f.offset}}, nil
+	answer := dfstatement.Answer{Position: dfposition.Position{Term: 1, Offset: f.offset}}
+	switch s := next.Statement.(type) {
+	case dfstatement.Begin:
+		f.state = dfstatement.InTransaction
+	case dfstatement.Rollback:
+		f.state = dfstatement.Idle
+	case dfstatement.Status:
+		answer.Rows = []string{"primary"}
+	case dfstatement.Write:
+		f.network.ran = append(f.network.ran, f.identity+" "+s.Item)
+		answer.Proof = fmt.Sprintf("proof %d", f.offset)
+	case dfstatement.Read:
+		answer.Proof = fmt.Sprintf("proof %d", f.offset)
+	}
+	answer.State = f.state
+	return answer, nil
 }
 
 func (f *recordingTransport) Report(dfstatement.Answer) (dfstatement.Report, error) {
@@ -87,7 +100,7 @@
 
 // Open implements Dialect.
 func (n *carrierNetwork) Open(_ net.Conn, _, identity, _ string) (dfconnection.Transport, error) {
-	return &recordingTransport{network: n, identity: identity}, nil
+	return &recordingTransport{network: n, identity: identity, state: dfstatement.Idle}, nil
 }
 
 // dial connects to the upstream or to the forwarding port of a host.
--- a/dfforward/forward_test.go
+++ b/dfforward/forward_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -126,7 +127,14 @@
 	case dfstatement.Commit, dfstatement.Rollback:
 		f.state = dfstatement.Idle
 	}
-	return dfstatement.Answer{Proof: "proof", State: f.state}, nil
+	answer := dfstatement.Answer{State: f.state}
+	switch next.Statement.(type) {
+	case dfstatement.Read, dfstatement.Write, dfstatement.Execute, dfstatement.Commit:
+		answer.Proof = "proof " + strconv.Itoa(len(f.ran))
+	case dfstatement.Status:
+		answer.Rows = []string{"primary"}
+	}
+	return answer, nil
 }
 
 func (f *fakeTransport) Report(dfstatement.Answer) (dfstatement.Report, error) {
