--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -37,6 +37,8 @@
 	Send(calls []dfstatement.Call) error
 	// Receive reads the answer to one call.
 	Receive() (dfstatement.Answer, error)
+	// Pending reports whether data was received that no answer has used.
+	Pending() bool
 	// Report decodes the answer to a status call.
 	Report(answer dfstatement.Answer) (dfstatement.Report, error)
 	// Deadline sets the deadline of further reads and writes; the zero time removes
@@ -82,6 +84,12 @@
 	recorder *recorder
 	// setInTransaction is true if session state was set inside the open transaction.
 	setInTransaction bool
+	// history has the newest answers. outOfStep is true once an answer came that was not
+	// due. The connection is then used by its holder at most.
+	history   history
+	outOfStep bool
+	// failedAlike is true if the newest answer is a failure like an earlier one.
+	failedAlike bool
 }
 
 // New returns a connection over an open transport. raw is the network connection
@@ -89,8 +97,8 @@
 // detected.
 func New(upstream dffleet.ID, transport Transport, raw net.Conn) *Conn {
 	conn := &Conn{
-		upstream: upstream, transport: transport,
-		values: map[string]string{}, plans: map[dfstatement.Plan]string{}, state: dfstatement.Idle,
+		upstream: upstream, transport: transport, state: dfstatement.Idle,
+		values: map[string]string{}, plans: map[dfstatement.Plan]string{},
 	}
 	conn.raw, _ = raw.(syscall.Conn)
 	return conn
@@ -155,7 +163,7 @@
 // Exchange sends calls in one write and returns their answers. session is the
 // state of the caller's session, or nil for statements of the host; statements
 // that apply it are sent before all calls. sent is false if no byte can have
-// reached the upstream.
+// reached the upstream. After an error, the answers may belong to other calls.
 func (c *Conn) Exchange(session *SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
 	if slices.ContainsFunc(calls, takesSlot) {
 		c.startStatement()
@@ -184,6 +192,10 @@
 	}
 	setupCount := len(all)
 	all = append(all, translated...)
+	if err := c.dropUnread(); err != nil {
+		c.stateUnknown = c.stateUnknown || setupCount > 0
+		return nil, false, err
+	}
 	if err := c.transport.Send(all); err != nil {
 		var unsendable *dfresult.Error
 		notSent := errors.As(err, &unsendable)
@@ -192,12 +204,11 @@
 	}
 	answers = make([]dfstatement.Answer, 0, len(calls))
 	var refused error
-	for i := range all {
-		answer, err := c.transport.Receive()
+	for i, call := range all {
+		answer, err := c.receive(call.Statement)
 		if err != nil {
-			return answers, true, eris.Wrap(err, "connection: receive")
+			return answers, true, err
 		}
-		c.recordState(all[i], answer)
 		if i >= setupCount {
 			answers = append(answers, answer)
 			continue
@@ -206,7 +217,10 @@
 			refused = c.refuseSetup(answer)
 		}
 	}
-	return answers, true, refused
+	if refused != nil {
+		return answers, true, refused
+	}
+	return answers, true, c.confirmFailure(all[len(all)-1])
 }
 
 // runsAfterRefusedSetup reports whether the upstream may run calls that follow a refused
@@ -218,17 +232,19 @@
 
 // setUp sends the statements that apply session state and waits for their answers.
 func (c *Conn) setUp(setup []dfstatement.Call) error {
+	if err := c.dropUnread(); err != nil {
+		return err
+	}
 	if err := c.transport.Send(setup); err != nil {
 		c.stateUnknown = true
 		return eris.Wrap(err, "connection: send session state")
 	}
 	var refused error
 	for _, call := range setup {
-		answer, err := c.transport.Receive()
+		answer, err := c.receive(call.Statement)
 		if err != nil {
-			return eris.Wrap(err, "connection: receive answer to session state")
+			return err
 		}
-		c.recordState(call, answer)
 		if !answer.OK() && refused == nil {
 			refused = c.refuseSetup(answer)
 		}
@@ -273,14 +289,14 @@
 	return c.state
 }
 
-// recordState records the transaction state after a call. Unless a commit ended the
+// recordState records the transaction state after a statement. Unless a commit ended the
 // transaction, the upstream may have rolled back session state that was set inside it.
-func (c *Conn) recordState(call dfstatement.Call, answer dfstatement.Answer) {
+func (c *Conn) recordState(statement dfstatement.Statement, answer dfstatement.Answer) {
 	c.state = answer.State
 	if c.state != dfstatement.Idle || !c.setInTransaction {
 		return
 	}
-	_, commits := call.Statement.(dfstatement.Commit)
+	_, commits := statement.(dfstatement.Commit)
 	c.stateUnknown = c.stateUnknown || !commits || !answer.OK()
 	c.setInTransaction = false
 }
@@ -295,25 +311,47 @@
 	return false
 }
 
-// ClosedByUpstream reports whether the upstream has closed the idle connection.
-// The outcome of a statement that is sent on a closed connection would be
-// unknown.
-func (c *Conn) ClosedByUpstream() bool {
-	return c.raw != nil && PeerClosed(c.raw)
+// usable reports whether the upstream has neither closed the idle connection nor sent
+// anything on it. The outcome of a statement that is sent on a closed connection would
+// be unknown, and unread data would be taken for its answer.
+func (c *Conn) usable() bool {
+	state := peerQuiet
+	if c.raw != nil {
+		state = peek(c.raw)
+	}
+	if state == peerSent || c.transport.Pending() {
+		reportOutOfStep(c.upstream, unread, nil)
+		return false
+	}
+	return state == peerQuiet
+}
+
+// hasUnread reports whether data has arrived on the idle connection, in the codec or in
+// the kernel.
+func (c *Conn) hasUnread() bool {
+	return c.transport.Pending() || c.raw != nil && peek(c.raw) == peerSent
 }
 
 // PeerClosed reports whether the peer has closed an idle connection or sent
 // unexpected data on it.
 func PeerClosed(conn syscall.Conn) bool {
+	return peek(conn) != peerQuiet
+}
+
+// peek returns what the kernel holds of an idle connection.
+func peek(conn syscall.Conn) peerState {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true
+		return peerClosed
 	}
-	closed := false
+	state := peerQuiet
 	err = raw.Control(func(fd uintptr) {
-		closed = readable(int(fd))
+		state = peekDescriptor(int(fd))
 	})
-	return closed || err != nil
+	if err != nil {
+		return peerClosed
+	}
+	return state
 }
 
 // IsTimeout reports whether an exchange failed because of a timeout.
--- a/dfforward/session_test.go
+++ b/dfforward/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -39,7 +40,9 @@
 	current       *dfconnection.SessionState
 	inTransaction bool
 	ran           bool
-	violations    []string
+	// proofs counts the proofs that were given.
+	proofs     int
+	violations []string
 }
 
 func (m *sessionModel) chance(percent int) bool { return m.random.IntN(100) < percent }
@@ -65,6 +68,9 @@
 	return nil
 }
 
+// Pending reports whether there are answers that were not read.
+func (f *modelTransport) Pending() bool { return len(f.pending) > 0 }
+
 func (f *modelTransport) Report(dfstatement.Answer) (dfstatement.Report, error) {
 	return dfstatement.Report{}, nil
 }
@@ -91,7 +97,11 @@
 	defer m.mu.Unlock()
 	next := f.pending[0]
 	f.pending = f.pending[1:]
-	done := func() dfstatement.Answer { return dfstatement.Answer{Proof: "proof", State: f.state} }
+	done := func() dfstatement.Answer { return dfstatement.Answer{State: f.state} }
+	proved := func() dfstatement.Answer {
+		m.proofs++
+		return dfstatement.Answer{Proof: fmt.Sprintf("proof %d", m.proofs), State: f.state}
+	}
 	switch next.Statement.(type) {
 	case dfstatement.Rollback:
 		f.end(false)
@@ -102,7 +112,7 @@
 			return dfstatement.Failure(dfresult.TransactionLost, "model", f.state), nil
 		}
 		f.end(true)
-		return done(), nil
+		return proved(), nil
 	}
 	if f.state == dfstatement.FailedTransaction {
 		return f.fail(dfresult.ProtocolViolation), nil
@@ -124,6 +134,7 @@
 		if m.chance(m.variant.failPercent) {
 			return f.fail(dfresult.StatementFailed), nil
 		}
+		return proved(), nil
 	}
 	return done(), nil
 }
@@ -213,11 +224,13 @@
 	if err != nil {
 		r.model.mu.Lock()
 		defer r.model.mu.Unlock()
-		require.False(r.t, r.model.ran, "a statement ran after a refused setup")
-		if r.model.inTransaction {
-			return nil, false
+		var refused *dfresult.Error
+		if errors.As(err, &refused) || !sent {
+			require.False(r.t, r.model.ran, "a statement ran after a refused setup: %v", err)
+		}
+		if !r.model.inTransaction {
+			require.Equal(r.t, r.model.ran, sent, "whether the statement ran is told wrongly: %v", err)
 		}
-		require.False(r.t, sent, "told as unknown though nothing ran: %v", err)
 		return nil, false
 	}
 	return answers, true
