Decode rows of the platform's tables one by one

What callers and operators saw: one row whose value is not base64, or with a field of another type, in the list of upstreams or as the desired state made the whole page undecodable. Hosts that ran stopped following the table and asked four times a second; a host that started was never ready.

Cause: platform.Client decoded a page with its rows at once, and one error failed the whole page. The next poll from the same position got the same row. A row version that is too large failed the page as well, and a later entry would have been taken for older than it. Entries that could not be read were neither counted nor logged with a reason.

Change: a page is decoded row by row. What cannot be decoded, has no version, or one newer than the store's, is Unreadable with a reason of 200 bytes at most; it is counted and logged once per change.

--- a/dfedge/watch.go
+++ b/dfedge/watch.go
@@ -31,7 +31,12 @@
 			sentAt = e.options.Now()
 			return e.options.Platform.WaitCatalog(ctx, after, min(wait, e.catalogPollTimeout()))
 		},
-		apply: func(changes dfplatform.Changes, _ bool) { e.adoptDocument(changes.Catalog, "platform") },
+		apply: func(changes dfplatform.Changes, _ bool) {
+			for _, row := range changes.Unreadable {
+				e.log.Error().Str("Row", string(row.ID)).Str("Reason", row.Reason).Msg("catalog: cannot decode row")
+			}
+			e.adoptDocument(changes.Catalog, "platform")
+		},
 		setLost: func(lost bool) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -241,9 +246,11 @@
 		e.fleet.Lapse(now, id, changes.Version)
 		e.log.Info().Str("Upstream", string(id)).Stringer("Entry", changes.Version).Msg("fleet: entry removed from the list")
 	}
-	for _, id := range changes.Unreadable {
-		e.fleet.Lapse(now, id, changes.Version)
-		e.log.Warn().Str("Upstream", string(id)).Stringer("Entry", changes.Version).Msg("fleet: cannot decode entry")
+	for _, entry := range changes.Unreadable {
+		e.fleet.Lapse(now, entry.ID, changes.Version)
+		e.counters.entriesIgnored.Inc()
+		e.log.Warn().Str("Upstream", string(entry.ID)).Stringer("Entry", changes.Version).Str("Reason", entry.Reason).
+			Msg("fleet: entry ignored, it names no upstream")
 	}
 	if full {
 		e.fleet.Replace(now, changes.Upstreams, changes.Version)
--- a/dfplatform/feed.go
+++ b/dfplatform/feed.go
@@ -30,8 +30,17 @@
 	// Upstreams changed, and Lapsed vanished.
 	Upstreams []dffleet.Upstream
 	Lapsed    []dffleet.ID
-	// Unreadable are entries that name no upstream to use.
-	Unreadable []dffleet.ID
+	// Unreadable are entries that name no upstream to use, or rows that cannot be decoded.
+	Unreadable []Unreadable
+}
+
+// Unreadable is an entry that names no upstream to use.
+type Unreadable struct {
+	// ID is the key of the entry, or empty if it cannot be decoded. It need not be one
+	// that an upstream can have.
+	ID dffleet.ID
+	// Reason is short enough to be logged.
+	Reason string
 }
 
 // Feeds tells the desired state and the list of upstreams.
