Wait for a status query to end before its gauge is read in a test

In each failure _admission_running was 1: the tick before the scrape had started a status query at the upstream, which counts as a statement that runs.

--- a/dfedge/status_test.go
+++ b/dfedge/status_test.go
@@ -78,8 +78,11 @@
 	}
 	require.NotNil(t, e, "one of the hosts is a carrier")
 	s := e.services["orders"]
+	// The tick may have started a status query, which runs for a moment.
+	require.Eventually(t, func() bool {
+		return strings.Contains(scrape(e), `dragonflygrade_edge_admission_running{service="orders",upstream="u"} 0`)
+	}, time.Second, time.Millisecond)
 	text := scrape(e)
-	require.Contains(t, text, `dragonflygrade_edge_admission_running{service="orders",upstream="u"} 0`)
 	require.Contains(t, text, `dragonflygrade_edge_admission_queued{service="orders",upstream="u"} 0`)
 	require.Contains(t, text, fmt.Sprintf(`dragonflygrade_edge_admission_limit{service="orders",upstream="u"} %d`, admission.Limit))
 	require.NotContains(t, text, "dragonflygrade_edge_pace_aside_seconds")
