Tell a carrier's client what ran behind a refused session state

What callers may see: a carrier replied "not run" for a COMMIT, or a write, that was sent in one write behind a SET that the upstream refused; the host itself told it as unknown. An upstream that refuses a SET without failing its transaction had run it.

Cause: the carrier took every refusal for one of calls that were not sent, and a transaction was trusted to fail with its setup, which the protocol does not say.

Change: RESET and SET are awaited before any call but BEGIN, also inside a transaction. A PREPARE is not awaited: a call that executes a refused name is answered with "not prepared", which is not run. What ran is told by the answers. The refusal has a code of its own, DF1113, because DF1108 tells of connections, and it does not count against the upstream as a lost answer.

Evidence and result: in the review's trial the carrier told sent=false with committed=true.

--- a/dfconnection/conn.go
+++ b/dfconnection/conn.go
@@ -162,8 +162,8 @@
 
 // Exchange sends calls in one write and returns their answers. session is the
 // state of the caller's session, or nil for statements of the host; statements
-// that apply it are sent before all calls. sent is false if no byte can have
-// reached the upstream. After an error, the answers may belong to other calls.
+// that apply it are sent before all calls. sent is false if the upstream cannot
+// have run any of the calls. After an error, the answers may belong to other calls.
 func (c *Conn) Exchange(session *SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
 	if slices.ContainsFunc(calls, takesSlot) {
 		c.startStatement()
@@ -184,7 +184,7 @@
 	if err := c.transport.Deadline(deadline); err != nil {
 		return nil, false, eris.Wrap(err, "connection: set deadline")
 	}
-	if c.runsAfterRefusedSetup(calls) && len(all) > 0 {
+	if awaitsSetup(all, calls) {
 		if err := c.setUp(all); err != nil {
 			return nil, false, err
 		}
@@ -218,16 +218,38 @@
 		}
 	}
 	if refused != nil {
-		return answers, true, refused
+		return answers, hasRun(calls, answers), refused
 	}
 	return answers, true, c.confirmFailure(all[len(all)-1])
 }
 
-// runsAfterRefusedSetup reports whether the upstream may run calls that follow a refused
-// setup in one write. In a transaction it refuses them, and a BEGIN has no effect.
-func (c *Conn) runsAfterRefusedSetup(calls []dfstatement.Call) bool {
-	_, begins := calls[0].Statement.(dfstatement.Begin)
-	return c.state != dfstatement.InTransaction && !begins
+// awaitsSetup reports whether the answers to the statements that apply session state are
+// awaited before the calls are sent, because the calls would run although the upstream
+// refused them. A BEGIN has no effect, and a prepared statement that was refused is
+// unknown to the call that executes it.
+func awaitsSetup(setup, calls []dfstatement.Call) bool {
+	if _, begins := calls[0].Statement.(dfstatement.Begin); begins {
+		return false
+	}
+	return slices.ContainsFunc(setup, func(call dfstatement.Call) bool {
+		_, prepares := call.Statement.(dfstatement.Prepare)
+		return !prepares
+	})
+}
+
+// hasRun reports whether one of the calls ran or may have run. The opening and the
+// rollback of a transaction leave nothing behind.
+func hasRun(calls []dfstatement.Call, answers []dfstatement.Answer) bool {
+	for i, call := range calls {
+		switch call.Statement.(type) {
+		case dfstatement.Begin, dfstatement.Rollback:
+			continue
+		}
+		if answers[i].OK() || answers[i].Code.Outcome() != dfresult.NotRun {
+			return true
+		}
+	}
+	return false
 }
 
 // setUp sends the statements that apply session state and waits for their answers.
@@ -256,7 +278,7 @@
 // answers are read nevertheless, so that the connection can be used again.
 func (c *Conn) refuseSetup(answer dfstatement.Answer) error {
 	c.stateUnknown = true
-	return dfresult.NewError(dfresult.UpstreamRefused, "session state: %s", answer.Detail)
+	return dfresult.NewError(dfresult.SessionRefused, "%s", answer.Detail)
 }
 
 // startStatement admits the further statements of a transaction without queueing: the
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -72,7 +72,7 @@
 	switch {
 	case viaCarrier && errors.As(err, &refused):
 		a.conn.Release(a.conn.State() == dfstatement.Idle)
-		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft, dfresult.UpstreamRefused, dfresult.MessageTooLarge)
+		ownCause := dfresult.HasCode(refused, dfresult.QueueFull, dfresult.DeadlinePassed, dfresult.CallerLeft, dfresult.SessionRefused, dfresult.MessageTooLarge)
 		if !req.recordRefusal(a.target, err) && !ownCause {
 			e.carrierRefused(req.service, a.upstream)
 		}
--- a/dfforward/handler.go
+++ b/dfforward/handler.go
@@ -139,7 +139,7 @@
 	answers, sent, err := h.conn.Exchange(session, deadline, calls...)
 	if err != nil {
 		var refused *dfresult.Error
-		if errors.As(err, &refused) {
+		if errors.As(err, &refused) && !sent {
 			h.release(h.conn.State() == dfstatement.Idle)
 			return refusedReply(refused)
 		}
--- a/dfforward/session_test.go
+++ b/dfforward/session_test.go
@@ -28,6 +28,8 @@
 	// refusePercent and failPercent are the parts of the setups that are refused and of
 	// the statements that fail.
 	refusePercent, failPercent int
+	// toleratesRefusals is true if a refused setup leaves its transaction as it is.
+	toleratesRefusals bool
 }
 
 // sessionModel has what the callers of a run were acknowledged.
@@ -53,13 +55,16 @@
 	model             *sessionModel
 	values, oldValues map[string]string
 	plans, oldPlans   map[string]dfstatement.Plan
-	state             dfstatement.State
-	pending           []dfstatement.Call
+	// refused has the prepared names that the upstream refused.
+	refused map[string]bool
+	state   dfstatement.State
+	pending []dfstatement.Call
 }
 
 func newModelTransport(model *sessionModel) *modelTransport {
 	return &modelTransport{
-		model: model, values: map[string]string{}, plans: map[string]dfstatement.Plan{}, state: dfstatement.Idle,
+		model: model, values: map[string]string{}, plans: map[string]dfstatement.Plan{},
+		refused: map[string]bool{}, state: dfstatement.Idle,
 	}
 }
 
@@ -125,10 +130,19 @@
 		f.state, f.oldValues, f.oldPlans = dfstatement.InTransaction, maps.Clone(f.values), maps.Clone(f.plans)
 	case dfstatement.Reset, dfstatement.Set, dfstatement.Prepare:
 		if m.chance(m.variant.refusePercent) {
+			if p, ok := s.(dfstatement.Prepare); ok {
+				f.refused[p.Name] = true
+			}
+			if m.variant.toleratesRefusals {
+				return dfstatement.Failure(dfresult.ProtocolViolation, "model", f.state), nil
+			}
 			return f.fail(dfresult.ProtocolViolation), nil
 		}
 		f.setUp(s)
 	default:
+		if s, ok := s.(dfstatement.Execute); ok && f.refused[s.Name] {
+			return f.fail(dfresult.StatementUnknown), nil
+		}
 		m.ran = true
 		f.check(next)
 		if m.chance(m.variant.failPercent) {
@@ -142,11 +156,12 @@
 func (f *modelTransport) setUp(statement dfstatement.Statement) {
 	switch s := statement.(type) {
 	case dfstatement.Reset:
-		f.values, f.plans = map[string]string{}, map[string]dfstatement.Plan{}
+		f.values, f.plans, f.refused = map[string]string{}, map[string]dfstatement.Plan{}, map[string]bool{}
 	case dfstatement.Set:
 		f.values[s.Name] = s.Value
 	case dfstatement.Prepare:
 		f.plans[s.Name] = s.Plan
+		delete(f.refused, s.Name)
 	}
 }
 
@@ -291,6 +306,7 @@
 	for _, v := range []variant{
 		{}, {rollsBackState: true}, {failPercent: 5}, {rollsBackState: true, failPercent: 5},
 		{refusePercent: 2, failPercent: 2}, {rollsBackState: true, refusePercent: 2, failPercent: 2},
+		{refusePercent: 2, toleratesRefusals: true}, {rollsBackState: true, refusePercent: 2, failPercent: 2, toleratesRefusals: true},
 	} {
 		for seed := range seeds {
 			t.Run(fmt.Sprintf("%+v seed %d", v, seed), func(t *testing.T) {
--- a/dfresult/result.go
+++ b/dfresult/result.go
@@ -68,6 +68,7 @@
 	StatementTimeout  Code = 1110
 	StatementFailed   Code = 1111
 	StatementUnknown  Code = 1112
+	SessionRefused    Code = 1113
 
 	TokenMalformed    Code = 2001
 	TokenSignature    Code = 2002
@@ -122,13 +123,14 @@
 	TransactionLost:       {NotRun, "40001", "the transaction was rolled back because its connection was lost"},
 	RepeatRefused:         {Unknown, "40003", "a request marked not to be repeated was already sent once"},
 	NotMajority:           {Unknown, "40003", "no majority of upstreams confirmed the commit in time"},
-	AnswerTooLarge:        {Unknown, "54000", "the answer of a write exceeds the buffer limit"},
+	AnswerTooLarge:        {Unknown, "54000", "the answer exceeds the buffer limit"},
 	PrimaryChanged:        {Unknown, "40003", "the primary changed during the commit"},
 	UpstreamRefused:       {NotRun, "57P03", "the upstream refused the connection"},
 	IdempotencyReplay:     {Done, "00000", "the request ran before; the first result is returned"},
 	StatementTimeout:      {Unknown, "57014", "the statement did not end in time"},
 	StatementFailed:       {Unknown, "58000", "the statement ran and failed"},
 	StatementUnknown:      {NotRun, "26000", "no statement is prepared under the name"},
+	SessionRefused:        {NotRun, "58000", "the upstream refused the values or prepared statements of the session"},
 	TokenMalformed:        {NotRun, "22023", "the session token is malformed"},
 	TokenSignature:        {NotRun, "22023", "the session token's signature is wrong"},
 	TokenKeyUnknown:       {NotRun, "22023", "the session token was signed with a key that is not in force"},
