--- a/dfconnection/step.go
+++ b/dfconnection/step.go
@@ -15,9 +15,13 @@
 	"dragonflygrade/dfstatement"
 )
 
-// historySize is how many answers a connection remembers. It covers a repeated answer
-// that arrives 300 ms late at a typical statement time of 5 ms.
-const historySize = 64
+const (
+	// historySize is how many answers a connection remembers. It covers a repeated answer
+	// that arrives 300 ms late at a typical statement time of 5 ms.
+	historySize = 64
+	// failureHistorySize is the same for failures, which are rarer.
+	failureHistorySize = 16
+)
 
 // fit is how an answer fits the call whose answer is due. Answers carry no ID of their
 // call.
@@ -34,10 +38,6 @@
 	unread fit = "unread"
 )
 
-// failureHistorySize is the same for failures. They are rarer, and one that was forgotten
-// is repeated seldom.
-const failureHistorySize = 16
-
 // errOutOfStep means that an answer belongs to another call than the one that waits.
 var errOutOfStep = eris.New("connection: answer out of step")
 
--- a/dfforward/client.go
+++ b/dfforward/client.go
@@ -149,9 +149,9 @@
 }
 
 // Exchange makes the carrier send calls in one write and returns their answers.
-// sent is false if the upstream cannot have received any of them. The error is
-// a *dfresult.Error if the carrier refused or the request is too large for it, and a *CarrierError if the carrier
-// did not answer or accepts no statements for the upstream.
+// sent is false if the upstream cannot have run any of them. The error is a
+// *dfresult.Error if the carrier refused or the request is too large for it, and a
+// *CarrierError if the carrier did not answer or accepts no statements for the upstream.
 func (c *Conn) Exchange(session *dfconnection.SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error) {
 	req := request{
 		Upstream: c.upstream, Priority: c.priority, AcquireTimeout: c.acquireTimeout,
--- a/dfforward/message.go
+++ b/dfforward/message.go
@@ -43,7 +43,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Declined is true if the carrier accepts no statements for the upstream.
 	Declined bool
-	// Refused is not dfresult.OK if the carrier sent nothing to the upstream. Detail
+	// Refused is not dfresult.OK if none of the calls ran at the upstream. Detail
 	// and RetryAfter then describe the refusal.
 	Refused    dfresult.Code
 	Detail     string
