--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -17,7 +17,7 @@
 	target
 	conn   upstreamConn
 	sentAt dfclock.Millis
-	// sent is true if bytes may have reached the upstream.
+	// sent is true if the upstream may have run a call.
 	sent bool
 	// led is true if the attempt was counted in leaderStatements.
 	led bool
--- a/dfedge/source.go
+++ b/dfedge/source.go
@@ -24,7 +24,7 @@
 // one of this host's pools or to a carrier host.
 type upstreamConn interface {
 	// Exchange sends calls in one write and returns their answers. sent is false if
-	// the upstream cannot have received any of them.
+	// the upstream cannot have run any of them.
 	Exchange(sessionState *dfconnection.SessionState, deadline time.Time, calls ...dfstatement.Call) (answers []dfstatement.Answer, sent bool, err error)
 	// State returns the transaction state of the newest answer.
 	State() dfstatement.State
