--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review-2 -case accept -program target/dragonflygrade -record review/7/record.txt
+exec target/review-2 -case leave -program target/dragonflygrade -record review/7/record.txt
--- a/review/_standin/drain.go
+++ b/review/_standin/drain.go
@@ -25,7 +25,7 @@
 
 // arrival is a single statement that a backend got.
 type arrival struct {
-	at                       time.Time
+	at                      time.Time
 	backend, host, id, text string
 }
 
@@ -162,7 +162,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 		if c == nil {
-			opened, err := connect(h.callers(), "bookings")
+			opened, err := connect(h.callers(), "bookings", "u1")
 			if err != nil {
 				continue
 			}
--- a/review/_standin/host.go
+++ b/review/_standin/host.go
@@ -23,10 +23,15 @@
 	portLast    = 7455
 )
 
+// gracePeriod is grace-period-s.
+const gracePeriod = 6 * time.Second
+
 // settings are the values of the settings file that differ between cases.
 type settings struct {
-	descriptors, memoryMB                 int
+	descriptors, memoryMB                  int
 	stableMs, drainMs, recoveryS, configMs int
+	// contracts and bounds are lines that deployments with organisations add.
+	contracts, bounds string
 }
 
 // host is a machine that runs the program as the deploy file says.
@@ -43,8 +48,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	// startedAt is when the process was last started, stoppedAt when it was last killed.
-	startedAt, stoppedAt time.Time
+	// startedAt is when the process was last started.
+	startedAt time.Time
 }
 
 func (h *host) callers() string { return fmt.Sprintf("%s:%d", h.ip, portCallers) }
@@ -72,7 +77,7 @@
 discovery = "platform"
 entry-point = "virtual_ip"
 heartbeat-interval-ms = 1200
-contracts = ["base","drain","config","cost","recover","sql","platform"]
+contracts = ["base","drain","config","cost","recover","sql","platform"%s]
 [zones]
 %s
 [listen-addresses]
@@ -105,7 +110,7 @@
 recovery-s = %d
 fencing-enforced = true
 thaw-slack-ms = 300
-[platform]
+%s[platform]
 address = %q
 form = "table"
 writes-per-s = 400
@@ -120,9 +125,9 @@
 requests-per-s = 50.0
 duties = ["promotion"]
 duty-per-s = 50.0
-`, h.name, h.ip, h.zone, portFirst, portLast, strings.Join(seedList, ","), strings.Join(zoneTable, "\n"),
+`, h.name, h.ip, h.zone, portFirst, portLast, strings.Join(seedList, ","), h.settings.contracts, strings.Join(zoneTable, "\n"),
 		h.ip, portCallers, h.ip, portReady, h.ip, portControl, h.settings.memoryMB, h.settings.descriptors,
-		h.settings.stableMs, h.settings.drainMs, h.settings.configMs, h.settings.recoveryS, s.address, s.address)
+		h.settings.stableMs, h.settings.drainMs, h.settings.configMs, h.settings.recoveryS, h.settings.bounds, s.address, s.address)
 	return os.WriteFile(h.path("toml"), []byte(text), 0o600)
 }
 
@@ -157,6 +162,25 @@
 	return nil
 }
 
+// leave stops the process with SIGTERM, and with SIGKILL after the grace period.
+func (h *host) leave() {
+	h.mu.Lock()
+	command := h.command
+	h.mu.Unlock()
+	if command == nil {
+		return
+	}
+	h.record.printf("%s: SIGTERM", h.name)
+	_ = command.Process.Signal(syscall.SIGTERM)
+	late := time.AfterFunc(gracePeriod, func() { _ = command.Process.Kill() })
+	_ = command.Wait()
+	late.Stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.command = nil
+	h.record.printf("%s: process ended", h.name)
+}
+
 // kill ends the process with SIGKILL.
 func (h *host) kill() {
 	h.mu.Lock()
@@ -166,7 +190,7 @@
 	}
 	_ = h.command.Process.Kill()
 	_ = h.command.Wait()
-	h.command, h.stoppedAt = nil, time.Now()
+	h.command = nil
 	h.record.printf("%s: process killed", h.name)
 }
 
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -42,7 +42,7 @@
 	program := flag.String("program", "target/dragonflygrade", "the program of the deploy file")
 	recordPath := flag.String("record", "record.txt", "the file to write")
 	flag.Parse()
-	cases := map[string]func(setting) (verdict, error){"drain": runDrain, "accept": runAccept}
+	cases := map[string]func(setting) (verdict, error){"accept": runAccept, "leave": runLeave, "drain": runDrain}
 	run := cases[*name]
 	absolute, err := filepath.Abs(*program)
 	if run == nil || err != nil {
