--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -60,7 +60,7 @@
 		fmt.Fprintln(os.Stderr, "usage: probe CASE PROGRAM RECORD")
 		os.Exit(cannotRun)
 	}
-	cases := map[string]func(*world) bool{"handover": handover}
+	cases := map[string]func(*world) bool{"handover": handover, "draining-replica": drainingReplica}
 	run := cases[os.Args[1]]
 	if run == nil {
 		check(fmt.Errorf("no case %q", os.Args[1]))
--- a/review/_probe/upstream.go
+++ b/review/_probe/upstream.go
@@ -22,6 +22,7 @@
 	inZone       = 100 * time.Microsecond
 	crossZone    = 3400 * time.Microsecond
 	drainTimeout = 7 * time.Second
+	pingInterval = 1200 * time.Millisecond
 )
 
 // position is a place in the log of a service.
@@ -97,6 +98,16 @@
 	return nil
 }
 
+// find returns an upstream by its ID.
+func (s *service) find(id string) *upstream {
+	for _, u := range s.upstreams {
+		if u.id == id {
+			return u
+		}
+	}
+	return nil
+}
+
 func (u *upstream) publish() {
 	u.service.mu.Lock()
 	u.sequence++
@@ -119,6 +130,7 @@
 func (u *upstream) drain() {
 	u.service.mu.Lock()
 	u.draining = true
+	u.service.record.add("%s reports draining", u.id)
 	u.service.mu.Unlock()
 	u.publish()
 	time.AfterFunc(drainTimeout+time.Second, func() {
@@ -133,6 +145,41 @@
 	})
 }
 
+// crash stops the upstream at once and starts it again with its log. It leads again if no
+// other upstream was promoted meanwhile. Its entry is removed after three silent pings.
+func (u *upstream) crash(span time.Duration) {
+	u.service.mu.Lock()
+	u.stopped = true
+	for conn := range u.conns {
+		_ = conn.Close()
+	}
+	u.service.record.add("%s crashes, its log ends at %s", u.id, u.end())
+	u.service.mu.Unlock()
+	_ = u.listener.Close()
+	time.AfterFunc(3*pingInterval, func() {
+		u.service.mu.Lock()
+		stopped := u.stopped
+		u.service.mu.Unlock()
+		if stopped {
+			u.service.store.remove("servers", u.id)
+		}
+	})
+	time.AfterFunc(span, func() {
+		listener, err := net.Listen("tcp4", u.address)
+		check(err)
+		u.service.mu.Lock()
+		u.listener, u.stopped = listener, false
+		if leader := u.service.leader(); leader != nil && leader != u {
+			u.primary = false
+			u.follow(leader)
+		}
+		u.service.record.add("%s is back, its log ends at %s", u.id, u.end())
+		u.service.mu.Unlock()
+		u.publish()
+		go u.accept()
+	})
+}
+
 // promotion is the platform's call POST /promotion, which checks fences.
 func (s *service) promotion(w http.ResponseWriter, r *http.Request) {
 	var body struct{ Service, ID string }
--- a/review/_probe/handover.go
+++ b/review/_probe/writes.go
@@ -9,18 +9,46 @@
 )
 
 const (
-	writers     = 6
-	writePause  = 240 * time.Millisecond
-	drainAt     = 4 * time.Second
-	deafAfter   = 500 * time.Millisecond
-	deafFor     = 6 * time.Second
-	handoverEnd = 14 * time.Second
+	writers    = 6
+	writePause = 240 * time.Millisecond
+	happenAt   = 4 * time.Second
+	deafAfter  = 500 * time.Millisecond
+	deafFor    = 6 * time.Second
+	crashAfter = time.Second
+	crashFor   = 6 * time.Second
+	endAt      = 14 * time.Second
 )
 
 // handover drains the primary of a service with sync-replicas 1. A replica receives
 // nothing for a while. It breaks LOST if an acknowledged commit is not in the log of the
 // upstream that is promoted.
 func handover(w *world) bool {
+	return w.losesWrites(func() {
+		w.service.find("i-catania").drain()
+		if w.trouble {
+			time.Sleep(deafAfter)
+			w.setDeaf("i-palermo", deafFor)
+		}
+	})
+}
+
+// drainingReplica drains a replica of a service with sync-replicas 1. The other replica
+// receives nothing for a while, and the primary crashes meanwhile.
+func drainingReplica(w *world) bool {
+	return w.losesWrites(func() {
+		w.service.find("i-trapani").drain()
+		if w.trouble {
+			time.Sleep(deafAfter)
+			w.setDeaf("i-palermo", deafFor)
+			time.Sleep(crashAfter)
+			w.service.find("i-catania").crash(crashFor)
+		}
+	})
+}
+
+// losesWrites sends writes while something happens, and reports whether an upstream was
+// promoted whose log lacks a write that was acknowledged before.
+func (w *world) losesWrites(happen func()) bool {
 	dir, err := os.MkdirTemp("", "probe")
 	check(err)
 	defer os.RemoveAll(dir)
@@ -44,28 +72,19 @@
 			})
 		}()
 	}
-	lost := 0
-	var promotedLogs []map[string]bool
-	var promoted []time.Duration
+	var promoted []promotedLog
+	w.service.mu.Lock()
 	w.service.onPromote = func(leader *upstream) {
-		log := map[string]bool{}
+		log := promotedLog{at: time.Since(started), writes: map[string]bool{}}
 		for _, entry := range leader.log {
-			log[entry.id] = true
+			log.writes[entry.id] = true
 		}
-		promotedLogs, promoted = append(promotedLogs, log), append(promoted, time.Since(started))
+		promoted = append(promoted, log)
 	}
-	time.Sleep(drainAt)
-	w.service.mu.Lock()
-	primary := w.service.leader()
 	w.service.mu.Unlock()
-	w.record.add("%s reports draining", primary.id)
-	primary.drain()
-	if w.trouble {
-		time.Sleep(deafAfter)
-		w.setDeaf("i-palermo", true)
-		time.AfterFunc(deafFor, func() { w.setDeaf("i-palermo", false) })
-	}
-	time.Sleep(handoverEnd - drainAt)
+	time.Sleep(happenAt)
+	happen()
+	time.Sleep(time.Until(started.Add(endAt)))
 	stop.Store(true)
 	group.Wait()
 	w.service.mu.Lock()
@@ -73,29 +92,37 @@
 	mu.Lock()
 	defer mu.Unlock()
 	w.record.add("%d writes acknowledged, %d promotions", len(acknowledged), len(promoted))
-	if len(promoted) == 0 || len(acknowledged) == 0 {
+	if len(acknowledged) == 0 || w.trouble && len(promoted) == 0 {
 		w.fail("no promotion or no writes")
 	}
-	for i, log := range promotedLogs {
+	lost := 0
+	for _, log := range promoted {
 		for id, at := range acknowledged {
-			if at < promoted[i] && !log[id] {
+			if at < log.at && !log.writes[id] {
 				lost++
-				w.record.add("write %s was acknowledged %d ms before the promotion and is not in the log of the new leader", id, (promoted[i] - at).Milliseconds())
+				w.record.add("write %s was acknowledged %d ms before the promotion and is not in the log of the new leader", id, (log.at - at).Milliseconds())
 			}
 		}
 	}
 	return lost > 0
 }
 
-func (w *world) setDeaf(id string, deaf bool) {
-	w.service.mu.Lock()
-	defer w.service.mu.Unlock()
-	for _, u := range w.service.upstreams {
-		if u.id == id && !u.primary {
-			u.deaf = deaf
-			w.record.add("%s receives commits: %v", id, !deaf)
-		}
+// promotedLog is the log of an upstream at its promotion.
+type promotedLog struct {
+	at     time.Duration
+	writes map[string]bool
+}
+
+// setDeaf keeps a replica from receiving commits for a while.
+func (w *world) setDeaf(id string, span time.Duration) {
+	set := func(deaf bool) {
+		w.service.mu.Lock()
+		defer w.service.mu.Unlock()
+		w.service.find(id).deaf = deaf
+		w.record.add("%s receives commits: %v", id, !deaf)
 	}
+	set(true)
+	time.AfterFunc(span, func() { set(false) })
 }
 
 // write sends single writes over sessions of one client until it is stopped.
