--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -43,10 +43,21 @@
 	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// trouble is what a case plays beside the planned work.
+type trouble string
+
+const (
+	// noTrouble leaves out the disruption, fullTrouble plays it whole.
+	noTrouble   trouble = "0"
+	fullTrouble trouble = "1"
+	// crashOnly plays the crash of the primary while all replicas receive.
+	crashOnly trouble = "crash"
+)
+
 // world is what a case runs in.
 type world struct {
 	program  string
-	trouble  bool
+	trouble  trouble
 	record   *record
 	store    *store
 	service  *service
@@ -56,8 +67,8 @@
 func main() {
 	// The kernel kills the machines' processes when the thread that started them ends.
 	runtime.LockOSThread()
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: probe CASE PROGRAM RECORD")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: probe CASE TROUBLE PROGRAM RECORD")
 		os.Exit(cannotRun)
 	}
 	cases := map[string]func(*world) bool{"handover": handover, "draining-replica": drainingReplica}
@@ -65,12 +76,16 @@
 	if run == nil {
 		check(fmt.Errorf("no case %q", os.Args[1]))
 	}
-	program, err := filepath.Abs(os.Args[2])
+	wanted := trouble(os.Args[2])
+	if wanted != noTrouble && wanted != fullTrouble && wanted != crashOnly {
+		check(fmt.Errorf("no trouble %q", wanted))
+	}
+	program, err := filepath.Abs(os.Args[3])
 	check(err)
-	file, err := os.Create(os.Args[3])
+	file, err := os.Create(os.Args[4])
 	check(err)
-	w := &world{program: program, trouble: os.Getenv("TROUBLE") != "0", record: &record{file: file, started: time.Now()}}
-	w.record.add("case %s, trouble %v", os.Args[1], w.trouble)
+	w := &world{program: program, trouble: wanted, record: &record{file: file, started: time.Now()}}
+	w.record.add("case %s, trouble %s", os.Args[1], w.trouble)
 	isBroken := run(w)
 	for _, m := range w.machines {
 		m.kill()
--- a/review/_probe/writes.go
+++ b/review/_probe/writes.go
@@ -25,7 +25,7 @@
 func handover(w *world) bool {
 	return w.losesWrites(func() {
 		w.service.find("i-catania").drain()
-		if w.trouble {
+		if w.trouble == fullTrouble {
 			time.Sleep(deafAfter)
 			w.setDeaf("i-palermo", deafFor)
 		}
@@ -37,9 +37,11 @@
 func drainingReplica(w *world) bool {
 	return w.losesWrites(func() {
 		w.service.find("i-trapani").drain()
-		if w.trouble {
+		if w.trouble != noTrouble {
 			time.Sleep(deafAfter)
-			w.setDeaf("i-palermo", deafFor)
+			if w.trouble == fullTrouble {
+				w.setDeaf("i-palermo", deafFor)
+			}
 			time.Sleep(crashAfter)
 			w.service.find("i-catania").crash(crashFor)
 		}
@@ -92,7 +94,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	w.record.add("%d writes acknowledged, %d promotions", len(acknowledged), len(promoted))
-	if len(acknowledged) == 0 || w.trouble && len(promoted) == 0 {
+	if len(acknowledged) == 0 || w.trouble != noTrouble && len(promoted) == 0 {
 		w.fail("no promotion or no writes")
 	}
 	lost := 0
