Share the decision of a handover between both interfaces

The switchover of dffailover decides, while writes are held, when running statements have ended, when to ask for the logs, and whether a successor takes over or the writes are released.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RENAMER     := golang.org/x/tools/gopls@v0.23.0
 BINARY      := bin/dragonflygrade
 # Packages that decide and do no input or output; they run under the race detector.
-DECISIONS   := $(shell for p in clock check result position group member audit lease config token session health failover ack pool budget classify route admit outcome spread statement catalog fleet fresh place succession neighbour explain revision quota roster pace verify report; do [ -d df$$p ] && echo ./df$$p; done)
+DECISIONS   := $(shell for p in clock check result position group member audit lease config token session health failover ack pool budget classify route admit outcome spread statement catalog fleet fresh place handover succession neighbour explain revision quota roster pace verify report; do [ -d df$$p ] && echo ./df$$p; done)
 
 # Tests that fail because of a known fault, see KNOWN-RED.txt: its lines that
 # start with a test's name. They are printed and passed over.
--- a/dffailover/constants.go
+++ b/dffailover/constants.go
@@ -1,6 +1,9 @@
 package dffailover
 
-import "dragonflygrade/dfclock"
+import (
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dfhandover"
+)
 
 const (
 	// RankDelay staggers the promotion attempts of the actors by rank. It exceeds
@@ -60,3 +63,10 @@
 		CatchUpPollInterval: CatchUpPollInterval, HoldTimeout: HoldTimeout, SwitchoverRetryDelay: SwitchoverRetryDelay,
 	}
 }
+
+// handover returns the timings of a switchover's handover.
+func (t Timings) handover() dfhandover.Timings {
+	return dfhandover.Timings{
+		InFlightTimeout: t.InFlightTimeout, CatchUpTimeout: t.CatchUpTimeout, CatchUpPollInterval: t.CatchUpPollInterval,
+	}
+}
--- a/dffailover/switchover.go
+++ b/dffailover/switchover.go
@@ -3,6 +3,7 @@
 import (
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dfgroup"
+	"dragonflygrade/dfhandover"
 	"dragonflygrade/dfposition"
 )
 
@@ -20,10 +21,8 @@
 	// retryAfter is the earliest next hold after a failed one.
 	retryAfter dfclock.Millis
 	inFlight   int
-	// drainedAt is when the running transactions had finished or timed out; zero
-	// before. Reports of the primary requested later show the end of its log.
-	drainedAt dfclock.Millis
-	polledAt  dfclock.Millis
+	// handover decides when the successor takes over from the held writes.
+	handover dfhandover.Handover
 }
 
 // requestSwitchover marks the primary as leaving. Every actor that sees the mark
@@ -70,7 +69,7 @@
 	m.switchover.holding = true
 	m.switchover.round++
 	m.switchover.heldAt = now
-	m.switchover.drainedAt = 0
+	m.switchover.handover = dfhandover.New(now, m.options.Timings.handover())
 	return []Action{HoldWrites{}}
 }
 
@@ -98,31 +97,25 @@
 	if !now.Reached(m.switchover.heldAt.Add(t.HoldPropagationDelay)) {
 		return nil
 	}
-	if m.switchover.drainedAt == 0 {
-		if m.switchover.inFlight > 0 && !now.Reached(m.switchover.heldAt.Add(t.InFlightTimeout)) {
-			return nil
-		}
-		m.switchover.drainedAt = now
-		m.switchover.polledAt = now
+	caughtUp := m.successorCaughtUp(now, primary)
+	next, decision := m.switchover.handover.WithStep(now, m.switchover.inFlight, caughtUp)
+	m.switchover.handover = next
+	switch decision.(type) {
+	case dfhandover.Poll:
 		return []Action{Poll{}}
-	}
-	if m.successorCaughtUp(now, primary) {
+	case dfhandover.Change:
 		return m.startAttempt(now, true)
-	}
-	if now.Reached(m.switchover.drainedAt.Add(t.CatchUpTimeout)) {
+	case dfhandover.Release:
 		return append([]Action{ReportAborted{Term: m.accepted, Reason: "no replica caught up"}}, m.releaseWrites(now)...)
 	}
-	if now.Reached(m.switchover.polledAt.Add(t.CatchUpPollInterval)) {
-		m.switchover.polledAt = now
-		return []Action{Poll{}}
-	}
 	return nil
 }
 
 // successorCaughtUp reports whether a successor has the whole log of the drained
 // primary.
 func (m *Machine) successorCaughtUp(now dfclock.Millis, primary upstreamReport) bool {
-	if primary.askedAt < m.switchover.drainedAt {
+	drainedAt, drained := m.switchover.handover.DrainedAt()
+	if !drained || primary.askedAt < drainedAt {
 		return false
 	}
 	end := dfposition.Position{Term: primary.status.LogTerm, Offset: primary.status.Flushed}
