Hold writes to a leader while it is replaced, where replicas confirm commits

Cause: dfsuccession compared the logs once, before the claim. Until the platform had carried out the promotion, 1 s there, hosts went on sending writes, and the old leader needs any one replica to acknowledge them.

Change: the hosts stop sending writes and commits to the leader, each confirms, and a host that does not confirm has no lease for writes after 1.5 s. Only then are the logs compared, and the order is sent if a candidate has every acknowledged commit; otherwise the writes are released. The decision when the successor takes over is that of dffailover (dfhandover). Services without sync-replicas behave as before.

Evidence: the breadth-first search of the decision, TestExplorePromise, found the loss before the change, in a trace of 10 events (the target receives nothing, the logs are compared, a host writes, the target leads), and finds none in the 50,238 states after it; without the hold or the lease it finds one again. platform.TestHandoverToDeafReplica and TestHandoverWithoutACutOffHost lost acknowledged writes before.

--- a/dfcatalog/catalog.go
+++ b/dfcatalog/catalog.go
@@ -183,6 +183,16 @@
 	return c
 }
 
+// HasSyncReplicas reports whether replicas confirm the commits of a service.
+func (c Catalog) HasSyncReplicas() bool {
+	for _, service := range c.services {
+		if service.SyncReplicas > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // HasOrganisations reports whether callers are identified by keys.
 func (c Catalog) HasOrganisations() bool {
 	return len(c.organisations) > 0
--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -70,6 +70,10 @@
 	claimsLoadedAt dfclock.Millis
 	claimsLost     bool
 	membersLoaded  bool
+	// holds has the holds of services whose commits replicas confirm, by service.
+	// holdsLoaded is true once the host knows those that were accepted before its start.
+	holds       map[string]dfrevocation.Hold
+	holdsLoaded bool
 	// compressedDocument is the document for neighbours, or nil until it is first
 	// requested.
 	compressedDocument []byte
@@ -107,6 +111,8 @@
 	tickedAt  dfclock.Millis
 	resumedAt dfclock.Millis
 	quota     *quota
+	// majorityNeeded is true while this host counts a majority of the hosts.
+	majorityNeeded bool
 	// limitReturns decides when callers come back whose organisation has reached its
 	// limit, by organisation.
 	limitReturns map[string]*dfadmit.Returns
@@ -149,6 +155,14 @@
 	// leaderPaused is true while statements in flight at the leader finish and no
 	// new ones are sent.
 	leaderPaused bool
+	// heldAt is when writes to the leader were last held, and nextLeaderAt when the next
+	// leader was then expected. holdCount counts the confirmed holds, and writesInFlight
+	// the commits that were sent and not answered. earlierHold is the epoch of an earlier
+	// change whose promotion may take effect, or zero.
+	heldAt, nextLeaderAt dfclock.Millis
+	holdCount            uint64
+	writesInFlight       int
+	earlierHold          uint64
 	// leaderlessSince is since when the service has no known leader, or Never.
 	// Meanwhile upstreams are asked for their term: termQueriedAt is when, by
 	// upstream, and queryingTerm is true while a query runs.
@@ -172,6 +186,7 @@
 		fleet:            newFleet(options.Fencing),
 		drains:           newDrainRecords(),
 		services:         map[string]*service{},
+		holds:            map[string]dfrevocation.Hold{},
 		neighbours:       newNeighbours(options),
 		roster:           dfroster.New(options.Self),
 		announcedAt:      dfclock.Never,
@@ -227,6 +242,7 @@
 	go e.rewriteLostRows(work)
 	go e.tickLoop(work)
 	go e.quotaLoop(work)
+	go e.loadHolds(work)
 	if e.usesLeases() {
 		go e.loadClaims(work)
 		go e.keepRecord(work)
--- a/dfedge/execute.go
+++ b/dfedge/execute.go
@@ -23,6 +23,10 @@
 	led bool
 	// term is the upstream's term when the connection was acquired.
 	term dfposition.Term
+	// confirmed is true for a commit that replicas confirm, and holdCount is that of the
+	// service when it was sent.
+	confirmed bool
+	holdCount uint64
 }
 
 // acquire gets a connection for an attempt. Waiting attempts count as load of the
@@ -238,7 +242,13 @@
 			e.waitForChange(req.caller(), nil, min(req.deadline, e.options.Now().Add(refusedRetryDelay)))
 			continue
 		}
+		if held := e.beginWrite(req, a); held != nil {
+			e.release(req, a)
+			last = held
+			continue
+		}
 		answers, err := e.send(req, a, sess.sessionState, call)
+		acknowledged := e.endWrite(req, a)
 		if err != nil {
 			e.abandon(req, a, err)
 			if a.sent {
@@ -254,15 +264,8 @@
 		answer := answers[0]
 		e.release(req, a)
 		e.recordAnswer(req, a, answer, answer.OK())
-		if answer.OK() && !e.stillLeader(a) {
-			return sess.inDoubt(call, a.upstream, errLeaderReplaced(a.upstream))
-		}
-		if answer.OK() {
-			sess.recordCommit(answer.Position, e.options.Now())
-			return answer
-		}
-		if answer.Code.Outcome() != dfresult.NotRun {
-			return sess.upstreamFailed(call, a.upstream, answer)
+		if answer.OK() || answer.Code.Outcome() != dfresult.NotRun {
+			return sess.finishWrite(a, call, answer, acknowledged)
 		}
 		last = dfresult.NewError(answer.Code, "%s", answer.Detail)
 		sess.logRetry(call, a.upstream, last)
@@ -270,3 +273,16 @@
 	}
 	return sess.refused(call, last, last)
 }
+
+// finishWrite returns the answer to a write that ran. acknowledged is false if the next
+// leader may lack it.
+func (sess *session) finishWrite(a *attempt, call dfstatement.Call, answer dfstatement.Answer, acknowledged bool) dfstatement.Answer {
+	switch {
+	case !answer.OK():
+		return sess.upstreamFailed(call, a.upstream, answer)
+	case !acknowledged || !sess.edge.stillLeader(a):
+		return sess.inDoubt(call, a.upstream, errLeaderReplaced(a.upstream))
+	}
+	sess.recordCommit(answer.Position, sess.edge.options.Now())
+	return answer
+}
--- a/dfedge/lifecycle.go
+++ b/dfedge/lifecycle.go
@@ -103,7 +103,7 @@
 // lease or without the majority that limits need, and closes idle sessions once the load balancer has had time
 // to notice.
 func (e *Edge) updateReadiness(now dfclock.Millis) {
-	e.isolationKnown = e.isolationKnown || e.startupEvidence(now).isolationKnown() && e.leaseValid(now)
+	e.isolationKnown = e.isolationKnown || e.startupEvidence(now).isolationKnown() && e.leaseValid(now) && !e.awaitsWriteLease(now)
 	unready := e.stoppingAt != dfclock.Never || e.cutOff(now) || e.isolationKnown && !e.leaseValid(now) || e.majorityLost(now)
 	switch {
 	case !unready && e.unreadySince != dfclock.Never:
@@ -123,10 +123,10 @@
 }
 
 // majorityLost reports whether the host was in contact with a majority of the hosts and
-// is not any more, where organisations have limits. It then gets no tokens for its callers,
-// who are served elsewhere.
+// is not any more, where organisations have limits or replicas confirm commits. It then
+// gets no tokens for its callers, or no lease for their writes, and others serve them.
 func (e *Edge) majorityLost(now dfclock.Millis) bool {
-	if !e.catalog.HasOrganisations() {
+	if e.usesLeases() || !e.needsQuorum() {
 		return false
 	}
 	at := e.neighbours.QuorumAt(now)
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -142,7 +142,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Now()
-	request := dfneighbour.Request{Catalog: e.catalog.Version(), Fleet: e.fleet.Version(), HostsDigest: e.neighbours.Digest(), Roster: e.neighbours.RosterAsOf()}
+	request := dfneighbour.Request{Catalog: e.catalog.Version(), Fleet: e.fleet.Version(), HostsDigest: e.neighbours.Digest(), Roster: e.neighbours.RosterAsOf(), Holds: e.holdList()}
 	if e.neighbours.Speakers(now)[e.options.Self.DataCentre].Address == address {
 		for _, s := range e.services {
 			request.Leaders = append(request.Leaders, e.newLeaderState(now, s))
@@ -176,6 +176,13 @@
 			}
 			continue
 		}
+		if request.Hold != nil {
+			reply := e.handleHoldNotice(*request.Hold)
+			if err := dfneighbour.WriteReport(conn, dfneighbour.Report{Host: e.options.Self, HoldReply: &reply}); err != nil {
+				return
+			}
+			continue
+		}
 		if request.Notice != nil {
 			if err := e.replyToNotice(conn, *request.Notice); err != nil {
 				return
@@ -196,6 +203,7 @@
 	defer e.mu.Unlock()
 	now := e.options.Now()
 	e.adoptLeaderStates(now, request.Leaders)
+	e.adoptHolds(now, request.Holds)
 	e.neighbours.HandleRequest(now, lastReportAt, sender, request.Leaders)
 	report := dfneighbour.Report{
 		Host:            e.options.Self,
@@ -206,6 +214,8 @@
 		Isolated:        e.cutOff(now),
 		IsolationKnown:  e.canJudgeIsolation(now),
 		QuorumAge:       -1,
+		Holds:           e.holdList(),
+		HoldsLoaded:     e.holdsLoaded,
 	}
 	if e.usesLeases() {
 		report.ClaimsLoaded = e.claimsAdoptable(now)
@@ -310,6 +320,10 @@
 		e.fleet.RecordDrain(drain.ID, drain.Born, askedAt-drain.Age)
 	}
 	e.adoptLeaderStates(now, report.Leaders)
+	e.adoptHolds(now, report.Holds)
+	if report.HoldsLoaded && e.coversOwnPromises(askedAt, report.QuorumAge) {
+		e.holdsLoaded = true
+	}
 	if report.ClaimsLoaded && !e.claimsLoaded && e.loaded() && e.coversOwnPromises(askedAt, report.QuorumAge) {
 		e.adoptClaims(report.Leaders)
 	}
--- a/dfedge/quota.go
+++ b/dfedge/quota.go
@@ -83,7 +83,7 @@
 // needsQuorum reports whether hosts need to know when they were last in contact with a
 // majority. e.mu must be held.
 func (e *Edge) needsQuorum() bool {
-	return e.usesLeases() || e.catalog.HasOrganisations()
+	return e.usesLeases() || e.catalog.HasOrganisations() || e.catalog.HasSyncReplicas()
 }
 
 // admitOperation counts an operation against the limit of its organisation, before
@@ -264,24 +264,11 @@
 	e.mu.Lock()
 	now := e.options.Now()
 	catalog := e.catalog
+	e.observeMajority(now)
 	if !catalog.HasOrganisations() && e.quota.version == 0 {
 		e.mu.Unlock()
 		return false
 	}
-	if !e.usesLeases() {
-		periods := dfneighbour.DefaultPollPeriods()
-		switch {
-		case catalog.HasOrganisations() && now-e.startedAt < quotaStartSpan && e.neighbours.QuorumAt(now) < 0:
-			periods = dfneighbour.StartPollPeriods()
-		case catalog.HasOrganisations():
-			periods = dfneighbour.QuorumPollPeriods()
-		}
-		e.neighbours.SetPeriods(periods)
-		e.neighbours.SetMajorityNeeded(catalog.HasOrganisations())
-		if e.membersLoaded {
-			e.neighbours.MarkComplete()
-		}
-	}
 	hosts, heardAt, quorumAt := e.ownership(now)
 	e.mu.Unlock()
 	q := e.quota
@@ -296,6 +283,29 @@
 	return catalog.HasOrganisations()
 }
 
+// observeMajority makes this host count a majority while one is needed. e.mu must be held.
+func (e *Edge) observeMajority(now dfclock.Millis) {
+	needed := e.needsQuorum()
+	if e.usesLeases() || !needed && !e.majorityNeeded {
+		return
+	}
+	e.majorityNeeded = needed
+	periods := dfneighbour.DefaultPollPeriods()
+	switch {
+	case needed && now-e.startedAt < quotaStartSpan && e.neighbours.QuorumAt(now) < 0:
+		periods = dfneighbour.StartPollPeriods()
+	case e.catalog.HasSyncReplicas():
+		periods = dfneighbour.LeasePollPeriods()
+	case needed:
+		periods = dfneighbour.QuorumPollPeriods()
+	}
+	e.neighbours.SetPeriods(periods)
+	e.neighbours.SetMajorityNeeded(needed)
+	if e.membersLoaded {
+		e.neighbours.MarkComplete()
+	}
+}
+
 // ownership returns the hosts that may own limits, when a host first answered this one, and
 // the last contact with a majority. The last two count only since this host is in the host
 // table: others ask it for tokens from then on. e.mu must be held.
--- a/dfedge/recovery.go
+++ b/dfedge/recovery.go
@@ -215,7 +215,10 @@
 
 // countsAsContactLocked is countsAsContact with e.mu held.
 func (e *Edge) countsAsContactLocked() bool {
-	return !e.usesLeases() || e.claimsLoaded
+	if e.usesLeases() {
+		return e.claimsLoaded
+	}
+	return !e.catalog.HasSyncReplicas() || e.holdsLoaded
 }
 
 // promisesUnknown reports whether this host may have made promises before its start that
--- a/dfedge/revocation.go
+++ b/dfedge/revocation.go
@@ -194,28 +194,33 @@
 }
 
 func (e *Edge) sendNoticeOnce(ctx context.Context, host dfmember.Host, notice dfrevocation.Notice) (dfrevocation.Reply, error) {
+	report, err := e.requestOnce(ctx, host, dfneighbour.Request{Host: e.options.Self, Notice: &notice})
+	if err != nil {
+		return dfrevocation.Reply{}, err
+	}
+	if report.Reply == nil {
+		return dfrevocation.Reply{}, eris.Errorf("lease: %s did not answer the notice", host.ID)
+	}
+	return *report.Reply, nil
+}
+
+// requestOnce sends a request to a host over a connection of its own.
+func (e *Edge) requestOnce(ctx context.Context, host dfmember.Host, request dfneighbour.Request) (dfneighbour.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	conn, err := e.options.Dial(ctx, host.Address)
 	if err != nil {
-		return dfrevocation.Reply{}, eris.Wrapf(err, "lease: connect to %s", host.ID)
+		return dfneighbour.Report{}, eris.Wrapf(err, "lease: connect to %s", host.ID)
 	}
 	defer func() { _ = conn.Close() }()
 	deadline, _ := ctx.Deadline()
 	if err := conn.SetDeadline(deadline); err != nil {
-		return dfrevocation.Reply{}, eris.Wrap(err, "lease: set deadline")
+		return dfneighbour.Report{}, eris.Wrap(err, "lease: set deadline")
 	}
-	if err := dfneighbour.WriteRequest(conn, dfneighbour.Request{Host: e.options.Self, Notice: &notice}); err != nil {
-		return dfrevocation.Reply{}, err
-	}
-	report, err := dfneighbour.ReadReport(conn)
-	if err != nil {
-		return dfrevocation.Reply{}, err
+	if err := dfneighbour.WriteRequest(conn, request); err != nil {
+		return dfneighbour.Report{}, err
 	}
-	if report.Reply == nil {
-		return dfrevocation.Reply{}, eris.Errorf("lease: %s did not answer the notice", host.ID)
-	}
-	return *report.Reply, nil
+	return dfneighbour.ReadReport(conn)
 }
 
 // replyToNotice handles a neighbour's notice and sends the reply.
--- a/dfedge/route.go
+++ b/dfedge/route.go
@@ -102,8 +102,19 @@
 	}
 }
 
-// planWrite plans a statement that needs the leader.
+// planWrite plans a write, or the first statement of a transaction that may write.
 func (e *Edge) planWrite(req *routeRequest) decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Now()
+	if next := e.planHeldWrite(now, req); next != nil {
+		return next
+	}
+	return e.planLeader(now, req)
+}
+
+// planProof plans a statement that needs the leader and writes nothing.
+func (e *Edge) planProof(req *routeRequest) decision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.planLeader(e.options.Now(), req)
@@ -346,6 +357,7 @@
 	s.successor.Handle(now, dfsuccession.Answered{ID: id})
 	if proved && e.stillLeaderLocked(now, a) {
 		e.fleet.RecordLeader(id, sentAt)
+		e.endHold(s, id, sentAt)
 		if id == s.leader && !answer.Position.IsZero() {
 			s.timeline.Add(dffresh.Proof{At: sentAt, Position: answer.Position})
 		}
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -69,7 +69,12 @@
 	case dfsuccession.Claim:
 		return func() { e.claimEpoch(ctx, s, a) }
 	case dfsuccession.Revoke:
+		if e.confirmsWrites(s) {
+			return func() { e.holdWrites(ctx, s, a) }
+		}
 		return func() { e.revoke(ctx, s, a) }
+	case dfsuccession.Release:
+		return func() { e.releaseWrites(ctx, s, a.Epoch) }
 	case dfsuccession.Promote:
 		return func() { e.orderPromotion(ctx, s, a) }
 	}
@@ -89,7 +94,7 @@
 
 // situation returns the input of a service's failover decisions.
 func (e *Edge) situation(now dfclock.Millis, s *service) dfsuccession.Observation {
-	situation := dfsuccession.Observation{AwaitingLeader: s.leaderStatements > 0, DelegatesProbes: !e.neighbours.IsProber(now), NoQuorum: !e.leaseValid(now)}
+	situation := dfsuccession.Observation{AwaitingLeader: s.leaderStatements > 0, DelegatesProbes: !e.neighbours.IsProber(now), NoQuorum: !e.leaseValid(now) || !e.writeLeaseValid(now, s)}
 	if e.neighbours.IsSpeaker(now) && !e.neighbours.RemoteReachable(now) {
 		// Detecting isolation needs the state of all leaders, including those that
 		// no statement waits for.
@@ -97,14 +102,16 @@
 	}
 	upstreams := e.fleet.ByService(s.name)
 	config, _ := e.catalog.Service(s.name)
-	situation.UpstreamCount, situation.SyncReplicas = len(upstreams), config.SyncReplicas
+	situation.SyncReplicas = config.SyncReplicas
 	for _, upstream := range upstreams {
+		situation.Upstreams = append(situation.Upstreams, dfsuccession.Upstream{ID: upstream.ID})
 		if !e.fleet.Leaving(now, upstream.ID) {
 			situation.Candidates = append(situation.Candidates, upstream.ID)
 		}
 	}
 	if leader, ok := e.fleet.Leader(now, s.name); ok {
 		situation.Leader = leader.ID
+		situation.WritesHeld = e.confirmsWrites(s) && e.holds[s.name].Holds(leader.ID)
 		situation.LeaderLeaving = e.fleet.Leaving(now, leader.ID)
 		situation.SuspectedByProber = situation.DelegatesProbes && e.neighbours.SpeakerSuspects(now, s.name, leader.ID)
 		situation.ExpectedDelay = leaderSilenceFactor * s.placer.ExpectedWait(now, leader.ID)
@@ -179,6 +186,7 @@
 	if report.Primary {
 		e.fleet.RecordLeader(id, askedAt)
 		e.updateLeader(now, s)
+		e.endHold(s, id, askedAt)
 		if id == s.leader && !replaced && e.leaseValid(now) {
 			s.timeline.Add(dffresh.Proof{At: askedAt, Position: answer.Position})
 		}
@@ -383,13 +391,20 @@
 	if last.Target == wanted.Replaced || last.Target == "" {
 		return false
 	}
-	return now-s.lastClaimSeenAt < e.claimHold()
+	if e.confirmsWrites(s) && wanted.Replaced != "" && last.Replaced != wanted.Replaced {
+		// It replaced the leader by another upstream than the claimed one.
+		return false
+	}
+	return now-s.lastClaimSeenAt < e.claimHold(s)
 }
 
 // claimHold returns how long another host's claim is given to take effect.
-func (e *Edge) claimHold() dfclock.Millis {
-	if e.usesLeases() {
+func (e *Edge) claimHold(s *service) dfclock.Millis {
+	switch {
+	case e.usesLeases():
 		return dfrevocation.PromiseSpan
+	case e.confirmsWrites(s):
+		return dfsuccession.HeldChangeSpan
 	}
 	return fencedClaimHold
 }
@@ -449,7 +464,7 @@
 		e.mu.Unlock()
 	}()
 	req := &routeRequest{service: s, deadline: e.options.Now().Add(2 * statusTimeout)}
-	next, ok := e.planWrite(req).(sendTo)
+	next, ok := e.planProof(req).(sendTo)
 	if !ok {
 		sleep(ctx, tickInterval)
 		return
--- a/dfedge/transaction.go
+++ b/dfedge/transaction.go
@@ -229,11 +229,22 @@
 	if t.failed || t.lostCause != nil {
 		return t.commitFailed()
 	}
+	if t.wrote && t.attempt != nil {
+		if held := sess.edge.beginWrite(t.request, t.attempt); held != nil {
+			return t.refuseCommit(call, held)
+		}
+	}
+	a := t.attempt
 	answer := t.runAtUpstream(call, now)
+	acknowledged := !t.wrote || a == nil || sess.edge.endWrite(t.request, a)
 	sess.tx = nil
 	if t.attempt == nil {
 		return answer.WithState(dfstatement.Idle)
 	}
+	if answer.OK() && !acknowledged {
+		t.closeConnection()
+		return sess.inDoubt(call, a.upstream, errLeaderReplaced(a.upstream))
+	}
 	if answer.OK() && answer.State == dfstatement.Idle {
 		if t.wrote {
 			sess.recordCommit(answer.Position, sess.edge.options.Now())
@@ -246,6 +257,16 @@
 	return sess.upstreamFailed(call, "", answer).WithState(dfstatement.Idle)
 }
 
+// refuseCommit rolls back a transaction whose leader is being replaced.
+func (t *transaction) refuseCommit(call dfstatement.Call, why *dfresult.Error) dfstatement.Answer {
+	sess := t.session
+	sess.edge.rollBack(t.request, t.attempt)
+	t.attempt = nil
+	sess.tx = nil
+	failure := dfresult.NewError(dfresult.TransactionLost, "%s", why.Error())
+	return sess.refused(call, failure, failure)
+}
+
 // commitFailed answers the commit of a failed transaction with a rollback.
 func (t *transaction) commitFailed() dfstatement.Answer {
 	t.closeConnection()
--- a/dfneighbour/report.go
+++ b/dfneighbour/report.go
@@ -135,6 +135,10 @@
 	Fetch bool
 	// Notice revokes the leadership of a leader. The report then has only a Reply.
 	Notice *dfrevocation.Notice
+	// Hold stops writes to a leader. The report then has only a HoldReply.
+	Hold *dfrevocation.HoldNotice
+	// Holds are the holds that the host knows.
+	Holds []dfrevocation.Hold
 }
 
 // Report is the answer to a Request.
@@ -180,6 +184,12 @@
 	ClaimsLoaded bool
 	// Reply is the answer to a Notice.
 	Reply *dfrevocation.Reply
+	// HoldReply answers a HoldNotice.
+	HoldReply *dfrevocation.HoldReply
+	// Holds are the holds that the host knows. HoldsLoaded is true if it knows those that
+	// were accepted before it started.
+	Holds       []dfrevocation.Hold
+	HoldsLoaded bool
 }
 
 // WriteRequest sends a request.
--- a/dfsuccession/explore_test.go
+++ b/dfsuccession/explore_test.go
@@ -438,7 +438,7 @@
 // upstreams can't answer, since the suspected leader does not.
 func (s modelState) selectTarget(host, leader int, order []int) int {
 	ids := []dffleet.ID{"0", "1", "2"}
-	observation := Observation{Leader: ids[leader], UpstreamCount: modelUpstreams, Candidates: ids}
+	observation := Observation{Leader: ids[leader], Upstreams: []Upstream{{ID: "0"}, {ID: "1"}, {ID: "2"}}, Candidates: ids}
 	c := New(0, PlatformFences{})
 	c.Step(0, observation)
 	for range suspectAfterFailures {
--- /dev/null
+++ b/dfsuccession/promotable.go
@@ -0,0 +1,143 @@
+package dfsuccession
+
+import (
+	"slices"
+
+	"dragonflygrade/dfclock"
+	"dragonflygrade/dffleet"
+	"dragonflygrade/dfhandover"
+	"dragonflygrade/dfposition"
+)
+
+const (
+	// catchUpTimeout bounds the wait, while writes are held, for an upstream that has
+	// every acknowledged commit. It allows for a query of busy upstreams and one more.
+	catchUpTimeout = 600 * dfclock.Millisecond
+	// catchUpPollInterval separates the queries meanwhile.
+	catchUpPollInterval = 150 * dfclock.Millisecond
+	// catchUpRetryDelay is the pause after no upstream had every acknowledged commit.
+	catchUpRetryDelay = 500 * dfclock.Millisecond
+	// heldPromotionSpan is how long after its claim a change whose writes are held may
+	// order its promotion: a revocation, the wait for the logs and the retries of an order.
+	heldPromotionSpan = 3500 * dfclock.Millisecond
+	// HeldChangeSpan is how long after its claim such a change may take effect. Another
+	// host that changes the leader meanwhile could discard commits of the next one.
+	HeldChangeSpan = heldPromotionSpan + promotionTimeout
+)
+
+// promotable returns the report of the upstream to promote, or nil if none may lead.
+// Where replicas confirm commits, that upstream has every acknowledged commit.
+func (c *Coordinator) promotable(observation Observation) *StatusReceived {
+	// The minority side of a partition leaves the promotion to the majority side.
+	if len(c.reports)*2 <= len(observation.Upstreams) {
+		return nil
+	}
+	if observation.SyncReplicas == 0 {
+		return c.longestLog(observation.Candidates, dfposition.Position{})
+	}
+	end, known := c.acknowledgedEnd(observation)
+	if !known {
+		return nil
+	}
+	return c.longestLog(observation.Candidates, end)
+}
+
+// longestLog returns the report with the longest log among the candidates, unless it
+// lacks the position or its term is older than that of another upstream. Promoting it
+// would then restore commits that the newer term discarded.
+func (c *Coordinator) longestLog(candidates []dffleet.ID, end dfposition.Position) *StatusReceived {
+	var best *StatusReceived
+	for i := range c.reports {
+		report := &c.reports[i]
+		if report.ID == c.leader || !slices.Contains(candidates, report.ID) {
+			continue
+		}
+		if best == nil || best.Received.Less(report.Received) {
+			best = report
+		}
+	}
+	if best == nil || best.Received.Less(end) || c.newerTermReported(best) {
+		return nil
+	}
+	return best
+}
+
+// acknowledgedEnd returns a position up to which a log has every acknowledged commit.
+// Each of them is in the log of the leader, and in those of as many replicas as have to
+// confirm it: if fewer replicas than that have not reported, one of the others has it.
+func (c *Coordinator) acknowledgedEnd(observation Observation) (end dfposition.Position, known bool) {
+	missing := 0
+	for _, upstream := range observation.Upstreams {
+		if upstream.ID != c.lastLeader && !c.hasReport(upstream.ID) {
+			missing++
+		}
+	}
+	if missing < observation.SyncReplicas {
+		for _, report := range c.reports {
+			if report.ID != c.lastLeader && slices.Contains(observation.Candidates, report.ID) {
+				end = end.Max(report.Received)
+			}
+		}
+		return end, true
+	}
+	if c.leaderEnd != (dfposition.Position{}) {
+		return c.leaderEnd, true
+	}
+	for _, report := range c.reports {
+		if report.ID == c.lastLeader {
+			return report.Received, true
+		}
+	}
+	return dfposition.Position{}, false
+}
+
+// askAgain reports whether the candidates are to be asked again: the leader went on
+// writing while they answered, so they are compared with an earlier end of its log.
+func (c *Coordinator) askAgain(observation Observation) bool {
+	if observation.SyncReplicas == 0 || c.leaderEnd != (dfposition.Position{}) {
+		return false
+	}
+	for _, report := range c.reports {
+		if report.ID == c.leader && report.Primary {
+			c.leaderEnd = report.Received
+			return true
+		}
+	}
+	return false
+}
+
+// beginHeldChange starts the comparison of the logs after writes are held.
+func (c *Coordinator) beginHeldChange(now dfclock.Millis) {
+	c.reports, c.leaderEnd = nil, dfposition.Position{}
+	c.handover = dfhandover.New(now, dfhandover.Timings{CatchUpTimeout: catchUpTimeout, CatchUpPollInterval: catchUpPollInterval})
+	c.enterPhase(now, comparing)
+}
+
+// compare waits, while writes are held, until an upstream has every acknowledged
+// commit. A target that was chosen earlier may have stopped receiving.
+func (c *Coordinator) compare(now dfclock.Millis, observation Observation) Action {
+	best := c.promotable(observation)
+	next, decision := c.handover.WithStep(now, 0, best != nil)
+	c.handover = next
+	switch decision.(type) {
+	case dfhandover.Poll:
+		return QueryAll{}
+	case dfhandover.Change:
+		c.target = best.ID
+		c.enterPhase(now, promoting)
+		return c.promote(now)
+	case dfhandover.Release:
+		c.resumeWatching(now, catchUpRetryDelay)
+		return c.release()
+	}
+	return NoAction{}
+}
+
+// release returns the action that ends a hold under which no order can take effect.
+func (c *Coordinator) release() Action {
+	if !c.holding || c.orderSent {
+		return NoAction{}
+	}
+	c.holding = false
+	return Release{Epoch: c.epoch}
+}
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -104,12 +105,28 @@
 	observation := Observation{
 		Leader: dffleet.ID(values["leader"]), LeaderLeaving: values["leaving"] != "", AwaitingLeader: values["awaiting"] != "",
 		DelegatesProbes: values["delegates"] != "", SuspectedByProber: values["suspectedbyprober"] != "",
-		ExpectedDelay: dfclock.Millis(count("delay")), UpstreamCount: count("upstreams"), SyncReplicas: count("sync"),
+		ExpectedDelay: dfclock.Millis(count("delay")), SyncReplicas: count("sync"), WritesHeld: values["held"] != "",
 		Rank: count("rank"), AliveVotes: count("alivevotes"), DeadVotes: count("deadvotes"),
 	}
 	for _, id := range strings.Split(values["candidates"], ",") {
 		observation.Candidates = append(observation.Candidates, dffleet.ID(id))
 	}
+	// The other upstreams are the leader, the draining ones and some without a name.
+	listed := append([]dffleet.ID{observation.Leader}, observation.Candidates...)
+	if values["draining"] != "" {
+		for _, id := range strings.Split(values["draining"], ",") {
+			listed = append(listed, dffleet.ID(id))
+		}
+	}
+	slices.Sort(listed)
+	for _, id := range slices.Compact(listed) {
+		if id != "" {
+			observation.Upstreams = append(observation.Upstreams, Upstream{ID: id})
+		}
+	}
+	for n := len(observation.Upstreams); n < count("upstreams"); n++ {
+		observation.Upstreams = append(observation.Upstreams, Upstream{ID: dffleet.ID(fmt.Sprint("other", n))})
+	}
 	return observation
 }
 
@@ -139,6 +156,10 @@
 		return Claimed{Epoch: uint64(number(t, plain[0]))}
 	case "claimfailed":
 		return ClaimFailed{}
+	case "revoked":
+		return Revoked{}
+	case "revokefailed":
+		return RevokeFailed{}
 	case "promoteaccepted":
 		return PromoteAccepted{}
 	case "promoteunanswered":
@@ -171,6 +192,10 @@
 		return "queryall"
 	case Claim:
 		return "claim " + string(a.Target)
+	case Revoke:
+		return fmt.Sprintf("revoke %s %d", a.Replaced, a.Epoch)
+	case Release:
+		return fmt.Sprintf("release %d", a.Epoch)
 	case Promote:
 		return fmt.Sprintf("promote %s %d", a.Target, a.Epoch)
 	}
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -5,10 +5,9 @@
 package dfsuccession
 
 import (
-	"slices"
-
 	"dragonflygrade/dfclock"
 	"dragonflygrade/dffleet"
+	"dragonflygrade/dfhandover"
 	"dragonflygrade/dfposition"
 	"dragonflygrade/dfrevocation"
 )
@@ -91,7 +90,8 @@
 // replacing the named leader.
 type Claim struct{ Target, Replaced dffleet.ID }
 
-// Revoke asks all hosts to stop using the leader.
+// Revoke asks all hosts to stop using the leader. Where the platform fences, they only
+// stop sending it writes, until it is replaced or a Release.
 type Revoke struct {
 	Target, Replaced dffleet.ID
 	Epoch            uint64
@@ -103,12 +103,17 @@
 	Epoch  uint64
 }
 
+// Release lets the hosts send writes to the leader again. No promotion of the epoch was
+// sent, or it was refused.
+type Release struct{ Epoch uint64 }
+
 func (NoAction) action() {}
 func (Probe) action()    {}
 func (QueryAll) action() {}
 func (Claim) action()    {}
 func (Revoke) action()   {}
 func (Promote) action()  {}
+func (Release) action()  {}
 
 // Event is the result of an action, or an observation about an upstream.
 type Event interface{ event() }
@@ -176,6 +181,9 @@
 func (PromoteRefused) event()    {}
 func (PromoteUnanswered) event() {}
 
+// Upstream is an upstream in the list.
+type Upstream struct{ ID dffleet.ID }
+
 // Observation is what the host knows of the service at a step.
 type Observation struct {
 	// Leader is empty if no upstream is believed to lead.
@@ -187,12 +195,14 @@
 	AwaitingLeader bool
 	// ExpectedDelay is the silence to expect at the leader's load, or zero.
 	ExpectedDelay dfclock.Millis
+	// Upstreams are all upstreams of the service in the list.
+	Upstreams []Upstream
 	// Candidates are the upstreams that may lead, without draining ones.
 	Candidates []dffleet.ID
-	// UpstreamCount is the number of all upstreams of the service in the list.
-	UpstreamCount int
 	// SyncReplicas is the number of replicas that have each acknowledged commit.
 	SyncReplicas int
+	// WritesHeld is true while hosts send no writes to the leader because of a change.
+	WritesHeld bool
 	// DelegatesProbes is true if other hosts of the data centre probe the leader
 	// for this one. Probes of many hosts would fill the slots of a busy leader.
 	DelegatesProbes bool
@@ -216,6 +226,7 @@
 	querying
 	claiming
 	revoking
+	comparing
 	promoting
 	awaitingPromotion
 )
@@ -253,9 +264,23 @@
 	suspectedSince  dfclock.Millis
 	leaderlessSince dfclock.Millis
 	leavingSince    dfclock.Millis
-	reports         []StatusReceived
-	queryEnded      bool
-	target          dffleet.ID
+	// heldSince is since when writes to the leader are held, or Never.
+	heldSince dfclock.Millis
+	// reports has the newest report of each upstream that answered.
+	reports    []StatusReceived
+	queryEnded bool
+	// leaderEnd is an earlier end of the leader's log to compare the candidates with, or
+	// zero.
+	leaderEnd dfposition.Position
+	// syncReplicas is that of the last observation, and lastLeader the last leader that was
+	// known.
+	syncReplicas int
+	lastLeader   dffleet.ID
+	// holding is true while the hosts send no writes to the leader because of this
+	// change. handover decides how long they wait for the target.
+	holding  bool
+	handover dfhandover.Handover
+	target   dffleet.ID
 	// replaced is the leader that target replaces.
 	replaced        dffleet.ID
 	epoch           uint64
@@ -264,6 +289,8 @@
 	promoteDeadline dfclock.Millis
 	// requestInFlight is true while a revocation or promotion waits for its answer.
 	requestInFlight bool
+	// orderSent is true if a promotion of the epoch may take effect.
+	orderSent bool
 	// backoffUntil is the instant before which no change is started.
 	backoffUntil      dfclock.Millis
 	promoteAcceptedAt dfclock.Millis
@@ -276,7 +303,7 @@
 	return &Coordinator{
 		fencing:    fencing,
 		phaseStart: now, answeredAt: now, suspectedSince: dfclock.Never,
-		leaderlessSince: dfclock.Never, leavingSince: dfclock.Never, promotionTime: defaultPromotionTime,
+		leaderlessSince: dfclock.Never, leavingSince: dfclock.Never, heldSince: dfclock.Never, promotionTime: defaultPromotionTime,
 	}
 }
 
@@ -313,6 +340,11 @@
 	return c.phase != watching
 }
 
+// PromotionTime returns the expected duration of a promotion.
+func (c *Coordinator) PromotionTime() dfclock.Millis {
+	return c.promotionTime
+}
+
 // LeaderExpectedAt estimates when the service will have a leader. It is in the
 // past if the service has one.
 func (c *Coordinator) LeaderExpectedAt(now dfclock.Millis) dfclock.Millis {
@@ -354,7 +386,7 @@
 		c.queryEnded = true
 	case Claimed:
 		if c.phase == claiming {
-			c.epoch, c.promoteAttempts, c.requestInFlight = e.Epoch, 0, false
+			c.epoch, c.promoteAttempts, c.requestInFlight, c.orderSent = e.Epoch, 0, false, false
 			c.onClaimed(now)
 		}
 	case ClaimFailed:
@@ -362,7 +394,7 @@
 	case Revoked:
 		if c.phase == revoking {
 			c.requestInFlight = false
-			c.enterPhase(now, promoting)
+			c.onRevoked(now)
 		}
 	case RevokeFailed:
 		if c.phase == revoking {
@@ -374,6 +406,7 @@
 			c.enterPhase(now, awaitingPromotion)
 		}
 	case PromoteRefused:
+		c.orderSent = c.orderSent && c.promoteAttempts > 0
 		c.resumeWatching(now, probeInterval)
 	case PromoteUnanswered:
 		if c.phase == promoting {
@@ -395,11 +428,27 @@
 		c.promoteDeadline = c.phaseStart.Add(dfrevocation.PromiseSpan - promoteSafetyMargin)
 		c.enterPhase(now, revoking)
 	default:
+		if c.syncReplicas > 0 {
+			c.promoteDeadline = now.Add(heldPromotionSpan)
+			c.enterPhase(now, revoking)
+			return
+		}
 		c.promoteDeadline = now.Add(promotionTimeout)
 		c.enterPhase(now, promoting)
 	}
 }
 
+// onRevoked starts the next phase after no host uses the leader any more, or sends it
+// writes.
+func (c *Coordinator) onRevoked(now dfclock.Millis) {
+	if c.syncReplicas == 0 {
+		c.enterPhase(now, promoting)
+		return
+	}
+	_, c.holding = c.fencing.(PlatformFences)
+	c.beginHeldChange(now)
+}
+
 func (c *Coordinator) recordAnswer(now dfclock.Millis) {
 	c.answeredAt = now
 	c.probeFailures = 0
@@ -414,14 +463,31 @@
 			c.probeLatency, c.probeLatencyAt = now-report.AskedAt, now
 		}
 	}
-	if c.phase == querying {
-		c.reports = append(c.reports, report)
+	switch c.phase {
+	case querying:
+		c.addReport(report)
+	case comparing:
+		// Logs that were asked for earlier may lack commits that were acknowledged since.
+		if drainedAt, drained := c.handover.DrainedAt(); drained && report.AskedAt >= drainedAt {
+			c.addReport(report)
+		}
 	}
 	if report.ID == c.leader {
 		c.recordAnswer(now)
 	}
 }
 
+// addReport keeps the newest report of each upstream.
+func (c *Coordinator) addReport(report StatusReceived) {
+	for i := range c.reports {
+		if c.reports[i].ID == report.ID {
+			c.reports[i] = report
+			return
+		}
+	}
+	c.reports = append(c.reports, report)
+}
+
 func (c *Coordinator) enterPhase(now dfclock.Millis, next phase) {
 	c.phase, c.phaseStart = next, now
 }
@@ -435,13 +501,18 @@
 // Step returns the next action. It is called several times a second.
 func (c *Coordinator) Step(now dfclock.Millis, observation Observation) Action {
 	c.observe(now, observation)
-	if c.abortable() && c.leader != "" && !c.Suspected() && !observation.LeaderLeaving {
+	if c.abortable() && c.leader != "" && !c.Suspected() && !observation.LeaderLeaving && !observation.WritesHeld {
 		// The leader answered in the meantime.
 		c.resumeWatching(now, probeInterval)
 	}
 	switch c.phase {
 	case watching:
+		if c.holding && !c.orderSent {
+			return c.release()
+		}
 		return c.watch(now, observation)
+	case comparing:
+		return c.compare(now, observation)
 	case querying:
 		return c.selectTarget(now, observation)
 	case awaitingPromotion:
@@ -457,7 +528,7 @@
 // abortable reports whether a change of the leader is under way that can still be
 // aborted without an effect.
 func (c *Coordinator) abortable() bool {
-	return c.phase == querying || c.phase == claiming || c.phase == promoting && !c.requestInFlight
+	return !c.holding && (c.phase == querying || c.phase == claiming || c.phase == promoting && !c.requestInFlight)
 }
 
 // revoke sends the revocation once; dfrevocation.RevocationTimeout bounds it.
@@ -479,17 +550,21 @@
 	if c.requestInFlight {
 		return NoAction{}
 	}
-	c.requestInFlight = true
+	c.requestInFlight, c.orderSent = true, true
 	return Promote{Target: c.target, Epoch: c.epoch}
 }
 
 // observe updates the state that depends on the current leader.
 func (c *Coordinator) observe(now dfclock.Millis, observation Observation) {
+	c.syncReplicas = observation.SyncReplicas
 	if observation.Leader != c.leader {
 		if c.phase != watching && c.phase != awaitingPromotion && !c.leaderRevoked(observation) {
 			// The change in progress concerns another leader.
 			c.resumeWatching(now, conflictBackoff)
 		}
+		if observation.Leader != "" && observation.Leader != c.lastLeader {
+			c.lastLeader = observation.Leader
+		}
 		c.leader = observation.Leader
 		c.recordAnswer(now)
 		c.answered = false
@@ -498,6 +573,7 @@
 	}
 	c.leaderlessSince = trackSince(now, c.leaderlessSince, observation.Leader == "")
 	c.leavingSince = trackSince(now, c.leavingSince, observation.LeaderLeaving)
+	c.heldSince = trackSince(now, c.heldSince, observation.WritesHeld)
 	if observation.DelegatesProbes {
 		c.suspectedSince = trackSince(now, c.suspectedSince, observation.SuspectedByProber)
 	}
@@ -505,7 +581,7 @@
 
 // leaderRevoked reports whether there is no leader because this host revoked it.
 func (c *Coordinator) leaderRevoked(observation Observation) bool {
-	return observation.Leader == "" && (c.phase == revoking || c.phase == promoting)
+	return observation.Leader == "" && (c.phase == revoking || c.phase == comparing || c.phase == promoting)
 }
 
 // trackSince returns since when a condition holds, or Never if it does not.
@@ -522,9 +598,8 @@
 	}
 	delay := dfclock.Millis(observation.Rank) * rankDelay
 	if c.changeDue(now, observation, delay) {
-		c.reports, c.queryEnded = nil, false
-		c.enterPhase(now, querying)
-		return QueryAll{}
+		c.leaderEnd = dfposition.Position{}
+		return c.query(now)
 	}
 	silent := observation.AwaitingLeader && now-c.answeredAt >= max(silenceTimeout, observation.ExpectedDelay)
 	connectionFailed := c.connectionFailedAt > c.answeredAt
@@ -538,6 +613,13 @@
 	return NoAction{}
 }
 
+// query asks all upstreams for their logs.
+func (c *Coordinator) query(now dfclock.Millis) Action {
+	c.reports, c.queryEnded = nil, false
+	c.enterPhase(now, querying)
+	return QueryAll{}
+}
+
 func (c *Coordinator) probe(now dfclock.Millis, id dffleet.ID, expectedDelay dfclock.Millis) Action {
 	c.probesInFlight, c.probedAt = c.probesInFlight+1, now
 	if id == c.leader && now-c.probeLatencyAt < probeLatencyTTL {
@@ -559,34 +641,37 @@
 		return !observation.DelegatesProbes && now-c.suspectedSince >= delay && observation.DeadVotes+1 > observation.AliveVotes
 	case c.leavingSince != dfclock.Never:
 		return now-c.leavingSince >= delay
+	case c.heldSince != dfclock.Never:
+		// The host that held the writes did not end the change. Its order may still take
+		// effect, so only another change may end the hold.
+		return now-c.heldSince >= HeldChangeSpan+delay
 	}
 	return false
 }
 
-// selectTarget claims an epoch for the replica with the longest log once a
-// majority of the upstreams answered. The minority side of a partition thus
-// leaves the promotion to the majority side.
+// selectTarget claims an epoch for the upstream to promote, once the upstreams answered.
 func (c *Coordinator) selectTarget(now dfclock.Millis, observation Observation) Action {
 	if !c.queryEnded && now-c.phaseStart < queryTimeout && c.reportsMissing(observation) {
 		return NoAction{}
 	}
-	var best *StatusReceived
-	for i := range c.reports {
-		report := &c.reports[i]
-		if report.Primary && !report.Replaced && (report.ID != c.leader || !observation.LeaderLeaving) {
+	replaceable := observation.LeaderLeaving || observation.WritesHeld
+	for _, report := range c.reports {
+		if report.Primary && !report.Replaced && (report.ID != c.leader || !replaceable) {
 			// The service has a live leader.
 			c.resumeWatching(now, probeInterval)
 			return NoAction{}
 		}
-		if report.ID == c.leader || !slices.Contains(observation.Candidates, report.ID) {
-			continue
+	}
+	best := c.promotable(observation)
+	if best == nil {
+		if c.askAgain(observation) {
+			return c.query(now)
 		}
-		if best == nil || best.Received.Less(report.Received) {
-			best = report
+		backoff := probeInterval
+		if observation.SyncReplicas > 0 && !c.Suspected() {
+			backoff = catchUpRetryDelay
 		}
-	}
-	if best == nil || !c.enoughReports(observation) || c.newerTermReported(best) {
-		c.resumeWatching(now, probeInterval)
+		c.resumeWatching(now, backoff)
 		return NoAction{}
 	}
 	c.target, c.replaced = best.ID, c.leader
@@ -594,20 +679,6 @@
 	return Claim{Target: best.ID, Replaced: c.leader}
 }
 
-// enoughReports reports whether a majority of the upstreams answered, and enough
-// replicas that one of them has every acknowledged commit: fewer replicas are
-// missing than acknowledge each commit.
-func (c *Coordinator) enoughReports(observation Observation) bool {
-	replicas := 0
-	for _, report := range c.reports {
-		if report.ID != c.leader {
-			replicas++
-		}
-	}
-	missing := observation.UpstreamCount - 1 - replicas
-	return len(c.reports)*2 > observation.UpstreamCount && (observation.SyncReplicas == 0 || missing < observation.SyncReplicas)
-}
-
 // newerTermReported reports whether an upstream has seen a newer term than the
 // candidate. Promoting the candidate would restore commits that the newer term
 // discarded.
@@ -620,10 +691,17 @@
 	return false
 }
 
-// reportsMissing reports whether a candidate has not reported yet. A suspected
-// leader is not waited for.
+// reportsMissing reports whether a candidate has not reported yet, or, where replicas
+// confirm commits, any upstream. A suspected leader is not waited for.
 func (c *Coordinator) reportsMissing(observation Observation) bool {
-	for _, id := range observation.Candidates {
+	awaited := observation.Candidates
+	if observation.SyncReplicas > 0 {
+		awaited = nil
+		for _, upstream := range observation.Upstreams {
+			awaited = append(awaited, upstream.ID)
+		}
+	}
+	for _, id := range awaited {
 		if id == c.leader && c.Suspected() {
 			continue
 		}
