Compare the logs of draining replicas in a promotion

Cause: the check that some replica has every acknowledged commit counted the draining replica's answer; the choice of the target passed over it. So the replica with the commits could count and not be compared.

Change: the longest log of all replicas that answer is what a target needs. If no candidate has it and the leader does not answer, the draining replica leads until an upstream that stays has caught up. If nobody has it, nobody is promoted.

Evidence: before the change TestExplorePromise (draining replica and crash) finds the loss after 12 events, with held writes after 16; after it, none in all 28,056 states. platform.TestDrainingReplicaHasTheCommits and two cases of succession.txt failed before.

A handover with a draining replica beside it is compared with an earlier end of the leader's log, so that it does not wait for a candidate that is always a few commits behind.

--- a/dfsuccession/explore_promise_test.go
+++ b/dfsuccession/explore_promise_test.go
@@ -43,6 +43,7 @@
 var promiseScenarios = []promiseScenario{
 	{name: "draining leader", writes: 2, deafnesses: 1, drains: 0},
 	{name: "crash", writes: 2, deafnesses: 1, drains: -1, crash: true},
+	{name: "draining replica and crash", writes: 2, deafnesses: 1, drains: 1, crash: true},
 }
 
 // promiseUpstream is the state of an upstream.
--- a/dfsuccession/promotable.go
+++ b/dfsuccession/promotable.go
@@ -39,7 +39,23 @@
 	if !known {
 		return nil
 	}
-	return c.longestLog(observation.Candidates, end)
+	best := c.longestLog(observation.Candidates, end)
+	if best == nil && (c.Suspected() || observation.Leader == "") {
+		// An upstream that drains leads until one that stays has caught up.
+		return c.longestLog(leavingUpstreams(observation), end)
+	}
+	return best
+}
+
+// leavingUpstreams returns the upstreams that are in the list and are no candidates.
+func leavingUpstreams(observation Observation) []dffleet.ID {
+	var leaving []dffleet.ID
+	for _, upstream := range observation.Upstreams {
+		if !slices.Contains(observation.Candidates, upstream.ID) {
+			leaving = append(leaving, upstream.ID)
+		}
+	}
+	return leaving
 }
 
 // longestLog returns the report with the longest log among the candidates, unless it
@@ -66,6 +82,9 @@
 // Each of them is in the log of the leader, and in those of as many replicas as have to
 // confirm it: if fewer replicas than that have not reported, one of the others has it.
 func (c *Coordinator) acknowledgedEnd(observation Observation) (end dfposition.Position, known bool) {
+	if c.leaderEnd != (dfposition.Position{}) {
+		return c.leaderEnd, true
+	}
 	missing := 0
 	for _, upstream := range observation.Upstreams {
 		if upstream.ID != c.lastLeader && !c.hasReport(upstream.ID) {
@@ -74,15 +93,12 @@
 	}
 	if missing < observation.SyncReplicas {
 		for _, report := range c.reports {
-			if report.ID != c.lastLeader && slices.Contains(observation.Candidates, report.ID) {
+			if report.ID != c.lastLeader {
 				end = end.Max(report.Received)
 			}
 		}
 		return end, true
 	}
-	if c.leaderEnd != (dfposition.Position{}) {
-		return c.leaderEnd, true
-	}
 	for _, report := range c.reports {
 		if report.ID == c.lastLeader {
 			return report.Received, true
