Miss the log of a replica that left until others have caught up

With sync-replicas, a commit is acknowledged once one replica has it. That replica may leave, as planned or in a crash; only the primary has the commit then. If the primary crashed before another replica had caught up, the other one was promoted as soon as the entries of both had expired, and callers lost writes that they were told are committed.

Cause: the replicas whose logs are needed were counted from the list of upstreams, which forgets those that left.

Change: a Coordinator remembers replicas that left. Their logs count as missing until as many other replicas as have to confirm a commit have what the leader had after the departure (the logs are asked for every 0.5 s until then), until the next upstream is at the address of one that drained, which gets its log, or until another upstream leads. An upstream that starts again under its ID counts as one that left.

Evidence: platform.TestReplicaWithTheCommitsLeft and the first new case of succession.txt failed before: the replica without the commits led. The second case fails with a replica that is missed for good.

Also from a review of the hold: a release that arrives before its notice is kept under its service, and a host that has not loaded the holds reports no contact with a majority. Metrics count holds and the commits whose outcome they left unknown.

--- a/dfedge/counters.go
+++ b/dfedge/counters.go
@@ -25,6 +25,8 @@
 	probesFailed        *metrics.Counter
 	leaderChanges       *metrics.Counter
 	promotionOrders     *metrics.Counter
+	writesHeld          *metrics.Counter
+	commitsUnknown      *metrics.Counter
 	transactionsExpired *metrics.Counter
 	statementsForwarded *metrics.Counter
 	statementsCarried   *metrics.Counter
@@ -59,6 +61,8 @@
 		probesFailed:        set.NewCounter("dragonflygrade_edge_probes_failed_total"),
 		leaderChanges:       set.NewCounter("dragonflygrade_edge_leader_changes_total"),
 		promotionOrders:     set.NewCounter("dragonflygrade_edge_promotion_orders_total"),
+		writesHeld:          set.NewCounter("dragonflygrade_edge_holds_total"),
+		commitsUnknown:      set.NewCounter("dragonflygrade_edge_commits_unknown_by_hold_total"),
 		transactionsExpired: set.NewCounter("dragonflygrade_edge_transactions_expired_total"),
 		statementsForwarded: set.NewCounter("dragonflygrade_edge_forwarded_total"),
 		statementsCarried:   set.NewCounter("dragonflygrade_edge_carried_total"),
--- a/dfedge/hold.go
+++ b/dfedge/hold.go
@@ -108,7 +108,11 @@
 	defer e.mu.Unlock()
 	s := req.service
 	s.writesInFlight--
-	return a.holdCount == s.holdCount && e.writeLeaseValid(e.options.Now(), s)
+	if a.holdCount != s.holdCount || !e.writeLeaseValid(e.options.Now(), s) {
+		e.counters.commitsUnknown.Inc()
+		return false
+	}
+	return true
 }
 
 // adoptHold records what is known of the hold of a service. e.mu must be held.
@@ -185,6 +189,7 @@
 	}
 	unknown := s.writesInFlight
 	s.holdCount++
+	e.counters.writesHeld.Inc()
 	e.log.Info().Str("Service", s.name).Str("Holder", notice.Holder).Uint64("Epoch", notice.Epoch).Int("Unknown", unknown).
 		Int64("Millis", int64(e.options.Now()-now)).Msg("hold: notice confirmed")
 	return reply
--- a/dfedge/neighbours.go
+++ b/dfedge/neighbours.go
@@ -221,7 +221,7 @@
 		report.ClaimsLoaded = e.claimsAdoptable(now)
 	}
 	if e.needsQuorum() {
-		if at := e.neighbours.QuorumAt(now); at >= 0 {
+		if at := e.neighbours.QuorumAt(now); at >= 0 && e.countsAsContactLocked() {
 			report.QuorumAge = now - at
 		}
 		if sender.DataCentre != e.options.Self.DataCentre && e.countsAsContactLocked() {
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -104,7 +104,7 @@
 	config, _ := e.catalog.Service(s.name)
 	situation.SyncReplicas = config.SyncReplicas
 	for _, upstream := range upstreams {
-		situation.Upstreams = append(situation.Upstreams, dfsuccession.Upstream{ID: upstream.ID})
+		situation.Upstreams = append(situation.Upstreams, dfsuccession.Upstream{ID: upstream.ID, Born: upstream.Born, Address: upstream.Address})
 		if !e.fleet.Leaving(now, upstream.ID) {
 			situation.Candidates = append(situation.Candidates, upstream.ID)
 		}
--- a/dfrevocation/hold.go
+++ b/dfrevocation/hold.go
@@ -24,10 +24,11 @@
 	return h.Epoch > h.ReleasedEpoch && h.Leader == leader
 }
 
-// With returns what is known after another host told of its hold.
+// With returns what is known after another host told of its hold of the same service.
 func (h Hold) With(other Hold) Hold {
+	h.Service = other.Service
 	if other.Epoch > h.Epoch {
-		h.Service, h.Epoch, h.Leader = other.Service, other.Epoch, other.Leader
+		h.Epoch, h.Leader = other.Epoch, other.Leader
 	}
 	h.ReleasedEpoch = max(h.ReleasedEpoch, other.ReleasedEpoch)
 	return h
@@ -67,6 +68,7 @@
 // WithNotice returns the hold after a notice, and the reply. A notice is refused if a
 // newer change is under way.
 func (h Hold) WithNotice(notice HoldNotice) (Hold, HoldReply) {
+	h.Service = notice.Service
 	if notice.Released {
 		return h.WithRelease(notice.Epoch), HoldReply{Accepted: true}
 	}
--- a/dfsuccession/promotable.go
+++ b/dfsuccession/promotable.go
@@ -85,7 +85,7 @@
 	if c.leaderEnd != (dfposition.Position{}) {
 		return c.leaderEnd, true
 	}
-	missing := 0
+	missing := len(c.departures)
 	for _, upstream := range observation.Upstreams {
 		if upstream.ID != c.lastLeader && !c.hasReport(upstream.ID) {
 			missing++
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -181,9 +181,6 @@
 func (PromoteRefused) event()    {}
 func (PromoteUnanswered) event() {}
 
-// Upstream is an upstream in the list.
-type Upstream struct{ ID dffleet.ID }
-
 // Observation is what the host knows of the service at a step.
 type Observation struct {
 	// Leader is empty if no upstream is believed to lead.
@@ -272,10 +269,16 @@
 	// leaderEnd is an earlier end of the leader's log to compare the candidates with, or
 	// zero.
 	leaderEnd dfposition.Position
-	// syncReplicas is that of the last observation, and lastLeader the last leader that was
-	// known.
+	// syncReplicas, upstreams and candidates are those of the last observation, and
+	// lastLeader is the last leader that was known.
 	syncReplicas int
+	upstreams    []Upstream
+	candidates   []dffleet.ID
 	lastLeader   dffleet.ID
+	// departures are the replicas whose logs count as missing, and departuresAskedAt is
+	// when the logs were last asked for because of them.
+	departures        []departure
+	departuresAskedAt dfclock.Millis
 	// holding is true while the hosts send no writes to the leader because of this
 	// change. handover decides how long they wait for the target.
 	holding  bool
@@ -471,6 +474,8 @@
 		if drainedAt, drained := c.handover.DrainedAt(); drained && report.AskedAt >= drainedAt {
 			c.addReport(report)
 		}
+	default:
+		c.recordDepartures(report)
 	}
 	if report.ID == c.leader {
 		c.recordAnswer(now)
@@ -556,14 +561,16 @@
 
 // observe updates the state that depends on the current leader.
 func (c *Coordinator) observe(now dfclock.Millis, observation Observation) {
-	c.syncReplicas = observation.SyncReplicas
+	c.observeUpstreams(now, observation)
+	c.syncReplicas, c.candidates = observation.SyncReplicas, observation.Candidates
 	if observation.Leader != c.leader {
 		if c.phase != watching && c.phase != awaitingPromotion && !c.leaderRevoked(observation) {
 			// The change in progress concerns another leader.
 			c.resumeWatching(now, conflictBackoff)
 		}
 		if observation.Leader != "" && observation.Leader != c.lastLeader {
-			c.lastLeader = observation.Leader
+			// The next leader's log is the one that counts.
+			c.lastLeader, c.departures = observation.Leader, nil
 		}
 		c.leader = observation.Leader
 		c.recordAnswer(now)
@@ -601,6 +608,10 @@
 		c.leaderEnd = dfposition.Position{}
 		return c.query(now)
 	}
+	if c.departureQueryDue(now, observation) {
+		c.departuresAskedAt = now
+		return QueryAll{}
+	}
 	silent := observation.AwaitingLeader && now-c.answeredAt >= max(silenceTimeout, observation.ExpectedDelay)
 	connectionFailed := c.connectionFailedAt > c.answeredAt
 	c.unresponsive = observation.DelegatesProbes && (silent || connectionFailed)
