Release held writes when the platform declines a promotion

A host that reaches the store and whose orders are declined (429, 503) claimed a held change again and again. Each claim kept the other hosts from acting for 6 s, and the writes stayed held, so a draining primary got no writes although it still served.

Cause: a declined order counted like one without an answer, which may still take effect, and the host tried again 1.5 s after it gave up.

Change: a declined order releases the writes at once, unless an earlier try of the epoch got no answer, and the host waits 2.5 s, in which hosts of the next ranks act. After orders without an answer it waits until its claim has ended and those have had their turn. Changes that hold no writes are as before.

--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -428,6 +428,10 @@
 		// The order may still take effect, but only under this epoch.
 		e.dropReservedEpoch(s)
 		sleep(ctx, feedRetryDelay/2)
+		if eris.Is(err, dfplatform.ErrRefused) {
+			e.notifySuccessor(s, dfsuccession.PromoteDeclined{})
+			return
+		}
 		e.notifySuccessor(s, dfsuccession.PromoteUnanswered{})
 	}
 }
--- a/dfsuccession/script_test.go
+++ b/dfsuccession/script_test.go
@@ -162,6 +162,8 @@
 		return RevokeFailed{}
 	case "promoteaccepted":
 		return PromoteAccepted{}
+	case "promotedeclined":
+		return PromoteDeclined{}
 	case "promoteunanswered":
 		return PromoteUnanswered{}
 	case "promoterefused":
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -52,6 +52,9 @@
 	// promoteSafetyMargin is how long before the other hosts' promises expire the
 	// last promotion is sent. It is several times the latency to the platform.
 	promoteSafetyMargin = 200 * dfclock.Millisecond
+	// declinedBackoff is the pause after the platform declined the promotion of a held
+	// change. The hosts of the next ranks act within it.
+	declinedBackoff = 2500 * dfclock.Millisecond
 	// conflictBackoff is the pause after another host acted or may have acted.
 	conflictBackoff = 1500 * dfclock.Millisecond
 )
@@ -165,6 +168,10 @@
 // PromoteRefused reports that a Promote was fenced or named a dead upstream.
 type PromoteRefused struct{}
 
+// PromoteDeclined reports that the platform did nothing about a Promote, because it is
+// overloaded or down.
+type PromoteDeclined struct{}
+
 // PromoteUnanswered reports that a Promote got no answer; it may still take effect.
 type PromoteUnanswered struct{}
 
@@ -179,6 +186,7 @@
 func (RevokeFailed) event()      {}
 func (PromoteAccepted) event()   {}
 func (PromoteRefused) event()    {}
+func (PromoteDeclined) event()   {}
 func (PromoteUnanswered) event() {}
 
 // Observation is what the host knows of the service at a step.
@@ -288,6 +296,8 @@
 	replaced        dffleet.ID
 	epoch           uint64
 	promoteAttempts int
+	// unanswered counts the attempts that got no answer.
+	unanswered int
 	// promoteDeadline is the instant from which no promotion is sent.
 	promoteDeadline dfclock.Millis
 	// requestInFlight is true while a revocation or promotion waits for its answer.
@@ -389,7 +399,7 @@
 		c.queryEnded = true
 	case Claimed:
 		if c.phase == claiming {
-			c.epoch, c.promoteAttempts, c.requestInFlight, c.orderSent = e.Epoch, 0, false, false
+			c.epoch, c.promoteAttempts, c.unanswered, c.requestInFlight, c.orderSent = e.Epoch, 0, 0, false, false
 			c.onClaimed(now)
 		}
 	case ClaimFailed:
@@ -409,19 +419,44 @@
 			c.enterPhase(now, awaitingPromotion)
 		}
 	case PromoteRefused:
-		c.orderSent = c.orderSent && c.promoteAttempts > 0
+		c.orderSent = c.unanswered > 0
 		c.resumeWatching(now, probeInterval)
+	case PromoteDeclined:
+		if c.phase == promoting {
+			c.orderSent = c.unanswered > 0
+			c.onPromoteFailed(now)
+		}
 	case PromoteUnanswered:
 		if c.phase == promoting {
-			c.requestInFlight = false
-			c.promoteAttempts++
-			if c.promoteAttempts >= maxPromoteAttempts {
-				c.resumeWatching(now, conflictBackoff)
-			}
+			c.unanswered++
+			c.onPromoteFailed(now)
 		}
 	}
 }
 
+// onPromoteFailed lets a promotion be sent again, or gives the change up. Other hosts
+// have no part in a held change until its claim has ended, so this host stands back.
+func (c *Coordinator) onPromoteFailed(now dfclock.Millis) {
+	c.requestInFlight = false
+	c.promoteAttempts++
+	declined := c.holding && !c.orderSent
+	if c.promoteAttempts < maxPromoteAttempts && !declined {
+		return
+	}
+	c.resumeWatching(now, c.failedOrderBackoff())
+}
+
+// failedOrderBackoff is the pause after a promotion was given up.
+func (c *Coordinator) failedOrderBackoff() dfclock.Millis {
+	switch {
+	case !c.holding:
+		return conflictBackoff
+	case c.orderSent:
+		return HeldChangeSpan + declinedBackoff
+	}
+	return declinedBackoff
+}
+
 // onClaimed starts the next phase after an epoch was acquired.
 func (c *Coordinator) onClaimed(now dfclock.Millis) {
 	switch c.fencing.(type) {
@@ -549,7 +584,11 @@
 // have the same epoch and target, so that a late first attempt changes nothing.
 func (c *Coordinator) promote(now dfclock.Millis) Action {
 	if now >= c.promoteDeadline {
-		c.resumeWatching(now, probeInterval)
+		backoff := probeInterval
+		if c.holding {
+			backoff = c.failedOrderBackoff()
+		}
+		c.resumeWatching(now, backoff)
 		return NoAction{}
 	}
 	if c.requestInFlight {
