Mend three gaps of held changes: returned entries, vanished leaders, old holds

- A replica whose entry vanished for a while and came back stayed among those whose logs are missed, so a crash of the leader right after it left the service without one until another replica had caught up.
- If the last leader had vanished from the list of the host that replaces it, the hold named no leader, and hosts that still knew it could write to it.
- A change after a held one that had succeeded could not be given up any more when the leader answered again.

--- a/dfsuccession/departure.go
+++ b/dfsuccession/departure.go
@@ -63,12 +63,16 @@
 		}
 	}
 	c.departures = slices.DeleteFunc(slices.Clone(c.departures), func(d departure) bool {
-		return d.planned && d.upstream.Address != "" && slices.ContainsFunc(observation.Upstreams, func(next Upstream) bool {
-			return next.Address == d.upstream.Address && next != d.upstream
-		})
+		return slices.ContainsFunc(observation.Upstreams, d.endsWith)
 	})
 }
 
+// endsWith reports whether an upstream in the list has the log of the one that is gone:
+// its entry is back, or it drained and another upstream took its place.
+func (d departure) endsWith(listed Upstream) bool {
+	return listed == d.upstream || d.planned && d.upstream.Address != "" && listed.Address == d.upstream.Address
+}
+
 // recordDepartures updates the departures from a status.
 func (c *Coordinator) recordDepartures(report StatusReceived) {
 	kept := make([]departure, 0, len(c.departures))
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -608,8 +608,8 @@
 			c.resumeWatching(now, conflictBackoff)
 		}
 		if observation.Leader != "" && observation.Leader != c.lastLeader {
-			// The next leader's log is the one that counts.
-			c.lastLeader, c.departures = observation.Leader, nil
+			// The next leader's log is the one that counts, and ends the hold.
+			c.lastLeader, c.departures, c.holding = observation.Leader, nil, false
 		}
 		c.leader = observation.Leader
 		c.recordAnswer(now)
@@ -725,8 +725,12 @@
 		return NoAction{}
 	}
 	c.target, c.replaced = best.ID, c.leader
+	if c.replaced == "" && observation.SyncReplicas > 0 {
+		// Other hosts may still know the last leader.
+		c.replaced = c.lastLeader
+	}
 	c.enterPhase(now, claiming)
-	return Claim{Target: best.ID, Replaced: c.leader}
+	return Claim{Target: best.ID, Replaced: c.replaced}
 }
 
 // newerTermReported reports whether an upstream has seen a newer term than the
