Take over the change of a lost host with its target

A host that was killed after its claim, while the writes of a draining primary were held, left them held for 6 s and the time of another change: 9.2 s without an acknowledged write in a trial.

Cause: its order may have been sent, and may discard what another target acknowledges as the next leader. So every other change waited until it could not take effect any more.

Change: a promotion names only the target of its claim; if that lacks commits, the change is claimed again. Two orders for one upstream discard nothing, so a host that does not hear the claim's holder takes the change over with the same target after 1.2 s, if that has every acknowledged commit. Another target still waits.

--- a/dfedge/edge.go
+++ b/dfedge/edge.go
@@ -148,7 +148,9 @@
 	reservingEpoch  bool
 	// lastClaimVersion is the version of the newest claim that was read, and
 	// lastClaimSeenAt when it was first seen.
+	// claimedTarget is the target of that claim.
 	lastClaimVersion dfrevision.Revision
+	claimedTarget    dffleet.ID
 	lastClaimSeenAt  dfclock.Millis
 	// voter has this host's promises to hosts that replace the leader.
 	voter dfrevocation.Voter
@@ -157,12 +159,15 @@
 	leaderPaused bool
 	// heldAt is when writes to the leader were last held, and nextLeaderAt when the next
 	// leader was then expected. holdCount counts the confirmed holds, and writesInFlight
-	// the commits that were sent and not answered. earlierHold is the epoch of an earlier
-	// change whose promotion may take effect, or zero.
+	// the commits that were sent and not answered.
 	heldAt, nextLeaderAt dfclock.Millis
 	holdCount            uint64
 	writesInFlight       int
-	earlierHold          uint64
+	// heldEpoch and orderedEpoch are the epochs under which this host last held the writes
+	// and last sent a promotion. earlierHold is the epoch of an earlier change whose
+	// promotion may take effect, or zero, and earlierBefore that of the change of this host
+	// under unorderedEpoch, which sent none.
+	heldEpoch, orderedEpoch, unorderedEpoch, earlierHold, earlierBefore uint64
 	// leaderlessSince is since when the service has no known leader, or Never.
 	// Meanwhile upstreams are asked for their term: termQueriedAt is when, by
 	// upstream, and queryingTerm is true while a query runs.
--- a/dfedge/hold.go
+++ b/dfedge/hold.go
@@ -206,7 +206,11 @@
 		Service: s.name, Holder: e.options.Self.ID, Epoch: wanted.Epoch, Leader: wanted.Replaced,
 		ExpectedIn: s.successor.PromotionTime(),
 	}
-	s.earlierHold = 0
+	s.unorderedEpoch = 0
+	if s.heldEpoch != s.orderedEpoch {
+		s.unorderedEpoch = s.heldEpoch
+	}
+	s.earlierBefore, s.earlierHold, s.heldEpoch = s.earlierHold, 0, wanted.Epoch
 	e.mu.Unlock()
 	hostIDs := []string{e.options.Self.ID}
 	events := make(chan dfrevocation.Event, len(hosts)+1)
@@ -241,7 +245,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.earlierHold = max(s.earlierHold, reply.EarlierEpoch)
+	if s.unorderedEpoch > 0 && reply.EarlierEpoch == s.unorderedEpoch {
+		s.earlierHold = max(s.earlierHold, s.earlierBefore)
+	} else {
+		s.earlierHold = max(s.earlierHold, reply.EarlierEpoch)
+	}
 	return dfrevocation.Accepted{Host: host}
 }
 
--- a/dfedge/succession.go
+++ b/dfedge/succession.go
@@ -18,6 +18,7 @@
 	"dragonflygrade/dfresult"
 	"dragonflygrade/dfrevision"
 	"dragonflygrade/dfrevocation"
+	"dragonflygrade/dfroster"
 	"dragonflygrade/dfstatement"
 	"dragonflygrade/dfsuccession"
 )
@@ -31,6 +32,10 @@
 // promotion.
 const fencedClaimHold = 2500 * dfclock.Millisecond
 
+// takeoverDelay is the same where replicas confirm commits, for a change with the same
+// target if the other host is not heard. Two promotions of one upstream discard nothing.
+const takeoverDelay = 1200 * dfclock.Millisecond
+
 // claimTimeout bounds the claim of an epoch: several times the duration of its
 // three calls to a healthy platform.
 const claimTimeout = 300 * time.Millisecond
@@ -263,7 +268,10 @@
 		return
 	}
 	e.log.Warn().Str("Service", s.name).Str("Target", string(target)).Err(err).Msg("succession: no epoch")
-	e.notifySuccessor(s, dfsuccession.ClaimFailed{})
+	e.mu.Lock()
+	claimed := s.claimedTarget
+	e.mu.Unlock()
+	e.notifySuccessor(s, dfsuccession.ClaimFailed{Claimed: claimed})
 }
 
 // reservedEpoch returns the epoch held for the next promotion, or 0.
@@ -383,6 +391,7 @@
 	if s.lastClaimVersion != version {
 		s.lastClaimVersion, s.lastClaimSeenAt = version, now
 	}
+	s.claimedTarget = last.Target
 	if version == 0 || last.Holder == e.options.Self.ID && last.Replaced == wanted.Replaced && last.Target == wanted.Target {
 		return false
 	}
@@ -391,13 +400,31 @@
 	if last.Target == wanted.Replaced || last.Target == "" {
 		return false
 	}
+	if uint64(version) == s.heldEpoch && s.heldEpoch != s.orderedEpoch {
+		// This host claimed it and sent no order: its target lacked commits.
+		return false
+	}
 	if e.confirmsWrites(s) && wanted.Replaced != "" && last.Replaced != wanted.Replaced {
 		// It replaced the leader by another upstream than the claimed one.
 		return false
 	}
+	if e.confirmsWrites(s) && last.Target == wanted.Target && !e.hears(now, last.Holder) {
+		return now-s.lastClaimSeenAt < takeoverDelay
+	}
 	return now-s.lastClaimSeenAt < e.claimHold(s)
 }
 
+// hears reports whether a host was heard recently. e.mu must be held.
+func (e *Edge) hears(now dfclock.Millis, id string) bool {
+	presence := e.neighbours.Presence(now)
+	for _, host := range e.neighbours.OtherHosts() {
+		if host.ID == id {
+			return presence(host) == dfroster.Present
+		}
+	}
+	return false
+}
+
 // claimHold returns how long another host's claim is given to take effect.
 func (e *Edge) claimHold(s *service) dfclock.Millis {
 	switch {
@@ -414,6 +441,9 @@
 		e.notifySuccessor(s, dfsuccession.PromoteRefused{})
 		return
 	}
+	e.mu.Lock()
+	s.orderedEpoch = order.Epoch
+	e.mu.Unlock()
 	err := e.options.Platform.Promote(ctx, s.name, order.Target, e.options.Self.ID, order.Epoch)
 	e.counters.promotionOrders.Inc()
 	e.log.Warn().Str("Service", s.name).Str("Target", string(order.Target)).Uint64("Epoch", order.Epoch).Err(err).
--- a/dfsuccession/promotable.go
+++ b/dfsuccession/promotable.go
@@ -26,8 +26,9 @@
 )
 
 // promotable returns the report of the upstream to promote, or nil if none may lead.
-// Where replicas confirm commits, that upstream has every acknowledged commit.
-func (c *Coordinator) promotable(observation Observation) *StatusReceived {
+// Where replicas confirm commits, that upstream has every acknowledged commit; the
+// preferred one is chosen if it has them.
+func (c *Coordinator) promotable(observation Observation, preferred dffleet.ID) *StatusReceived {
 	// The minority side of a partition leaves the promotion to the majority side.
 	if len(c.reports)*2 <= len(observation.Upstreams) {
 		return nil
@@ -39,14 +40,25 @@
 	if !known {
 		return nil
 	}
-	best := c.longestLog(observation.Candidates, end)
+	best := c.choose(observation.Candidates, preferred, end)
 	if best == nil && (c.Suspected() || observation.Leader == "") {
 		// An upstream that drains leads until one that stays has caught up.
-		return c.longestLog(leavingUpstreams(observation), end)
+		return c.choose(leavingUpstreams(observation), preferred, end)
 	}
 	return best
 }
 
+// choose returns the report of the preferred candidate if its log reaches a position, or
+// else that of the longest log.
+func (c *Coordinator) choose(candidates []dffleet.ID, preferred dffleet.ID, end dfposition.Position) *StatusReceived {
+	if slices.Contains(candidates, preferred) {
+		if best := c.longestLog([]dffleet.ID{preferred}, end); best != nil {
+			return best
+		}
+	}
+	return c.longestLog(candidates, end)
+}
+
 // leavingUpstreams returns the upstreams that are in the list and are no candidates.
 func leavingUpstreams(observation Observation) []dffleet.ID {
 	var leaving []dffleet.ID
@@ -107,9 +119,10 @@
 	return dfposition.Position{}, false
 }
 
-// askAgain reports whether the candidates are to be asked again: the leader went on
-// writing while they answered, so they are compared with an earlier end of its log.
-func (c *Coordinator) askAgain(observation Observation) bool {
+// rememberLeaderEnd keeps the end of the leader's log for a second query: the leader goes
+// on writing while the candidates answer, so they are compared with an earlier end. It
+// returns false if there is none, or if the query was the second one.
+func (c *Coordinator) rememberLeaderEnd(observation Observation) bool {
 	if observation.SyncReplicas == 0 || c.leaderEnd != (dfposition.Position{}) {
 		return false
 	}
@@ -132,14 +145,18 @@
 // compare waits, while writes are held, until an upstream has every acknowledged
 // commit. A target that was chosen earlier may have stopped receiving.
 func (c *Coordinator) compare(now dfclock.Millis, observation Observation) Action {
-	best := c.promotable(observation)
+	best := c.promotable(observation, c.target)
 	next, decision := c.handover.WithStep(now, 0, best != nil)
 	c.handover = next
 	switch decision.(type) {
 	case dfhandover.Poll:
 		return QueryAll{}
 	case dfhandover.Change:
-		c.target = best.ID
+		if best.ID != c.target {
+			c.target = best.ID
+			c.enterPhase(now, claiming)
+			return Claim{Target: c.target, Replaced: c.replaced}
+		}
 		c.enterPhase(now, promoting)
 		return c.promote(now)
 	case dfhandover.Release:
--- a/dfsuccession/succession.go
+++ b/dfsuccession/succession.go
@@ -154,7 +154,10 @@
 
 // ClaimFailed reports that a Claim got no epoch: another host acts, or the
 // platform does not answer.
-type ClaimFailed struct{}
+type ClaimFailed struct {
+	// Claimed is the target that another host claimed, or empty.
+	Claimed dffleet.ID
+}
 
 // Revoked reports that no host uses the leader any more.
 type Revoked struct{}
@@ -291,7 +294,11 @@
 	// change. handover decides how long they wait for the target.
 	holding  bool
 	handover dfhandover.Handover
-	target   dffleet.ID
+	// target is the upstream to promote. A promotion names only the target of its claim.
+	target dffleet.ID
+	// claimed is the target of another host's change, or empty. If that host is gone, a
+	// change with the same target can't discard commits of the other one.
+	claimed dffleet.ID
 	// replaced is the leader that target replaces.
 	replaced        dffleet.ID
 	epoch           uint64
@@ -403,6 +410,7 @@
 			c.onClaimed(now)
 		}
 	case ClaimFailed:
+		c.claimed = e.Claimed
 		c.resumeWatching(now, conflictBackoff)
 	case Revoked:
 		if c.phase == revoking {
@@ -609,7 +617,7 @@
 		}
 		if observation.Leader != "" && observation.Leader != c.lastLeader {
 			// The next leader's log is the one that counts, and ends the hold.
-			c.lastLeader, c.departures, c.holding = observation.Leader, nil, false
+			c.lastLeader, c.departures, c.holding, c.claimed = observation.Leader, nil, false, ""
 		}
 		c.leader = observation.Leader
 		c.recordAnswer(now)
@@ -712,9 +720,9 @@
 			return NoAction{}
 		}
 	}
-	best := c.promotable(observation)
+	best := c.promotable(observation, c.claimed)
 	if best == nil {
-		if c.askAgain(observation) {
+		if c.rememberLeaderEnd(observation) {
 			return c.query(now)
 		}
 		backoff := probeInterval
